--- /dev/null
+++ b/Source/Core/Endpoint.cpp
@@ -0,0 +1,52 @@
+#include "Core/Endpoint.h"
+
+#include <charconv>
+
+#include <arpa/inet.h>
+
+namespace acaciaroad::core {
+
+namespace {
+
+bool isNumber(int family, const std::string &host) {
+  in6_addr buf{};
+  return inet_pton(family, host.c_str(), &buf) == 1;
+}
+
+bool parsePort(std::string_view text, std::uint16_t &port) {
+  const char *end = text.data() + text.size();
+  const auto [it, ec] = std::from_chars(text.data(), end, port);
+  return ec == std::errc() && it == end;
+}
+
+} // namespace
+
+Result<Endpoint> parseEndpoint(std::string_view text) {
+  const auto malformed = [&] {
+    return fail(ErrorKind::InvalidArgument,
+                "'" + std::string(text) + "' is not of the form ip:port");
+  };
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return malformed();
+  Endpoint out;
+  std::string_view host = text.substr(0, colon);
+  const bool isBracketed =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (isBracketed)
+    host = host.substr(1, host.size() - 2);
+  out.Host = host;
+  if (!isNumber(isBracketed ? AF_INET6 : AF_INET, out.Host))
+    return malformed();
+  if (!parsePort(text.substr(colon + 1), out.Port))
+    return malformed();
+  return out;
+}
+
+std::string toString(const Endpoint &endpoint) {
+  const bool isV6 = endpoint.Host.find(':') != std::string::npos;
+  const std::string host = isV6 ? "[" + endpoint.Host + "]" : endpoint.Host;
+  return host + ":" + std::to_string(endpoint.Port);
+}
+
+} // namespace acaciaroad::core
