--- /dev/null
+++ b/Source/Codec/ControlCodec.h
@@ -0,0 +1,45 @@
+/// \file
+/// Encodes the control messages between nodes.
+
+#ifndef ACACIAROAD_CODEC_CONTROLCODEC_H
+#define ACACIAROAD_CODEC_CONTROLCODEC_H
+
+#include <span>
+#include <string>
+#include <variant>
+
+#include "Accounts/CreditMessages.h"
+#include "Core/Error.h"
+#include "Core/Identifiers.h"
+#include "Ownership/LeaseMessages.h"
+#include "Requests/IdempotencyMessages.h"
+
+namespace acaciaroad::codec {
+
+/// Every kind of control message.
+using ControlBody =
+    std::variant<ownership::ControlMessage, accounts::CreditAsk,
+                 accounts::CreditGrant, accounts::CreditReturn,
+                 requests::IdempotencyTell, requests::IdempotencyAck,
+                 requests::IdempotencyForget, requests::IdempotencyHandoverAsk,
+                 requests::IdempotencyHandover>;
+
+/// A control message and the incarnation that sent it.
+struct PeerControl {
+  core::InstanceId From;
+  ControlBody Body;
+};
+
+/// Longest control message, in bytes.
+inline constexpr std::size_t MaxControlBytes = 1U << 20U;
+
+/// Returns the encoding of \p message.
+std::string encode(const PeerControl &message);
+
+/// Decodes a message. CorruptMessage if it is too long, of no known kind or
+/// holds a value out of range.
+core::Result<PeerControl> decodeControl(std::string_view bytes);
+
+} // namespace acaciaroad::codec
+
+#endif
