--- /dev/null
+++ b/Source/Upstream/ColdStartDetector.cpp
@@ -0,0 +1,49 @@
+#include "Upstream/ColdStartDetector.h"
+
+namespace acaciaroad::upstream {
+
+namespace {
+
+/// Latency over its mean that counts as slow.
+constexpr int SlowFactor = 4;
+constexpr std::uint32_t SlowAnswers = 6;
+constexpr std::uint32_t ShedOrders = 3;
+constexpr std::uint32_t BrokenConnections = 2;
+constexpr core::Duration BurstLength = std::chrono::seconds(1);
+
+} // namespace
+
+std::uint32_t ColdStartDetector::Burst::add(core::TimePoint now) {
+  if (Count == 0 || now - Start > BurstLength) {
+    Count = 0;
+    Start = now;
+  }
+  return ++Count;
+}
+
+bool ColdStartDetector::answered(core::Duration latency, core::Duration mean) {
+  const bool slow = mean.count() > 0 && latency > mean * SlowFactor;
+  SlowInRow = slow ? SlowInRow + 1 : 0;
+  if (SlowInRow < SlowAnswers)
+    return false;
+  reset();
+  return true;
+}
+
+bool ColdStartDetector::shed(core::TimePoint now) {
+  if (Sheds.add(now) < ShedOrders)
+    return false;
+  reset();
+  return true;
+}
+
+bool ColdStartDetector::broken(core::TimePoint now) {
+  if (Breaks.add(now) < BrokenConnections)
+    return false;
+  reset();
+  return true;
+}
+
+void ColdStartDetector::reset() { *this = ColdStartDetector(); }
+
+} // namespace acaciaroad::upstream
--- /dev/null
+++ b/Source/Upstream/ConcurrencyLimit.cpp
@@ -0,0 +1,66 @@
+#include "Upstream/ConcurrencyLimit.h"
+
+#include <algorithm>
+
+namespace acaciaroad::upstream {
+
+namespace {
+
+constexpr std::uint32_t WindowSamples = 16;
+constexpr core::Duration WindowLength = std::chrono::milliseconds(100);
+/// Latency over its minimum up to which no queue is assumed in the upstream.
+constexpr double ToleratedRatio = 2.0;
+constexpr double SmallestDecrease = 0.5;
+constexpr double ShedDecrease = 0.75;
+
+} // namespace
+
+core::Result<ConcurrencyLimit> ConcurrencyLimit::create(std::uint32_t slots) {
+  if (slots == 0)
+    return core::fail(core::ErrorKind::InvalidArgument,
+                      "an upstream needs at least one slot");
+  return ConcurrencyLimit(slots);
+}
+
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots)
+    : Slots(slots), Limit(slots) {}
+
+void ConcurrencyLimit::observe(double latencyRatio, std::uint32_t inFlight,
+                               core::TimePoint now) {
+  RatioSum += latencyRatio;
+  ++Samples;
+  Saturated = Saturated || inFlight >= current();
+  if (Samples >= WindowSamples && now - WindowStart >= WindowLength)
+    closeWindow(now);
+}
+
+void ConcurrencyLimit::shed(core::TimePoint now) {
+  if (!Shed)
+    decrease(ShedDecrease);
+  Shed = true;
+  if (now - WindowStart >= WindowLength)
+    closeWindow(now);
+}
+
+void ConcurrencyLimit::closeWindow(core::TimePoint now) {
+  const double ratio = Samples == 0 ? 1 : RatioSum / Samples;
+  if (ratio > ToleratedRatio)
+    decrease(std::max(SmallestDecrease, ToleratedRatio / ratio));
+  else if (Saturated && !Shed)
+    Limit = std::min<double>(Slots, Limit + 1);
+  RatioSum = 0;
+  Samples = 0;
+  Saturated = false;
+  Shed = false;
+  WindowStart = now;
+}
+
+void ConcurrencyLimit::decrease(double factor) {
+  Limit = std::max(1.0, Limit * factor);
+}
+
+std::uint32_t ConcurrencyLimit::current() const {
+  return static_cast<std::uint32_t>(Limit);
+}
+
+} // namespace acaciaroad::upstream
--- /dev/null
+++ b/Source/Upstream/LatencyBaseline.cpp
@@ -0,0 +1,60 @@
+#include "Upstream/LatencyBaseline.h"
+
+#include <algorithm>
+
+namespace acaciaroad::upstream {
+
+namespace {
+
+constexpr std::uint32_t BlockSize = 16;
+constexpr double MeanWeight = 1.0 / 32;
+/// Share of the distance by which a lower block pulls the minimum down.
+constexpr double FallWeight = 0.25;
+/// Largest rise of the minimum in a second, as a share of it.
+constexpr double RisePerSecond = 0.02;
+
+double nanoseconds(core::Duration d) { return static_cast<double>(d.count()); }
+
+core::Duration duration(double ns) {
+  return core::Duration(static_cast<core::Duration::rep>(ns));
+}
+
+} // namespace
+
+void LatencyBaseline::observe(core::Duration latency, core::TimePoint now) {
+  const double ns = std::max(1.0, nanoseconds(latency));
+  if (Mean == 0) {
+    Mean = ns;
+    Minimum = ns;
+    LastBlock = now;
+  }
+  Mean += (ns - Mean) * MeanWeight;
+  BlockSum += ns;
+  if (++BlockCount == BlockSize)
+    closeBlock(now);
+}
+
+void LatencyBaseline::closeBlock(core::TimePoint now) {
+  const double block = BlockSum / BlockSize;
+  const std::chrono::duration<double> elapsed = now - LastBlock;
+  const double raised = Minimum * (1 + RisePerSecond * elapsed.count());
+  if (block < Minimum)
+    Minimum += (block - Minimum) * FallWeight;
+  else
+    Minimum = std::min(block, raised);
+  BlockSum = 0;
+  BlockCount = 0;
+  LastBlock = now;
+}
+
+core::Duration LatencyBaseline::mean() const { return duration(Mean); }
+
+core::Duration LatencyBaseline::minimum() const { return duration(Minimum); }
+
+double LatencyBaseline::ratio(core::Duration latency) const {
+  if (Minimum == 0)
+    return 1;
+  return nanoseconds(latency) / Minimum;
+}
+
+} // namespace acaciaroad::upstream
