Accounts: credit of client accounts over the fleet

The owner keeps bucket plus outstanding credit within the burst; holders ask before they refuse and settle what they have spent, so neither lost nor repeated messages nor a change of owner creates credit.

--- /dev/null
+++ b/Source/Accounts/CreditHolder.cpp
@@ -0,0 +1,275 @@
+#include "Accounts/CreditHolder.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace acaciaroad::accounts {
+
+using core::ErrorKind;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Demand that is fetched ahead of requests.
+constexpr core::Duration PrefetchSpan = milliseconds(100);
+constexpr core::Duration RepeatInterval = milliseconds(100);
+/// Longest time that a request waits for an owner.
+constexpr core::Duration LongestWait = milliseconds(250);
+/// Longest time for which an owner's refusal holds without asking again.
+constexpr core::Duration LongestBlock = milliseconds(50);
+/// Settled grants are collected this long before they are sent.
+constexpr core::Duration SettleDelay = milliseconds(10);
+/// Pause before the next ask after one that reached no owner.
+constexpr core::Duration RetryInterval = milliseconds(10);
+constexpr core::Duration IdleLifetime = std::chrono::seconds(10);
+constexpr std::size_t MostWaiters = 1024;
+
+} // namespace
+
+core::Result<std::unique_ptr<CreditHolder>>
+CreditHolder::create(core::InstanceId id, CreditHooks hooks) {
+  if (!id || !hooks.Ask || !hooks.Return || !hooks.OnTaken || !hooks.OnRefused)
+    return core::fail(ErrorKind::InvalidArgument,
+                      "a holder needs an id and all hooks");
+  return std::unique_ptr<CreditHolder>(new CreditHolder(id, std::move(hooks)));
+}
+
+CreditHolder::CreditHolder(core::InstanceId id, CreditHooks hooks)
+    : Id(id), Hooks(std::move(hooks)) {}
+
+CreditHolder::Account &CreditHolder::accountOf(std::string_view name,
+                                               core::TimePoint now) {
+  const auto it = Accounts.find(name);
+  if (it != Accounts.end())
+    return it->second;
+  Account &account = Accounts[std::string(name)];
+  account.Name = name;
+  account.Timer = now + IdleLifetime;
+  Timers.emplace(account.Timer, &account);
+  return account;
+}
+
+TakeDecision CreditHolder::take(std::string_view account, Ticket ticket,
+                                core::TimePoint now) {
+  Account &own = accountOf(account, now);
+  own.LastUse = now;
+  own.Demand.add(now);
+  TakeDecision out{TakeVerdict::Taken, {}};
+  if (!own.Waiters.empty() || !own.Credit.take(now))
+    out = wait(own, ticket, now);
+  prefetch(own, now);
+  reschedule(own, now);
+  return out;
+}
+
+TakeDecision CreditHolder::wait(Account &account, Ticket ticket,
+                                core::TimePoint now) {
+  const bool isBlocked = now < account.BlockedUntil;
+  if (isBlocked && account.BlockedReason == ErrorKind::RateExceeded)
+    return {TakeVerdict::Refused, ErrorKind::RateExceeded};
+  if (account.Waiters.size() >= MostWaiters)
+    return {TakeVerdict::Refused, ErrorKind::CreditUnavailable};
+  account.Waiters.push_back({ticket, now + LongestWait});
+  if (!account.Pending && !isBlocked)
+    ask(account, now);
+  return {TakeVerdict::AskFirst, {}};
+}
+
+void CreditHolder::ask(Account &account, core::TimePoint now) {
+  PendingAsk pending;
+  pending.Message.Holder = Id;
+  pending.Message.Id = NextAsk++;
+  pending.Message.Account = account.Name;
+  pending.Message.Needed = static_cast<std::uint32_t>(account.Waiters.size());
+  pending.Message.Wanted = wanted(account, now);
+  pending.Message.Settled = account.Credit.collectSettled();
+  pending.AskedAt = now;
+  pending.RepeatAt = now + RepeatInterval;
+  account.Pending = std::move(pending);
+  Hooks.Ask(account.Pending->Message);
+}
+
+std::uint32_t CreditHolder::wanted(const Account &account,
+                                   core::TimePoint now) {
+  const double expected = account.Demand.expectedIn(PrefetchSpan, now);
+  const auto target = static_cast<std::uint32_t>(expected);
+  const std::uint32_t available = account.Credit.available(now);
+  return target > available ? target - available : 0;
+}
+
+void CreditHolder::prefetch(Account &account, core::TimePoint now) {
+  if (account.Pending || now < account.BlockedUntil)
+    return;
+  const std::uint32_t missing = wanted(account, now);
+  if (missing > 0 && missing >= account.Credit.available(now))
+    ask(account, now);
+}
+
+void CreditHolder::granted(const CreditGrant &grant, core::TimePoint now) {
+  const auto it = Accounts.find(grant.Account);
+  if (it == Accounts.end())
+    return;
+  Account &account = it->second;
+  if (!account.Pending || account.Pending->Message.Id != grant.Id)
+    return;
+  const PendingAsk pending = std::move(*account.Pending);
+  account.Pending.reset();
+  account.Credit.add(grant, pending.AskedAt, now);
+  const std::size_t before = account.Waiters.size();
+  serveWaiters(account, now);
+  const std::size_t served = before - account.Waiters.size();
+  const std::uint32_t needed = pending.Message.Needed;
+  const std::size_t missing = needed - std::min(needed, grant.Amount);
+  const bool isOwner = grant.Status == CreditStatus::Granted ||
+                       grant.Status == CreditStatus::Exhausted;
+  // Only requests that the owner was asked for are refused by its answer.
+  if (isOwner && served < needed)
+    refuseWaiters(account, std::min(missing, needed - served),
+                  ErrorKind::RateExceeded);
+  block(account, grant, isOwner, now);
+  advance(account, now);
+  reschedule(account, now);
+}
+
+void CreditHolder::block(Account &account, const CreditGrant &grant,
+                         bool isOwner, core::TimePoint now) {
+  const core::Duration wait = std::min(grant.RetryAfter, LongestBlock);
+  account.BlockedReason =
+      isOwner ? ErrorKind::RateExceeded : ErrorKind::CreditUnavailable;
+  // Requests that wait for a new owner stay; one ask tries again for them.
+  account.BlockedUntil = now + (isOwner ? wait : std::max(wait, RetryInterval));
+}
+
+void CreditHolder::serveWaiters(Account &account, core::TimePoint now) {
+  while (!account.Waiters.empty() && account.Credit.take(now)) {
+    const Ticket id = account.Waiters.front().Id;
+    account.Waiters.pop_front();
+    Hooks.OnTaken(id);
+  }
+}
+
+void CreditHolder::refuseWaiters(Account &account, std::size_t most,
+                                 ErrorKind reason) {
+  for (std::size_t n = 0; n < most && !account.Waiters.empty(); ++n) {
+    const Ticket id = account.Waiters.front().Id;
+    account.Waiters.pop_front();
+    Hooks.OnRefused(id, reason);
+  }
+}
+
+void CreditHolder::cancel(std::string_view account, Ticket ticket) {
+  const auto it = Accounts.find(account);
+  if (it != Accounts.end())
+    std::erase_if(it->second.Waiters,
+                  [&](const Waiter &w) { return w.Id == ticket; });
+}
+
+void CreditHolder::advance(Account &account, core::TimePoint now) {
+  giveUp(account, now);
+  account.Credit.closeAged(now);
+  if (account.Pending && account.Pending->RepeatAt <= now)
+    repeat(account, now);
+  if (!account.Pending && !account.Waiters.empty() &&
+      now >= account.BlockedUntil)
+    ask(account, now);
+  settle(account, now);
+}
+
+void CreditHolder::repeat(Account &account, core::TimePoint now) {
+  PendingAsk &pending = *account.Pending;
+  // A repeated ask keeps its id, so at most one grant comes of it. Credit near
+  // its expiry is of no use; a new ask takes the place of an old one.
+  if (now - pending.AskedAt < LongestWait) {
+    pending.RepeatAt = now + RepeatInterval;
+    Hooks.Ask(pending.Message);
+    return;
+  }
+  account.Pending.reset();
+}
+
+void CreditHolder::giveUp(Account &account, core::TimePoint now) {
+  while (!account.Waiters.empty() && account.Waiters.front().GiveUp <= now)
+    refuseWaiters(account, 1, ErrorKind::CreditUnavailable);
+}
+
+void CreditHolder::settle(Account &account, core::TimePoint now) {
+  if (!account.Credit.hasSettled()) {
+    account.SettleAt = {};
+    return;
+  }
+  if (account.SettleAt == core::TimePoint{})
+    account.SettleAt = now + SettleDelay;
+  if (account.SettleAt <= now)
+    sendSettled(account);
+}
+
+void CreditHolder::sendSettled(Account &account) {
+  account.SettleAt = {};
+  if (account.Credit.hasSettled())
+    Hooks.Return({Id, account.Name, account.Credit.collectSettled()});
+}
+
+std::optional<core::TimePoint> CreditHolder::nextDeadline() const {
+  if (Timers.empty())
+    return std::nullopt;
+  return Timers.begin()->first;
+}
+
+void CreditHolder::expire(core::TimePoint now) {
+  while (!Timers.empty() && Timers.begin()->first <= now) {
+    Account &account = *Timers.begin()->second;
+    advance(account, now);
+    const bool isIdle = !account.Pending && account.Waiters.empty() &&
+                        !account.Credit.hasSettled() &&
+                        account.Credit.available(now) == 0 &&
+                        now - account.LastUse >= IdleLifetime;
+    if (!isIdle) {
+      reschedule(account, now);
+      continue;
+    }
+    Timers.erase(Timers.begin());
+    Accounts.erase(Accounts.find(account.Name));
+  }
+}
+
+void CreditHolder::returnAll(core::TimePoint now) {
+  for (auto &[name, account] : Accounts) {
+    account.Credit.closeAll(now);
+    sendSettled(account);
+    reschedule(account, now);
+  }
+}
+
+void CreditHolder::reschedule(Account &account, core::TimePoint now) {
+  settle(account, now);
+  const core::TimePoint next = nextEvent(account);
+  if (next == account.Timer)
+    return;
+  Timers.erase({account.Timer, &account});
+  account.Timer = next;
+  Timers.emplace(next, &account);
+}
+
+core::TimePoint CreditHolder::nextEvent(const Account &account) {
+  core::TimePoint next = account.LastUse + IdleLifetime;
+  if (!account.Waiters.empty())
+    next = std::min(next, account.Waiters.front().GiveUp);
+  if (!account.Waiters.empty() && !account.Pending)
+    next = std::min(next, account.BlockedUntil);
+  if (account.Pending)
+    next = std::min(next, account.Pending->RepeatAt);
+  if (account.Credit.hasSettled())
+    next = std::min(next, account.SettleAt);
+  if (const auto aged = account.Credit.nextAged())
+    next = std::min(next, *aged);
+  return next;
+}
+
+std::uint32_t CreditHolder::available(std::string_view account,
+                                      core::TimePoint now) const {
+  const auto it = Accounts.find(account);
+  return it == Accounts.end() ? 0 : it->second.Credit.available(now);
+}
+
+} // namespace acaciaroad::accounts
--- /dev/null
+++ b/Source/Accounts/TokenBucket.cpp
@@ -0,0 +1,111 @@
+#include "Accounts/TokenBucket.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace acaciaroad::accounts {
+
+namespace {
+
+/// Keeps every product within 64 bits.
+constexpr double LargestBurst = 1e9;
+constexpr core::Duration LongestWait = std::chrono::hours(1);
+
+NanoTokens toNanoTokens(double tokens) {
+  return static_cast<NanoTokens>(tokens * NanoTokensPerToken);
+}
+
+bool isValid(AccountRate rate) {
+  return std::isfinite(rate.PerSecond) && rate.PerSecond >= 0 &&
+         rate.Burst >= 1 && rate.Burst <= LargestBurst;
+}
+
+} // namespace
+
+core::Result<TokenBucket> TokenBucket::create(AccountRate rate,
+                                              core::TimePoint now) {
+  if (!isValid(rate))
+    return core::fail(core::ErrorKind::InvalidArgument,
+                      "rate or burst of an account is out of range");
+  return TokenBucket(rate, now);
+}
+
+TokenBucket::TokenBucket(AccountRate rate, core::TimePoint now)
+    : Rate(rate), Burst(toNanoTokens(rate.Burst)), Filled(now) {}
+
+NanoTokens TokenBucket::ceiling() const {
+  return std::max<NanoTokens>(0, Burst - Reserved);
+}
+
+void TokenBucket::refill(core::TimePoint now) {
+  if (now <= Filled)
+    return;
+  const auto elapsed = static_cast<double>((now - Filled).count());
+  const double added = std::floor(Rate.PerSecond * elapsed);
+  const NanoTokens room = std::max<NanoTokens>(0, ceiling() - Level);
+  if (added >= static_cast<double>(room))
+    Level += room;
+  else
+    Level += static_cast<NanoTokens>(added);
+  Filled = now;
+}
+
+std::uint32_t TokenBucket::take(std::uint32_t most) {
+  const std::uint32_t n = std::min(most, available());
+  Level -= n * NanoTokensPerToken;
+  return n;
+}
+
+std::uint32_t TokenBucket::reserve(std::uint32_t most) {
+  const std::uint32_t n = take(most);
+  Reserved += n * NanoTokensPerToken;
+  return n;
+}
+
+void TokenBucket::release(std::uint32_t amount, std::uint32_t unspent) {
+  Reserved -= amount * NanoTokensPerToken;
+  setLevel(Level + std::min(amount, unspent) * NanoTokensPerToken);
+}
+
+core::Result<void> TokenBucket::change(AccountRate rate, core::TimePoint now) {
+  if (!isValid(rate))
+    return core::fail(core::ErrorKind::InvalidArgument,
+                      "rate or burst of an account is out of range");
+  refill(now);
+  Rate = rate;
+  Burst = toNanoTokens(rate.Burst);
+  setLevel(Level);
+  return {};
+}
+
+void TokenBucket::setLevel(NanoTokens level) {
+  Level = std::clamp<NanoTokens>(level, 0, ceiling());
+}
+
+void TokenBucket::adoptReserve(std::uint32_t amount) {
+  Reserved += amount * NanoTokensPerToken;
+  setLevel(Level);
+}
+
+core::Duration TokenBucket::untilNext() const {
+  if (Level >= NanoTokensPerToken)
+    return core::Duration::zero();
+  const double missing = static_cast<double>(NanoTokensPerToken - Level);
+  const double ns = std::ceil(missing / Rate.PerSecond);
+  if (!(ns < static_cast<double>(LongestWait.count())))
+    return LongestWait;
+  return core::Duration(static_cast<core::Duration::rep>(ns));
+}
+
+std::uint32_t TokenBucket::available() const {
+  return static_cast<std::uint32_t>(Level / NanoTokensPerToken);
+}
+
+NanoTokens TokenBucket::level() const { return Level; }
+
+NanoTokens TokenBucket::reserved() const { return Reserved; }
+
+AccountRate TokenBucket::rate() const { return Rate; }
+
+} // namespace acaciaroad::accounts
