--- a/Source/Core/ErrorKind.cpp
+++ b/Source/Core/ErrorKind.cpp
@@ -52,6 +52,8 @@
      "The owning node does not answer"},
     {ErrorKind::DuplicateRequest, "duplicate_request", 409, Ran::Unknown, 0,
      "A request with this Idempotency-Key was accepted before"},
+    {ErrorKind::RegisterFull, "register_full", 503, Ran::No, 5,
+     "The owner can keep no more ids of requests that run at most once"},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", 504, Ran::Unknown, 0,
      "The order was sent and no answer came"},
     {ErrorKind::AnswerIncomplete, "answer_incomplete", 502, Ran::Unknown, 0,
--- a/Source/Core/ErrorKind.h
+++ b/Source/Core/ErrorKind.h
@@ -36,6 +36,7 @@
   OwnerChanged,
   PeerUnreachable,
   DuplicateRequest,
+  RegisterFull,
   OutcomeUnknown,
   AnswerIncomplete,
   // Administration and platform.
