--- a/Source/Upstream/Admission.cpp
+++ b/Source/Upstream/Admission.cpp
@@ -102,12 +102,10 @@
                                         ClassIndex workClass) {
   Slices.add(offer.Slice);
   Request &request = Requests[offer.Id];
-  request = Request{std::string(offer.Account),
-                    workClass,
-                    offer.Slice,
-                    false,
-                    Generation,
-                    cost};
+  request.Account = offer.Account;
+  request.Class = workClass;
+  request.Slice = offer.Slice;
+  request.Cost = Classes[workClass].Latency.mean();
   return request;
 }
 
--- a/Source/Upstream/FairQueue.cpp
+++ b/Source/Upstream/FairQueue.cpp
@@ -45,7 +45,7 @@
   Account *longest = ByLength.rbegin()->second;
   if (size(account) + 1 >= longest->Length)
     return false;
-  const Ticket dropped = newestOf(*longest).Request.Id;
+  const Ticket dropped = newestOf(*longest);
   erase(dropped);
   if (OnDrop)
     OnDrop(dropped);
@@ -79,13 +79,16 @@
   return account.Classes[account.NextClass];
 }
 
-const FairQueue::Entry &FairQueue::newestOf(const Account &account) {
-  const Entry *newest = nullptr;
-  for (const ClassQueue &queue : account.Classes)
-    if (!queue.Entries.empty() &&
-        (!newest || queue.Entries.back().Sequence > newest->Sequence))
-      newest = &queue.Entries.back();
-  return *newest;
+Ticket FairQueue::newestOf(const Account &account) {
+  Ticket newest = 0;
+  std::uint64_t sequence = 0;
+  for (const ClassQueue &queue : account.Classes) {
+    if (queue.Entries.empty() || queue.Entries.back().Sequence < sequence)
+      continue;
+    newest = queue.Entries.back().Request.Id;
+    sequence = queue.Entries.back().Sequence;
+  }
+  return newest;
 }
 
 std::optional<Ticket> FairQueue::pop() {
--- a/Source/Upstream/FairQueue.h
+++ b/Source/Upstream/FairQueue.h
@@ -115,7 +115,7 @@
   Account &activate(std::string_view name);
   static ClassQueue &queueOf(Account &account, ClassIndex workClass);
   static ClassQueue &turnOf(Account &account);
-  static const Entry &newestOf(const Account &account);
+  static Ticket newestOf(const Account &account);
   const Account *find(std::string_view name) const;
   bool makeRoom(std::string_view account);
   void setLength(Account &account, std::uint32_t length);
