Core: silence a false positive of clang-tidy 14 on defaulted comparisons

modernize-use-nullptr reports the literal 0 of the comparison operators that the compiler rewrites from operator<=>, wherever they are instantiated.

--- a/Source/Core/Identifiers.h
+++ b/Source/Core/Identifiers.h
@@ -17,7 +17,8 @@
 /// none.
 struct InstanceId {
   std::uint64_t Value = 0;
-  auto operator<=>(const InstanceId &) const = default;
+  // clang-tidy 14 takes the 0 in rewritten comparisons for a pointer.
+  auto operator<=>(const InstanceId &) const = default; // NOLINT
   explicit operator bool() const { return Value != 0; }
 };
 
@@ -34,7 +35,8 @@
 struct SliceId {
   std::string Service;
   SliceIndex Index = 0;
-  auto operator<=>(const SliceId &) const = default;
+  // clang-tidy 14 takes the 0 in rewritten comparisons for a pointer.
+  auto operator<=>(const SliceId &) const = default; // NOLINT
 };
 
 /// Returns 16 hexadecimal digits.
