Ownership: the fold of the log and the placement of slices

FleetMap folds the ownership records to owners, predecessors, witnesses and shares; Placement orders the members of a service by relative load in O(log members); FleetView is the immutable part for traffic threads.

--- /dev/null
+++ b/Source/Ownership/FleetMap.h
@@ -0,0 +1,176 @@
+/// \file
+/// The fold of the ownership records: which instance owns which slice, and whom
+/// each owner has to wait for.
+
+#ifndef ACACIAROAD_OWNERSHIP_FLEETMAP_H
+#define ACACIAROAD_OWNERSHIP_FLEETMAP_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "Core/Error.h"
+#include "Core/Identifiers.h"
+#include "Ownership/FleetTypes.h"
+#include "Ownership/FleetView.h"
+#include "Ownership/OwnershipRecord.h"
+#include "Ownership/ServiceSlices.h"
+
+namespace acaciaroad::ownership {
+
+/// What the log says of one instance.
+struct InstanceState {
+  SharedInfo Info;
+  InstanceStatus Status = InstanceStatus::Live;
+  /// Offset of its InstanceJoined record.
+  core::Offset JoinedAt = 0;
+  std::uint64_t WitnessVersion = 0;
+  std::vector<core::InstanceId> Witnesses;
+  /// Instances that have this one among their witnesses.
+  std::set<core::InstanceId> WitnessOf;
+  /// Slices that list this instance as a predecessor.
+  std::set<SliceRef> PredecessorOf;
+};
+
+/// Aggregate root of ownership: a pure, deterministic function of the log.
+/// Every reader that has folded the same records holds the same state. A record
+/// names what it builds on and is refused with Conflict when that is stale.
+class FleetMap {
+public:
+  FleetMap() = default;
+  FleetMap(const FleetMap &) = delete;
+  FleetMap &operator=(const FleetMap &) = delete;
+  FleetMap(FleetMap &&) noexcept = default;
+  FleetMap &operator=(FleetMap &&) noexcept = default;
+  ~FleetMap() = default;
+
+  /// Restores a checkpoint. Fails with CorruptMessage if it contradicts itself.
+  static core::Result<FleetMap> fromSnapshot(const FleetSnapshot &from);
+
+  /// Returns the folded state for a checkpoint.
+  FleetSnapshot snapshot() const;
+
+  /// Folds \p record. Errors: Conflict if its basis is stale or its offset is
+  /// already folded, InvalidArgument if it could never be accepted. Neither
+  /// changes the state, save for the offset.
+  core::Result<void> apply(const OwnershipRecord &record, core::Offset offset);
+
+  /// Returns the offset of the last record seen.
+  std::optional<core::Offset> lastOffset() const { return LastOffset; }
+
+  /// Returns the owner of \p keyHash, or nothing if the service is unknown.
+  std::optional<SliceOwner> ownerOf(std::string_view service,
+                                    std::uint64_t keyHash) const;
+
+  /// Returns the instance, live, leaving or lost, or null.
+  const InstanceState *instance(core::InstanceId id) const;
+
+  /// Returns whether \p id is live or leaving, thus may hold a lease.
+  bool holdsLease(core::InstanceId id) const;
+
+  /// Returns all instances that are kept.
+  const std::unordered_map<core::InstanceId, InstanceState> &instances() const {
+    return Instances;
+  }
+
+  /// Returns the members of \p service that take new work, by id.
+  std::vector<core::InstanceId> eligible(std::string_view service) const;
+
+  /// Returns the slices that \p id owns.
+  std::vector<SliceRef> slicesOf(core::InstanceId id) const;
+
+  /// Returns the state of a slice, or null.
+  const SliceState *slice(SliceRef ref) const;
+  core::SliceId idOf(SliceRef ref) const;
+  std::optional<SliceRef> refOf(const core::SliceId &id) const;
+
+  /// Returns the service called \p name, or null.
+  const ServiceSlices *service(std::string_view name) const;
+
+  /// Returns share and version of a data centre; the full share if never set.
+  DataCentreSnapshot dataCentre(std::string_view name) const;
+
+  /// Returns the number of live instances in each data centre.
+  const std::map<std::string, std::uint32_t, std::less<>> &
+  dataCentreSizes() const {
+    return DataCentreSizes;
+  }
+
+  /// Returns the slices and instances that the last accepted record changed.
+  std::span<const SliceRef> touchedSlices() const { return TouchedSlices; }
+  std::span<const core::InstanceId> touchedInstances() const {
+    return TouchedInstances;
+  }
+
+  /// Returns an immutable copy for traffic threads.
+  FleetView share();
+
+  /// Breaks the chain rule, to show that a test notices: a takeover forgets
+  /// earlier predecessors.
+  void breakChainRuleForTest() { ForgetsPredecessors = true; }
+
+private:
+  core::Result<void> fold(const ServiceDefined &record);
+  core::Result<void> fold(const InstanceJoined &record);
+  core::Result<void> fold(const InstanceLeaving &record);
+  core::Result<void> fold(const InstanceRetired &record);
+  core::Result<void> fold(const WitnessesChanged &record);
+  core::Result<void> fold(const SlicesReleased &record);
+  core::Result<void> fold(const SlicesStarted &record);
+  core::Result<void> fold(const SliceMoved &record);
+  core::Result<void> fold(const HotKeyAdded &record);
+  core::Result<void> fold(const HotKeyRemoved &record);
+  core::Result<void> fold(const DataCentreShareSet &record);
+
+  ServiceSlices &define(const std::string &name, std::uint32_t sliceCount);
+  ServiceSlices *find(std::string_view name);
+  /// Returns the services that an instance described by \p info belongs to.
+  std::vector<ServiceSlices *> servicesOf(const InstanceInfo &info);
+  void enter(const InstanceInfo &info, std::uint32_t sharePermille);
+  void giveFairShare(ServiceSlices &service, core::InstanceId to);
+  void giveOrphans(ServiceSlices &service);
+  /// Moves all slices of \p id but \p keep to other members.
+  void moveOff(ServiceSlices &service, core::InstanceId id, std::size_t keep,
+               bool mayStillServe);
+  /// Changes the owner; the old one becomes a predecessor if it may still
+  /// serve the slice.
+  void reassign(ServiceSlices &service, core::SliceIndex index,
+                core::InstanceId to, bool mayStillServe);
+  bool clearPredecessor(SliceRef ref, const Predecessor &predecessor);
+  void clearAllOf(core::InstanceId id);
+  void retire(InstanceState &state, bool mayStillServe);
+  void forget(core::InstanceId id);
+  void forgetIfUnlisted(core::InstanceId id);
+  void setWitnesses(InstanceState &holder,
+                    std::vector<core::InstanceId> witnesses);
+  void addToShard(const SharedInfo &info);
+  void removeFromShard(core::InstanceId id);
+  void remember(core::InstanceId retired);
+  void restoreInstance(const InstanceSnapshot &from);
+  void restorePredecessors();
+
+  std::optional<core::Offset> LastOffset;
+  std::vector<ServiceSlices> Services;
+  std::map<std::string, std::uint32_t, std::less<>> ServiceNumbers;
+  std::unordered_map<core::InstanceId, InstanceState> Instances;
+  std::map<std::string, DataCentreSnapshot, std::less<>> DataCentres;
+  std::map<std::string, std::uint32_t, std::less<>> DataCentreSizes;
+  InstanceShards Shards;
+  std::deque<core::InstanceId> Retired;
+  std::unordered_set<core::InstanceId> RetiredSet;
+  std::vector<SliceRef> TouchedSlices;
+  std::vector<core::InstanceId> TouchedInstances;
+  bool ForgetsPredecessors = false;
+};
+
+} // namespace acaciaroad::ownership
+
+#endif
--- /dev/null
+++ b/Source/Ownership/FleetView.h
@@ -0,0 +1,83 @@
+/// \file
+/// The part of the folded state that traffic threads read.
+
+#ifndef ACACIAROAD_OWNERSHIP_FLEETVIEW_H
+#define ACACIAROAD_OWNERSHIP_FLEETVIEW_H
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/Identifiers.h"
+#include "Ownership/CowArray.h"
+#include "Ownership/FleetTypes.h"
+
+namespace acaciaroad::ownership {
+
+/// An owned copy of an instance's own description, shared by all views.
+using SharedInfo = std::shared_ptr<const InstanceInfo>;
+
+/// Number of parts of the instance table; a change copies one of them.
+inline constexpr std::size_t InstanceShardCount = 256;
+
+/// Instances of one shard, in the order of their ids.
+using InstanceShard = std::vector<SharedInfo>;
+using InstanceShards =
+    std::array<std::shared_ptr<const InstanceShard>, InstanceShardCount>;
+
+/// One service as published.
+struct ServiceView {
+  std::uint32_t Number = 0;
+  std::uint32_t SliceCount = 0;
+  CowArray<SliceState>::View Slices;
+  /// In the order of the key hashes.
+  std::vector<HotSlice> Hot;
+  /// Instances that take new work, in the order of their ids.
+  std::shared_ptr<const std::vector<core::InstanceId>> Eligible;
+};
+
+/// An immutable state of the fleet. Copies share nearly everything.
+class FleetView {
+public:
+  using ServiceMap =
+      std::map<std::string, std::shared_ptr<const ServiceView>, std::less<>>;
+
+  FleetView() = default;
+  FleetView(ServiceMap services, InstanceShards shards)
+      : Services(std::move(services)), Shards(std::move(shards)) {}
+
+  /// Returns the owner of \p keyHash, or nothing if the service is unknown. The
+  /// owner's id is 0 while the slice has none.
+  std::optional<SliceOwner> ownerOf(std::string_view service,
+                                    std::uint64_t keyHash) const;
+
+  /// Returns the description of a live or leaving instance, or null.
+  SharedInfo instance(core::InstanceId id) const;
+
+  /// Returns the instances of \p service that take new work.
+  std::span<const core::InstanceId> eligible(std::string_view service) const;
+
+  /// Returns the service called \p name, or null.
+  const ServiceView *service(std::string_view name) const;
+
+private:
+  ServiceMap Services;
+  InstanceShards Shards;
+};
+
+/// Returns the shard of \p id.
+inline std::size_t shardOf(core::InstanceId id) {
+  return id.Value % InstanceShardCount;
+}
+
+/// Returns the hot slice of \p keyHash, or null.
+const HotSlice *findHot(std::span<const HotSlice> hot, std::uint64_t keyHash);
+
+} // namespace acaciaroad::ownership
+
+#endif
--- /dev/null
+++ b/Source/Ownership/Placement.h
@@ -0,0 +1,73 @@
+/// \file
+/// Which instance a slice of one service goes to. Pure and in integers only, so
+/// that every reader of the log comes to the same result.
+
+#ifndef ACACIAROAD_OWNERSHIP_PLACEMENT_H
+#define ACACIAROAD_OWNERSHIP_PLACEMENT_H
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "Core/Identifiers.h"
+
+namespace acaciaroad::ownership {
+
+/// The members of one service with the slices that each owns, ordered by load
+/// relative to their share. Equal loads are told apart by the first id at or
+/// after a hash, which spreads choices in O(log members).
+class Placement {
+public:
+  /// Adds \p id with \p sharePermille of a full share; 0 is not eligible.
+  void addMember(core::InstanceId id, std::uint32_t sharePermille);
+
+  /// Removes \p id, which must own nothing any more.
+  void removeMember(core::InstanceId id);
+
+  /// Changes the share of \p id, if it is a member.
+  void setShare(core::InstanceId id, std::uint32_t sharePermille);
+
+  void give(core::InstanceId id, core::SliceIndex slice);
+  void take(core::InstanceId id, core::SliceIndex slice);
+
+  /// Returns the slices of \p id in ascending order.
+  std::span<const core::SliceIndex> ownedBy(core::InstanceId id) const;
+
+  bool isEligible(core::InstanceId id) const;
+
+  /// Returns the eligible member with the least load, or nothing.
+  std::optional<core::InstanceId> leastLoaded(std::uint64_t tieBreak) const;
+
+  /// Returns the eligible member with the greatest load, or nothing.
+  std::optional<core::InstanceId> mostLoaded(std::uint64_t tieBreak) const;
+
+  /// Returns the share of \p sliceCount slices due to \p id, rounded down.
+  std::uint32_t fairShare(core::InstanceId id, std::uint32_t sliceCount) const;
+
+  /// Returns the eligible members in the order of their ids.
+  std::vector<core::InstanceId> eligible() const;
+
+private:
+  struct Member {
+    std::uint32_t SharePermille = 0;
+    std::vector<core::SliceIndex> Owned;
+  };
+  using OrderKey = std::pair<std::uint64_t, std::uint64_t>;
+
+  static OrderKey keyOf(core::InstanceId id, const Member &member);
+  void unlist(core::InstanceId id, const Member &member);
+  void list(core::InstanceId id, const Member &member);
+
+  std::unordered_map<core::InstanceId, Member> Members;
+  /// Eligible members by relative load, then id.
+  std::set<OrderKey> Order;
+  std::uint64_t TotalShare = 0;
+};
+
+} // namespace acaciaroad::ownership
+
+#endif
