Configuration: catalogue folded from the log, keys, routing keys

Items carry the offset of the record that made them as version; removals keep their version for a bounded time and then raise a floor, so that a late copy of a record never revives what was removed.

--- a/Source/Configuration/ConfigurationRecord.h
+++ b/Source/Configuration/ConfigurationRecord.h
@@ -66,7 +66,9 @@
   bool operator==(const ChangeOrigin &) const = default;
 };
 
-/// Creates (basis 0) or replaces a class of work.
+/// Creates or replaces a class of work. \p Basis is the version of the item;
+/// for an absent item, any version from that of its removal on (0 if it never
+/// was).
 struct ClassSet {
   ChangeOrigin Origin;
   std::uint64_t Basis = 0;
@@ -81,7 +83,7 @@
   bool operator==(const ClassRemoved &) const = default;
 };
 
-/// Creates (basis 0) or replaces a client account.
+/// Creates or replaces a client account; \p Basis as in ClassSet.
 struct AccountSet {
   ChangeOrigin Origin;
   std::uint64_t Basis = 0;
@@ -100,6 +102,8 @@
 /// the hash of salt and secret.
 struct KeyGranted {
   ChangeOrigin Origin;
+  /// As in ClassSet: a record appended twice must not revive a withdrawn key.
+  std::uint64_t Basis = 0;
   std::string KeyId;
   std::string Account;
   /// 16 random bytes.
--- /dev/null
+++ b/Source/Configuration/RoutingKey.cpp
@@ -0,0 +1,175 @@
+#include "Configuration/RoutingKey.h"
+
+#include <algorithm>
+
+namespace acaciaroad::configuration {
+
+namespace {
+
+using core::ErrorKind;
+using core::fail;
+using core::Result;
+
+enum class PlusSign : std::uint8_t { Literal, Space };
+
+std::optional<unsigned> hexDigit(char c) {
+  if (c >= '0' && c <= '9')
+    return static_cast<unsigned>(c - '0');
+  if (c >= 'a' && c <= 'f')
+    return static_cast<unsigned>(c - 'a') + 10U;
+  if (c >= 'A' && c <= 'F')
+    return static_cast<unsigned>(c - 'A') + 10U;
+  return std::nullopt;
+}
+
+/// Returns the byte that the escape at the start of \p text stands for.
+std::optional<char> escapedByte(std::string_view text) {
+  constexpr std::size_t EscapeLength = 3;
+  if (text.size() < EscapeLength)
+    return std::nullopt;
+  const auto high = hexDigit(text[1]);
+  const auto low = hexDigit(text[2]);
+  if (!high || !low)
+    return std::nullopt;
+  return static_cast<char>(*high * 16U + *low);
+}
+
+bool isUnreserved(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == '~';
+}
+
+bool isControl(char c) {
+  return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+}
+
+/// Takes the part of \p rest before \p separator and removes both.
+std::string_view takeUntil(std::string_view &rest, char separator) {
+  const std::size_t n = rest.find(separator);
+  const std::string_view part = rest.substr(0, n);
+  rest.remove_prefix(n == std::string_view::npos ? rest.size() : n + 1);
+  return part;
+}
+
+Result<std::string> percentDecode(std::string_view text, PlusSign plus) {
+  std::string out;
+  while (!text.empty()) {
+    if (text[0] == '%') {
+      const auto byte = escapedByte(text);
+      if (!byte)
+        return fail(ErrorKind::MalformedRequest, "broken percent escape");
+      out.push_back(*byte);
+      text.remove_prefix(3);
+      continue;
+    }
+    const bool isSpace = text[0] == '+' && plus == PlusSign::Space;
+    out.push_back(isSpace ? ' ' : text[0]);
+    text.remove_prefix(1);
+  }
+  return out;
+}
+
+bool hasDotSegment(std::string_view path) {
+  while (!path.empty()) {
+    const std::string_view segment = takeUntil(path, '/');
+    if (segment == "." || segment == "..")
+      return true;
+  }
+  return false;
+}
+
+Result<std::string> checkKey(std::string key) {
+  if (key.empty())
+    return fail(ErrorKind::RoutingKeyMissing);
+  if (key.size() > MaxRoutingKeyBytes)
+    return fail(ErrorKind::MalformedRequest, "the routing key is too long");
+  if (std::any_of(key.begin(), key.end(), isControl))
+    return fail(ErrorKind::MalformedRequest,
+                "the routing key holds a control character");
+  return key;
+}
+
+Result<std::string> keyFromPath(std::string_view prefix,
+                                std::string_view path) {
+  // The prefix may be escaped in the target, so its segments are counted.
+  auto skip = std::count(prefix.begin(), prefix.end(), '/');
+  if (prefix == "/")
+    skip = 0;
+  for (auto n = skip + 1; n > 0; --n)
+    takeUntil(path, '/');
+  auto key = percentDecode(takeUntil(path, '/'), PlusSign::Literal);
+  if (key && (*key == "." || *key == ".."))
+    return fail(ErrorKind::MalformedRequest, "the path has a dot segment");
+  return key.and_then(checkKey);
+}
+
+Result<std::string> keyFromQuery(std::string_view name,
+                                 std::string_view target) {
+  takeUntil(target, '?');
+  target = target.substr(0, target.find('#'));
+  std::optional<std::string> found;
+  while (!target.empty()) {
+    std::string_view pair = takeUntil(target, '&');
+    auto pairName = percentDecode(takeUntil(pair, '='), PlusSign::Space);
+    if (!pairName)
+      return pairName;
+    if (*pairName != name)
+      continue;
+    auto value = percentDecode(pair, PlusSign::Space);
+    if (!value)
+      return value;
+    if (found)
+      return fail(ErrorKind::MalformedRequest,
+                  "the routing key is given twice");
+    found = std::move(*value);
+  }
+  return checkKey(found.value_or(""));
+}
+
+} // namespace
+
+std::string_view pathOf(std::string_view target) {
+  return target.substr(0, target.find_first_of("?#"));
+}
+
+Result<std::string> canonicalPath(std::string_view path) {
+  if (path.empty() || path[0] != '/')
+    return fail(ErrorKind::MalformedRequest, "the path is not absolute");
+  std::string out;
+  while (!path.empty()) {
+    if (path[0] != '%') {
+      out.push_back(path[0]);
+      path.remove_prefix(1);
+      continue;
+    }
+    const auto byte = escapedByte(path);
+    if (!byte)
+      return fail(ErrorKind::MalformedRequest, "broken percent escape");
+    if (isUnreserved(*byte))
+      out.push_back(*byte);
+    else
+      out.append(path.substr(0, 3));
+    path.remove_prefix(3);
+  }
+  if (hasDotSegment(out))
+    return fail(ErrorKind::MalformedRequest, "the path has a dot segment");
+  return out;
+}
+
+Result<std::string> routingKey(const WorkClass &workClass,
+                               std::string_view target,
+                               const HeaderLookup &header) {
+  switch (workClass.Key) {
+  case KeySource::None:
+    return std::string();
+  case KeySource::PathSegment:
+    return keyFromPath(workClass.PathPrefix, pathOf(target));
+  case KeySource::QueryParameter:
+    return keyFromQuery(workClass.KeyName, target);
+  case KeySource::Header:
+    return checkKey(std::string(header(workClass.KeyName).value_or("")));
+  }
+  return fail(ErrorKind::Internal, "unknown key source");
+}
+
+} // namespace acaciaroad::configuration
