--- /dev/null
+++ b/Source/Node/ControlState.h
@@ -0,0 +1,152 @@
+/// \file
+/// The control state of one node: configuration, ownership, the credit that it
+/// gives out, and the ids that it keeps as a witness.
+
+#ifndef ACACIAROAD_NODE_CONTROLSTATE_H
+#define ACACIAROAD_NODE_CONTROLSTATE_H
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Accounts/CreditOwner.h"
+#include "Codec/ControlCodec.h"
+#include "Codec/LogEntry.h"
+#include "Configuration/Catalogue.h"
+#include "Core/Clock.h"
+#include "Core/Error.h"
+#include "Node/NodeView.h"
+#include "Node/PeerDirectory.h"
+#include "Ownership/OwnershipAgent.h"
+#include "Requests/IdempotencyWitness.h"
+
+namespace acaciaroad::node {
+
+/// A decoded entry of the log and its place.
+struct PlacedEntry {
+  core::Offset Offset = 0;
+  codec::LogEntry Entry;
+};
+
+/// Receives the fate of a submitted entry: its offset once it was accepted.
+using SubmitHandler = std::function<void(core::Result<core::Offset>)>;
+
+/// What the control state needs; all are called on the control thread.
+struct ControlStateHooks {
+  std::function<void(std::string_view address, const codec::PeerControl &)>
+      Send;
+  /// Appends without blocking. \p onFailed runs if the entry surely was not
+  /// written.
+  std::function<void(const codec::LogEntry &, std::function<void()> onFailed)>
+      Append;
+  std::function<void(std::shared_ptr<const NodeView>)> Publish;
+  /// Slices moved away; onSlicesIdle is to follow for each.
+  std::function<void(std::span<const core::SliceId>)> ReleaseSlices;
+  /// A message of this node's own traffic threads.
+  std::function<void(const codec::ControlBody &)> DeliverToTraffic;
+  core::NowFunction Now;
+};
+
+/// The aggregate root that the control thread hosts. All members belong to that
+/// thread.
+class ControlState {
+public:
+  /// Errors: those of ownership::OwnershipAgent::create.
+  static core::Result<std::unique_ptr<ControlState>>
+  create(const ownership::AgentOptions &options, ownership::InstanceInfo info,
+         ControlStateHooks hooks);
+
+  /// Restores a checkpoint before the first entry.
+  core::Result<void> restore(const configuration::CatalogueSnapshot &catalogue,
+                             const ownership::FleetSnapshot &fleet);
+
+  /// Folds entries; \p isCurrent says that the log was read to its end.
+  void onEntries(std::span<const PlacedEntry> entries, core::Offset next,
+                 bool isCurrent);
+  void onLogReachable(bool isReachable);
+  void onControl(const codec::PeerControl &message,
+                 std::string_view replyAddress);
+
+  /// Does what is due and returns the time of the next call.
+  core::TimePoint onTick(core::TimePoint now);
+
+  /// The upstream announced itself: joins the fleet once the log is current.
+  void announced(std::string_view service, bool checksGrants);
+
+  void onSlicesIdle(std::span<const core::SliceId> slices);
+  void beginLeave();
+
+  /// Whether this incarnation has been retired; it never serves again.
+  bool hasLeft() const { return Agent->hasLeft(); }
+  bool isCurrent() const { return Current; }
+
+  /// Appends an entry and reports once it is folded. Errors: the reason of its
+  /// refusal, LogUnavailable, LogOutcomeUnknown after SubmitTimeout.
+  void submit(codec::LogEntry entry, SubmitHandler handler);
+
+  const configuration::Catalogue &catalogue() const { return *Configuration; }
+  const ownership::OwnershipAgent &agent() const { return *Agent; }
+
+private:
+  static constexpr std::chrono::seconds SubmitTimeout{5};
+
+  struct PendingSubmit {
+    codec::LogEntry Entry;
+    SubmitHandler Handler;
+    core::TimePoint Deadline{};
+  };
+
+  explicit ControlState(ControlStateHooks hooks);
+  ownership::AgentHooks agentHooks();
+
+  core::Result<void> fold(const PlacedEntry &entry);
+  void resolve(const PlacedEntry &entry, const core::Result<void> &verdict);
+  void expireSubmits(core::TimePoint now);
+  void joinIfReady();
+  void send(core::InstanceId to, codec::ControlBody body);
+  void reply(core::InstanceId to, codec::ControlBody body);
+
+  void handle(core::InstanceId from, const ownership::ControlMessage &message);
+  void handle(core::InstanceId from, const accounts::CreditAsk &message);
+  void handle(core::InstanceId from, const accounts::CreditGrant &message);
+  void handle(core::InstanceId from, const accounts::CreditReturn &message);
+  void handle(core::InstanceId from, const requests::IdempotencyTell &message);
+  void handle(core::InstanceId from, const requests::IdempotencyAck &message);
+  void handle(core::InstanceId from,
+              const requests::IdempotencyForget &message);
+  void handle(core::InstanceId from,
+              const requests::IdempotencyHandoverAsk &message);
+  void handle(core::InstanceId from,
+              const requests::IdempotencyHandover &message);
+
+  void publishIfChanged();
+  void reviewAccounts();
+  void reviewAccount(const configuration::ClientAccount &account,
+                     core::TimePoint now);
+  bool mayGrant(std::string_view account, core::TimePoint now) const;
+  void releaseSlices();
+
+  const ControlStateHooks Hooks;
+  std::unique_ptr<configuration::Catalogue> Configuration;
+  std::unique_ptr<ownership::OwnershipAgent> Agent;
+  accounts::CreditOwner Credit;
+  std::unique_ptr<requests::IdempotencyWitness> Witness;
+  PeerDirectory Peers;
+  core::InstanceId Self;
+  core::Offset NextOffset = 0;
+  std::list<PendingSubmit> Submits;
+  std::set<core::SliceId> Releasing;
+  bool Changed = true;
+  bool Current = false;
+  bool WantsJoin = false;
+};
+
+} // namespace acaciaroad::node
+
+#endif
