Ownership: the agent of one node, and its failure detector

OwnershipAgent composes the holder's and the witness's side of the lease, the successor's wait and the ledger of own slices; it publishes an immutable view that shares what has not changed, with the lease's expiry beside it as an atomic. Membership holds the failure detector.

--- /dev/null
+++ b/Source/Ownership/LeaseWitness.cpp
@@ -0,0 +1,76 @@
+#include "Ownership/LeaseWitness.h"
+
+#include <algorithm>
+
+namespace acaciaroad::ownership {
+
+namespace {
+
+/// Returns whether, by what \p map has read, \p holder is retired. A holder
+/// that joined beyond the last record read is not known yet.
+bool isRetired(core::InstanceId holder, core::Offset joinedAt,
+               const FleetMap &map) {
+  if (map.instance(holder) != nullptr)
+    return !map.holdsLease(holder);
+  return map.lastOffset() && joinedAt <= *map.lastOffset();
+}
+
+} // namespace
+
+bool LeaseWitness::onAsk(core::InstanceId holder, core::Offset joinedAt,
+                         const FleetMap &map, core::TimePoint now) {
+  if (isRetired(holder, joinedAt, map))
+    return false;
+  Entry &entry = Entries[holder];
+  if (entry.IsRefused)
+    return false;
+  entry.LapsesAt = now + Rules.Length + Rules.DriftAllowance;
+  return true;
+}
+
+bool LeaseWitness::onConfirmQuery(core::InstanceId holder,
+                                  core::InstanceId asker, const FleetMap &map,
+                                  core::TimePoint now) {
+  Entry &entry = Entries[holder];
+  const bool isRead = map.instance(holder) && !map.holdsLease(holder);
+  entry.IsRefused = entry.IsRefused || !isRead;
+  if (entry.LapsesAt <= now || Breaks.Lapse)
+    return true;
+  entry.Askers.insert(asker);
+  return false;
+}
+
+void LeaseWitness::onRetired(core::InstanceId holder) {
+  const auto it = Entries.find(holder);
+  if (it != Entries.end())
+    it->second.IsRefused = false;
+}
+
+std::vector<Confirmation> LeaseWitness::onTick(core::TimePoint now) {
+  std::vector<Confirmation> out;
+  for (auto it = Entries.begin(); it != Entries.end();) {
+    Entry &entry = it->second;
+    if (entry.LapsesAt > now) {
+      ++it;
+      continue;
+    }
+    for (const core::InstanceId asker : entry.Askers)
+      out.push_back({it->first, asker});
+    entry.Askers.clear();
+    // A refusal learned from a successor must last until the log says so too.
+    it = entry.IsRefused ? std::next(it) : Entries.erase(it);
+  }
+  return out;
+}
+
+std::optional<core::TimePoint> LeaseWitness::nextDeadline() const {
+  std::optional<core::TimePoint> out;
+  for (const auto &[holder, entry] : Entries) {
+    if (entry.Askers.empty())
+      continue;
+    out = out ? std::min(*out, entry.LapsesAt) : entry.LapsesAt;
+  }
+  return out;
+}
+
+} // namespace acaciaroad::ownership
--- /dev/null
+++ b/Source/Ownership/OwnershipAgent.cpp
@@ -0,0 +1,521 @@
+#include "Ownership/OwnershipAgent.h"
+
+#include <algorithm>
+#include <limits>
+#include <type_traits>
+#include <utility>
+
+#include "Ownership/WitnessPolicy.h"
+
+namespace acaciaroad::ownership {
+
+namespace {
+
+using core::Duration;
+using core::ErrorKind;
+using core::fail;
+using core::InstanceId;
+using core::TimePoint;
+
+bool contains(std::span<const InstanceId> list, InstanceId id) {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+bool haveSameMembers(std::span<const InstanceId> a,
+                     std::span<const InstanceId> b) {
+  return a.size() == b.size() &&
+         std::all_of(a.begin(), a.end(),
+                     [b](InstanceId it) { return contains(b, it); });
+}
+
+std::uint32_t toMilliseconds(Duration length) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+  constexpr std::int64_t Most = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, Most));
+}
+
+} // namespace
+
+core::Result<std::unique_ptr<OwnershipAgent>>
+OwnershipAgent::create(AgentOptions options, InstanceInfo info,
+                       AgentHooks hooks) {
+  if (!info.Id || !hooks.Send || !hooks.Append || !hooks.Changed)
+    return fail(ErrorKind::InvalidArgument, "id or hooks");
+  if (options.Lease.RenewInterval <= Duration::zero() ||
+      options.Lease.Length < 2 * options.Lease.RenewInterval)
+    return fail(ErrorKind::InvalidArgument, "lease shorter than two renewals");
+  return std::unique_ptr<OwnershipAgent>(
+      new OwnershipAgent(options, std::move(info), std::move(hooks)));
+}
+
+OwnershipAgent::OwnershipAgent(AgentOptions options, InstanceInfo info,
+                               AgentHooks hooks)
+    : Options(options), Info(std::move(info)), Hooks(std::move(hooks)),
+      Holder(options.Lease, options.Breaks),
+      Witness(options.Lease, options.Breaks), Lapses(options.Lease),
+      Slices(Info.Id, options.AppendRetry, options.Breaks),
+      Detector(options.Detector) {
+  if (Options.Breaks.Chain)
+    Map.breakChainRuleForTest();
+}
+
+core::Result<void> OwnershipAgent::restore(const FleetSnapshot &from) {
+  auto map = FleetMap::fromSnapshot(from);
+  if (!map)
+    return tl::unexpected(map.error());
+  Map = std::move(*map);
+  markChanged();
+  return {};
+}
+
+void OwnershipAgent::join(TimePoint now) {
+  if (State != Phase::Idle)
+    return;
+  State = Phase::Joining;
+  appendDue(now);
+}
+
+void OwnershipAgent::beginLeave(TimePoint now) {
+  IsLeaveWanted = true;
+  if (State == Phase::Idle)
+    State = Phase::Retired;
+  NextPhaseAppend = now;
+  appendDue(now);
+}
+
+// Log -----------------------------------------------------------------------
+
+void OwnershipAgent::onRecord(const OwnershipRecord &record,
+                              core::Offset offset, TimePoint now) {
+  if (!Map.apply(record, offset))
+    return;
+  for (const InstanceId it : Map.touchedInstances())
+    onInstanceTouched(it, now);
+  if (State != Phase::Retired)
+    for (const SliceRef it : Map.touchedSlices())
+      Slices.onTouched(it, Map);
+  markChanged();
+  startSlices(now);
+  reviewWitnesses(now);
+  appendDue(now);
+}
+
+void OwnershipAgent::onLogReachable(bool isReachable, TimePoint now) {
+  IsLogReachable = isReachable;
+  if (!isReachable)
+    return;
+  LastLogContact = now;
+  publishLease();
+  appendDue(now);
+}
+
+void OwnershipAgent::onInstanceTouched(InstanceId id, TimePoint now) {
+  followHolder(id, now);
+  if (!Map.holdsLease(id))
+    Witness.onRetired(id);
+  if (id == Info.Id)
+    onSelfTouched(now);
+}
+
+void OwnershipAgent::onSelfTouched(TimePoint now) {
+  const InstanceState *state = Map.instance(Info.Id);
+  if (state == nullptr || state->Status == InstanceStatus::Lost) {
+    onRetired();
+    return;
+  }
+  if (State == Phase::Joining)
+    onJoined(*state, now);
+  if (state->Status == InstanceStatus::Leaving)
+    State = Phase::Leaving;
+  if (state->WitnessVersion != Holder.version()) {
+    WitnessesSince = now;
+    SilentWitnesses.clear();
+    NextSearch = now;
+  }
+  Holder.setWitnesses(state->Witnesses, state->WitnessVersion);
+  publishLease();
+}
+
+void OwnershipAgent::onJoined(const InstanceState &state, TimePoint now) {
+  State = Phase::Live;
+  JoinedAt = state.JoinedAt;
+  LiveSince = now;
+  WitnessesSince = now;
+  NextPhaseAppend = now;
+  Holder.setWitnesses(state.Witnesses, state.WitnessVersion);
+  renew(now);
+}
+
+void OwnershipAgent::onRetired() {
+  State = Phase::Retired;
+  Slices.clear();
+  Lapses.setHolders({});
+  publishLease();
+}
+
+void OwnershipAgent::followHolder(InstanceId id, TimePoint now) {
+  const InstanceState *state = Map.instance(id);
+  const bool isLive = state != nullptr && Map.holdsLease(id);
+  if (!isLive || !contains(state->Witnesses, Info.Id)) {
+    Detector.unwatch(id);
+    return;
+  }
+  const auto &list = state->Witnesses;
+  const auto at = std::find(list.begin(), list.end(), Info.Id);
+  const auto rank = static_cast<std::uint32_t>(at - list.begin());
+  const auto quorum = static_cast<std::uint32_t>(blockingOf(list.size()));
+  Detector.watch(id, {rank, quorum}, now);
+}
+
+// Messages ------------------------------------------------------------------
+
+void OwnershipAgent::onMessage(InstanceId from, const ControlMessage &message,
+                               TimePoint now) {
+  std::visit([&](const auto &it) { handle(from, it, now); }, message);
+}
+
+void OwnershipAgent::handle(InstanceId from, const LeaseAsk &ask,
+                            TimePoint now) {
+  if (ask.Witness != Info.Id)
+    return;
+  if (!Witness.onAsk(from, ask.JoinedAt, Map, now)) {
+    Hooks.Send(from, LeaseRefusal{from});
+    return;
+  }
+  Hooks.Send(from, LeasePromise{from, ask.AskedAt});
+  onHeartbeat(from, ask.SinceMajority, now);
+}
+
+void OwnershipAgent::handle(InstanceId from, const LeasePromise &promise,
+                            TimePoint now) {
+  if (promise.Holder != Info.Id || !isActive())
+    return;
+  Holder.onPromise(from, core::fromNanoseconds(promise.AskedAt), now);
+  publishLease();
+  if (Holder.canPropose(now))
+    proposeWitnesses(now);
+}
+
+void OwnershipAgent::handle(InstanceId from, const LeaseRefusal &refusal,
+                            TimePoint /*now*/) {
+  if (refusal.Holder != Info.Id)
+    return;
+  Holder.onRefusal(from);
+  publishLease();
+}
+
+void OwnershipAgent::handle(InstanceId from, const ConfirmQuery &query,
+                            TimePoint now) {
+  if (query.Witness != Info.Id)
+    return;
+  if (Witness.onConfirmQuery(query.Holder, from, Map, now))
+    Hooks.Send(from, LapseConfirmed{query.Holder});
+}
+
+void OwnershipAgent::handle(InstanceId from, const LapseConfirmed &confirmed,
+                            TimePoint now) {
+  if (Lapses.onConfirmed(confirmed.Holder, from, Map, now))
+    startSlices(now);
+}
+
+void OwnershipAgent::handle(InstanceId from, const Released &released,
+                            TimePoint now) {
+  Slices.onReleased(from, released, Map);
+  startSlices(now);
+}
+
+void OwnershipAgent::handle(InstanceId from, const Probe &probe,
+                            TimePoint now) {
+  if (probe.Holder == Info.Id && isActive())
+    Hooks.Send(from, ProbeReply{sinceMajority(now)});
+}
+
+void OwnershipAgent::handle(InstanceId from, const ProbeReply &reply,
+                            TimePoint now) {
+  onHeartbeat(from, reply.SinceMajority, now);
+}
+
+void OwnershipAgent::handle(InstanceId from, const SilenceQuery &query,
+                            TimePoint now) {
+  if (const auto silence = Detector.silenceOf(query.Holder, now))
+    Hooks.Send(from, SilenceReport{query.Holder, toMilliseconds(*silence)});
+}
+
+void OwnershipAgent::handle(InstanceId from, const SilenceReport &report,
+                            TimePoint now) {
+  Detector.onSilenceReport(report.Holder, from,
+                           std::chrono::milliseconds(report.Silence), now);
+}
+
+void OwnershipAgent::onHeartbeat(InstanceId holder, std::uint32_t sinceMajority,
+                                 TimePoint now) {
+  // A holder whose asks arrive but that hears no promises can't serve, so its
+  // asks are signs of life only while it has a majority.
+  const Duration usual = Options.Lease.RenewInterval * 3 / 2;
+  const Duration since = std::chrono::milliseconds(sinceMajority);
+  Detector.onSignOfLife(holder,
+                        now - std::max(Duration::zero(), since - usual));
+}
+
+// Time ----------------------------------------------------------------------
+
+TimePoint OwnershipAgent::onTick(TimePoint now) {
+  if (isActive() && now >= NextRenewal)
+    renew(now);
+  reviewWitnesses(now);
+  confirmLapses(now);
+  queryWitnesses(now);
+  startSlices(now);
+  watchHolders(now);
+  appendDue(now);
+  return nextDeadline(now);
+}
+
+TimePoint OwnershipAgent::nextDeadline(TimePoint now) const {
+  TimePoint out = now + Options.IsolationLimit;
+  if (isActive())
+    out = std::min(out, NextRenewal);
+  if (State == Phase::Joining)
+    out = std::min(out, NextPhaseAppend);
+  if (const auto due = Witness.nextDeadline())
+    out = std::min(out, *due);
+  if (const auto due = Lapses.nextDeadline(now))
+    out = std::min(out, *due);
+  if (const auto due = Detector.nextDeadline(); due && isActive())
+    out = std::min(out, *due);
+  return std::max(out, now);
+}
+
+void OwnershipAgent::renew(TimePoint now) {
+  NextRenewal = now + Options.Lease.RenewInterval;
+  const std::uint32_t since = sinceMajority(now);
+  for (const InstanceId it : Holder.onRenew(now))
+    Hooks.Send(it, LeaseAsk{it, core::toNanoseconds(now), JoinedAt, since});
+  publishLease();
+  if (Holder.canPropose(now))
+    proposeWitnesses(now);
+}
+
+void OwnershipAgent::publishLease() {
+  const TimePoint expiry = leaseExpiry();
+  Holder.onPublished(expiry);
+  Clock->Expiry.store(core::toNanoseconds(expiry), std::memory_order_release);
+  const TimePoint contact =
+      std::max(LastLogContact, expiry - Options.Lease.Length);
+  Clock->ContactExpiry.store(
+      core::toNanoseconds(contact + Options.IsolationLimit),
+      std::memory_order_release);
+}
+
+TimePoint OwnershipAgent::leaseExpiry() const {
+  return isActive() ? Holder.expiry() : TimePoint{};
+}
+
+bool OwnershipAgent::isIsolated(TimePoint now) const {
+  return core::toNanoseconds(now) >=
+         Clock->ContactExpiry.load(std::memory_order_relaxed);
+}
+
+std::uint32_t OwnershipAgent::sinceMajority(TimePoint now) const {
+  const TimePoint majority = Holder.expiry() - Options.Lease.Length;
+  return toMilliseconds(now - std::max(majority, LiveSince));
+}
+
+// Own witnesses -------------------------------------------------------------
+
+void OwnershipAgent::reviewWitnesses(TimePoint now) {
+  if (!isActive() || Holder.isProposed() || now < NextSearch)
+    return;
+  for (const InstanceId it : Holder.candidates())
+    if (!Holder.lastPromise(it))
+      SilentWitnesses.insert(it);
+  Holder.dropCandidates();
+  if (needsWitnesses(now))
+    searchWitnesses(now);
+}
+
+bool OwnershipAgent::needsWitnesses(TimePoint now) {
+  if (noteSilentWitnesses(now))
+    return true;
+  const WitnessFitness fitness = judgeWitnesses(Map, Holder.witnesses());
+  if (fitness != WitnessFitness::Crowded)
+    CrowdedSince.reset();
+  else if (!CrowdedSince)
+    CrowdedSince = now;
+  return fitness == WitnessFitness::Deficient ||
+         (CrowdedSince && now - *CrowdedSince >= Options.CrowdedDwell);
+}
+
+bool OwnershipAgent::noteSilentWitnesses(TimePoint now) {
+  const auto isSilent = [&](InstanceId it) {
+    const TimePoint last =
+        std::max(Holder.lastPromise(it).value_or(TimePoint{}), WitnessesSince);
+    return now - last > Options.WitnessSilenceLimit;
+  };
+  const auto list = Holder.witnesses();
+  const auto silent = std::count_if(list.begin(), list.end(), isSilent);
+  // When all are silent, this instance itself was paused or cut off.
+  if (silent == 0 || (silent == std::ssize(list) && list.size() > 1))
+    return false;
+  for (const InstanceId it : list)
+    if (isSilent(it))
+      SilentWitnesses.insert(it);
+  return true;
+}
+
+void OwnershipAgent::searchWitnesses(TimePoint now) {
+  NextSearch = now + Options.WitnessSearchInterval;
+  auto chosen = chooseWitnesses(Map, Info, Holder.witnesses(), SilentWitnesses);
+  if (haveSameMembers(chosen, Holder.witnesses())) {
+    SilentWitnesses.clear();
+    return;
+  }
+  Holder.setCandidates(std::move(chosen));
+  renew(now);
+}
+
+void OwnershipAgent::proposeWitnesses(TimePoint now) {
+  // From here on both majorities are needed, as the outcome is unknown.
+  Holder.propose();
+  publishLease();
+  NextWitnessAppend = now;
+  appendDue(now);
+}
+
+// Takeovers -----------------------------------------------------------------
+
+void OwnershipAgent::startSlices(TimePoint now) {
+  if (!isActive())
+    return;
+  Lapses.setHolders(Slices.awaited(Map));
+  const auto isLapsed = [&](InstanceId id) { return Lapses.isLapsed(id, now); };
+  if (!Slices.start(Map, isLapsed))
+    return;
+  markChanged();
+  appendDue(now);
+}
+
+void OwnershipAgent::queryWitnesses(TimePoint now) {
+  for (const DueQuery &it : Lapses.onTick(Map, now)) {
+    if (it.Witness != Info.Id)
+      Hooks.Send(it.Witness, ConfirmQuery{it.Witness, it.Holder});
+    else if (Witness.onConfirmQuery(it.Holder, Info.Id, Map, now))
+      Lapses.onConfirmed(it.Holder, Info.Id, Map, now);
+  }
+}
+
+void OwnershipAgent::confirmLapses(TimePoint now) {
+  for (const Confirmation &it : Witness.onTick(now)) {
+    if (it.Asker == Info.Id)
+      Lapses.onConfirmed(it.Holder, Info.Id, Map, now);
+    else
+      Hooks.Send(it.Asker, LapseConfirmed{it.Holder});
+  }
+}
+
+void OwnershipAgent::watchHolders(TimePoint now) {
+  if (!isActive())
+    return;
+  for (const membership::Action &it : Detector.onTick(now)) {
+    if (it.What == membership::Step::Probe)
+      probeHolder(it.Holder);
+    else
+      proposeLost(it.Holder);
+  }
+}
+
+void OwnershipAgent::probeHolder(InstanceId holder) {
+  Hooks.Send(holder, Probe{holder});
+  const InstanceState *state = Map.instance(holder);
+  if (state == nullptr)
+    return;
+  for (const InstanceId it : state->Witnesses)
+    if (it != Info.Id)
+      Hooks.Send(it, SilenceQuery{holder});
+}
+
+void OwnershipAgent::proposeLost(InstanceId holder) {
+  const InstanceState *state = Map.instance(holder);
+  if (state == nullptr || !IsLogReachable)
+    return;
+  Hooks.Append(InstanceRetired{holder, state->WitnessVersion,
+                               RetireReason::Lost, Info.Id});
+}
+
+// Appends -------------------------------------------------------------------
+
+void OwnershipAgent::appendDue(TimePoint now) {
+  if (!IsLogReachable || State == Phase::Idle || State == Phase::Retired)
+    return;
+  if (now >= NextPhaseAppend)
+    appendPhase(now);
+  if (Holder.isProposed() && now >= NextWitnessAppend) {
+    NextWitnessAppend = now + Options.AppendRetry;
+    const auto list = Holder.candidates();
+    Hooks.Append(WitnessesChanged{
+        Info.Id, Holder.version(), {list.begin(), list.end()}});
+  }
+  if (auto started = Slices.takeStarts(Map, now); !started.empty())
+    Hooks.Append(SlicesStarted{Info.Id, std::move(started)});
+  releaseSlices(now);
+}
+
+void OwnershipAgent::appendPhase(TimePoint now) {
+  const bool hasStopped = State == Phase::Leaving && !Slices.hasSlices();
+  if (State == Phase::Joining)
+    Hooks.Append(InstanceJoined{Info, chooseWitnesses(Map, Info, {}, {})});
+  else if (State == Phase::Live && IsLeaveWanted)
+    Hooks.Append(InstanceLeaving{Info.Id});
+  else if (hasStopped && IsLeaveWanted)
+    Hooks.Append(InstanceRetired{Info.Id, Holder.version(),
+                                 RetireReason::Stopped, Info.Id});
+  else
+    return;
+  NextPhaseAppend = now + Options.AppendRetry;
+}
+
+void OwnershipAgent::releaseSlices(TimePoint now) {
+  auto releases = Slices.takeReleases(Map, now);
+  if (releases.empty())
+    return;
+  std::map<InstanceId, std::vector<SliceEpoch>> byOwner;
+  for (const SliceEpoch &it : releases)
+    if (const auto ref = Map.refOf(it.Slice))
+      byOwner[Map.slice(*ref)->Owner].push_back(it);
+  for (auto &[owner, slices] : byOwner)
+    if (owner)
+      Hooks.Send(owner, Released{std::move(slices)});
+  Hooks.Append(SlicesReleased{Info.Id, std::move(releases)});
+}
+
+void OwnershipAgent::onSlicesIdle(std::span<const core::SliceId> slices,
+                                  TimePoint now) {
+  for (const core::SliceId &it : slices)
+    if (const auto ref = Map.refOf(it))
+      Slices.onIdle(*ref);
+  appendDue(now);
+}
+
+std::vector<core::SliceId> OwnershipAgent::drainingSlices() const {
+  std::vector<core::SliceId> out;
+  for (const SliceRef it : Slices.draining())
+    out.push_back(Map.idOf(it));
+  return out;
+}
+
+// View ----------------------------------------------------------------------
+
+void OwnershipAgent::markChanged() {
+  View.reset();
+  Hooks.Changed();
+}
+
+std::shared_ptr<const OwnershipView> OwnershipAgent::view() {
+  if (!View)
+    View = std::make_shared<const OwnershipView>(
+        Info.Id, Map.share(), Slices.grants(), Clock, !Options.Breaks.Expiry);
+  return View;
+}
+
+} // namespace acaciaroad::ownership
