--- a/Source/Configuration/Validation.cpp
+++ b/Source/Configuration/Validation.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::size_t MaxNameBytes = 64;
 constexpr std::size_t MaxPrefixBytes = 256;
-constexpr std::size_t MaxOperatorBytes = 64;
 constexpr std::chrono::milliseconds MaxDeadline = std::chrono::minutes(10);
 constexpr std::uint32_t OneMillion = 1'000'000;
 constexpr std::uint64_t MaxBodyLimitBytes = 1ULL << 32U;
@@ -69,8 +68,7 @@
 
 Result<void> checkOrigin(const ChangeOrigin &origin) {
   return check(origin.ChangeId != 0, "change_id").and_then([&] {
-    const bool isShort = origin.Operator.size() <= MaxOperatorBytes;
-    return check(!origin.Operator.empty() && isShort, "operator");
+    return check(isValidToken(origin.Operator), "operator");
   });
 }
 
--- a/Tests/Configuration/ValidationTest.cpp
+++ b/Tests/Configuration/ValidationTest.cpp
@@ -73,6 +73,7 @@
     {nullptr, [](KeyGranted &) {}},
     {"change_id", [](KeyGranted &it) { it.Origin.ChangeId = 0; }},
     {"operator", [](KeyGranted &it) { it.Origin.Operator = ""; }},
+    {"operator", [](KeyGranted &it) { it.Origin.Operator = "\xff"; }},
     {"key_id", [](KeyGranted &it) { it.KeyId = "a.b"; }},
     {"account", [](KeyGranted &it) { it.Account = ""; }},
     {"salt", [](KeyGranted &it) { it.Salt = "short"; }},
