Requests: choice of instance, attempts, budgets and at-most-once ids

Whatever follows an attempt is decided from what is known of its order, so a refusal as not run is true. Ids of at-most-once requests are kept by witnesses before the order is sent, and handed to each successor.

--- /dev/null
+++ b/Source/Requests/AttemptPlan.h
@@ -0,0 +1,76 @@
+/// \file
+/// The attempts at one request.
+
+#ifndef ACACIAROAD_REQUESTS_ATTEMPTPLAN_H
+#define ACACIAROAD_REQUESTS_ATTEMPTPLAN_H
+
+#include <cstdint>
+
+#include "Core/Clock.h"
+#include "Core/Error.h"
+#include "Requests/RequestPolicy.h"
+#include "Requests/RetryBudget.h"
+
+namespace acaciaroad::requests {
+
+/// What the entry node does next with a request.
+enum class NextStep : std::uint8_t {
+  /// Gives the caller the answer of the attempt that just ended.
+  Answer,
+  /// Sends another attempt.
+  Retry,
+  /// Waits for the attempts that are under way.
+  Wait,
+  /// Gives the caller the step's error.
+  Fail,
+  /// The caller has its answer already; the outcome changes nothing.
+  Ignore,
+};
+
+/// The next step, and the error if it is Fail.
+struct Step {
+  NextStep What = NextStep::Ignore;
+  core::ErrorKind Reason = core::ErrorKind::Internal;
+};
+
+/// Decides what follows each attempt's outcome, and which error tells the
+/// caller the truth in the end: "not run" only if every attempt was refused as
+/// not run or never sent.
+class AttemptPlan {
+public:
+  /// Fails with DeadlineTooShort if the deadline has passed.
+  static core::Result<AttemptPlan> create(const RequestPolicy &policy,
+                                          core::TimePoint deadline,
+                                          core::TimePoint now);
+
+  /// An attempt is about to be sent.
+  void started();
+
+  /// An attempt ended; \p reason is of a refusal, or of a missing answer.
+  Step ended(AttemptOutcome outcome, core::ErrorKind reason,
+             RetryBudget &budget, core::TimePoint now);
+
+  /// Returns whether a hedge may be sent now, and takes it from the budget.
+  bool takeHedge(RetryBudget &budget, core::TimePoint now);
+
+  /// The deadline passed: ends the request with attempts still under way.
+  Step timedOut();
+
+private:
+  AttemptPlan(const RequestPolicy &policy, core::TimePoint deadline);
+  bool takeRetry(RetryBudget &budget, core::TimePoint now);
+  bool mayStart(core::TimePoint now) const;
+  Step fail(core::ErrorKind reason);
+
+  RequestPolicy Policy;
+  core::TimePoint Deadline;
+  std::uint32_t Attempts = 0;
+  std::uint32_t UnderWay = 0;
+  /// An order was sent and its outcome is not known.
+  bool IsUnknown = false;
+  bool IsOver = false;
+};
+
+} // namespace acaciaroad::requests
+
+#endif
--- /dev/null
+++ b/Source/Requests/HedgePolicy.cpp
@@ -0,0 +1,41 @@
+#include "Requests/HedgePolicy.h"
+
+#include <algorithm>
+
+namespace acaciaroad::requests {
+
+namespace {
+
+constexpr std::uint32_t FewestSamples = 64;
+constexpr std::uint32_t UpdateInterval = 64;
+constexpr double SlowQuantile = 0.95;
+constexpr double TypicalQuantile = 0.5;
+
+} // namespace
+
+HedgePolicy::HedgePolicy(const RequestPolicy &policy)
+    : IsIdempotent(policy.Runs == configuration::Execution::Idempotent),
+      LatencyTarget(policy.LatencyTarget) {}
+
+void HedgePolicy::observe(core::Duration latency) {
+  Latencies.observe(latency);
+  if (++SinceUpdate >= UpdateInterval)
+    update();
+}
+
+void HedgePolicy::update() {
+  SinceUpdate = 0;
+  Delay.reset();
+  if (!IsIdempotent || Latencies.samples() < FewestSamples)
+    return;
+  const core::Duration typical = Latencies.quantile(TypicalQuantile);
+  const core::Duration latest = LatencyTarget - typical;
+  // Where typical requests use up the target, hedges would only add load.
+  if (latest <= typical)
+    return;
+  Delay = std::min(latest, Latencies.quantile(SlowQuantile));
+}
+
+std::optional<core::Duration> HedgePolicy::delay() const { return Delay; }
+
+} // namespace acaciaroad::requests
--- /dev/null
+++ b/Source/Requests/IdempotencyRegister.cpp
@@ -0,0 +1,226 @@
+#include "Requests/IdempotencyRegister.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciaroad::requests {
+
+using core::ErrorKind;
+
+core::Result<IdempotencyRegister>
+IdempotencyRegister::create(core::InstanceId owner, RegisterLimits limits) {
+  if (!owner || limits.Window.count() <= 0 || limits.MostIds == 0)
+    return core::fail(ErrorKind::InvalidArgument,
+                      "a register needs an owner, a window and room");
+  return IdempotencyRegister(owner, limits);
+}
+
+IdempotencyRegister::IdempotencyRegister(core::InstanceId owner,
+                                         RegisterLimits limits)
+    : Owner(owner), Limits(limits) {}
+
+void IdempotencyRegister::setWitnesses(WitnessSets witnesses) {
+  Witnesses = std::move(witnesses);
+}
+
+BeginDecision IdempotencyRegister::begin(const IdempotentRequest &request,
+                                         core::TimePoint now) {
+  expire(now);
+  if (const Entry *entry = find(request.Id))
+    return repeated(*entry, request.Fingerprint);
+  BeginDecision out;
+  if (ByAge.size() >= Limits.MostIds)
+    return out;
+  Entry entry;
+  entry.Slice = request.Slice;
+  entry.Epoch = request.Epoch;
+  entry.Id = request.Id;
+  entry.Fingerprint = request.Fingerprint;
+  entry.Sequence = NextSequence++;
+  entry.FirstSeen = now;
+  entry.Quorum.emplace(Witnesses);
+  const bool hasWitnesses = entry.Quorum->state() != QuorumState::Reached;
+  if (!hasWitnesses) {
+    entry.Quorum.reset();
+    entry.Where = State::Sent;
+  }
+  out.What = hasWitnesses ? BeginVerdict::Tell : BeginVerdict::Send;
+  out.Message = tell(add(std::move(entry)), now);
+  return out;
+}
+
+BeginDecision IdempotencyRegister::repeated(const Entry &entry,
+                                            std::uint64_t fingerprint) {
+  BeginDecision out;
+  out.Reason = ErrorKind::DuplicateRequest;
+  if (entry.Fingerprint != fingerprint) {
+    out.Reason = ErrorKind::IdempotencyKeyReused;
+  } else if (entry.HasAnswer) {
+    out.What = BeginVerdict::Replay;
+    out.Answer = entry.Answer;
+  } else if (entry.Where == State::Unknown) {
+    out.Reason = ErrorKind::OutcomeUnknown;
+  }
+  return out;
+}
+
+QuorumState IdempotencyRegister::acked(const IdempotencyAck &ack) {
+  Entry *entry = find(ack.Id);
+  if (!entry || !entry->Quorum || entry->Sequence != ack.Sequence)
+    return QuorumState::Open;
+  const QuorumState state = entry->Quorum->add(ack.Witness, ack.IsKept);
+  if (state == QuorumState::Reached)
+    entry->Quorum.reset();
+  // Ids that were told again have no order that waits.
+  if (entry->Where != State::Telling)
+    return QuorumState::Open;
+  if (state == QuorumState::Reached)
+    entry->Where = State::Sent;
+  return state;
+}
+
+void IdempotencyRegister::completed(IdempotencyId id, std::string_view answer) {
+  Entry *entry = find(id);
+  if (!entry || entry->Where == State::Telling || entry->Where == State::Done)
+    return;
+  entry->Where = State::Done;
+  store(*entry, answer);
+}
+
+void IdempotencyRegister::store(Entry &entry, std::string_view answer) {
+  if (answer.size() > Limits.LargestAnswer ||
+      AnswerBytes + answer.size() > Limits.MostAnswerBytes)
+    return;
+  entry.HasAnswer = true;
+  entry.Answer = answer;
+  AnswerBytes += answer.size();
+}
+
+void IdempotencyRegister::outcomeUnknown(IdempotencyId id) {
+  Entry *entry = find(id);
+  if (entry && entry->Where == State::Sent)
+    entry->Where = State::Unknown;
+}
+
+std::optional<IdempotencyForget> IdempotencyRegister::notRun(IdempotencyId id) {
+  const auto it = ById.find(id);
+  if (it == ById.end())
+    return std::nullopt;
+  const Entry &entry = *it->second;
+  if (entry.Where == State::Done || entry.Where == State::Unknown)
+    return std::nullopt;
+  IdempotencyForget out{Owner, entry.Slice, entry.Epoch, id, entry.Sequence};
+  erase(it->second);
+  return out;
+}
+
+core::Result<void>
+IdempotencyRegister::import(const IdempotencyHandover &handover,
+                            core::TimePoint now) {
+  for (const HandedId &it : handover.Ids) {
+    if (it.Age >= Limits.Window || find(it.Id))
+      continue;
+    if (ByAge.size() >= Limits.MostIds)
+      return core::fail(ErrorKind::RegisterFull,
+                        "the ids of the former owner do not fit");
+    Entry entry;
+    entry.Slice = handover.Slice;
+    entry.Epoch = handover.Epoch;
+    entry.Id = it.Id;
+    entry.Fingerprint = it.Fingerprint;
+    entry.Sequence = NextSequence++;
+    entry.FirstSeen = now - it.Age;
+    entry.Where = it.IsDone ? State::Done : State::Unknown;
+    Entry &added = add(std::move(entry));
+    if (!it.Answer.empty())
+      store(added, it.Answer);
+  }
+  return {};
+}
+
+std::vector<IdempotencyTell>
+IdempotencyRegister::tells(const core::SliceId &slice, core::Epoch epoch,
+                           core::TimePoint now) {
+  std::vector<IdempotencyTell> out;
+  for (Entry &entry : ByAge) {
+    if (entry.Slice != slice)
+      continue;
+    entry.Epoch = epoch;
+    entry.Quorum.emplace(Witnesses);
+    if (entry.Quorum->state() == QuorumState::Reached)
+      entry.Quorum.reset();
+    out.push_back(tell(entry, now));
+  }
+  return out;
+}
+
+bool IdempotencyRegister::isWitnessed(const core::SliceId &slice) const {
+  return std::none_of(ByAge.begin(), ByAge.end(), [&](const Entry &it) {
+    return it.Slice == slice && it.Quorum.has_value();
+  });
+}
+
+IdempotencyHandover IdempotencyRegister::release(const core::SliceId &slice,
+                                                 core::Epoch epoch,
+                                                 core::TimePoint now) {
+  IdempotencyHandover out{Owner, slice, epoch, {}};
+  for (auto it = ByAge.begin(); it != ByAge.end();) {
+    const auto next = std::next(it);
+    if (it->Slice == slice) {
+      out.Ids.push_back({it->Id, it->Fingerprint, now - it->FirstSeen,
+                         it->Where == State::Done, it->Answer});
+      erase(it);
+    }
+    it = next;
+  }
+  return out;
+}
+
+IdempotencyTell IdempotencyRegister::tell(const Entry &entry,
+                                          core::TimePoint now) const {
+  return {Owner,
+          entry.Slice,
+          entry.Epoch,
+          entry.Id,
+          entry.Fingerprint,
+          entry.Sequence,
+          now - entry.FirstSeen};
+}
+
+std::optional<core::TimePoint> IdempotencyRegister::nextDeadline() const {
+  if (ByAge.empty())
+    return std::nullopt;
+  return ByAge.front().FirstSeen + Limits.Window;
+}
+
+void IdempotencyRegister::expire(core::TimePoint now) {
+  while (!ByAge.empty() && ByAge.front().FirstSeen + Limits.Window <= now)
+    erase(ByAge.begin());
+}
+
+IdempotencyRegister::Entry *IdempotencyRegister::find(IdempotencyId id) {
+  const auto it = ById.find(id);
+  return it == ById.end() ? nullptr : &*it->second;
+}
+
+IdempotencyRegister::Entry &IdempotencyRegister::add(Entry entry) {
+  const auto later =
+      std::find_if(ByAge.rbegin(), ByAge.rend(), [&](const Entry &it) {
+        return it.FirstSeen <= entry.FirstSeen;
+      });
+  const auto it = ByAge.insert(later.base(), std::move(entry));
+  ById[it->Id] = it;
+  return *it;
+}
+
+void IdempotencyRegister::erase(Entries::iterator it) {
+  AnswerBytes -= it->Answer.size();
+  ById.erase(it->Id);
+  ByAge.erase(it);
+}
+
+std::size_t IdempotencyRegister::size() const { return ByAge.size(); }
+
+std::size_t IdempotencyRegister::answerBytes() const { return AnswerBytes; }
+
+} // namespace acaciaroad::requests
--- /dev/null
+++ b/Source/Requests/RequestPolicy.cpp
@@ -0,0 +1,54 @@
+#include "Requests/RequestPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciaroad::requests {
+
+using core::ErrorKind;
+
+namespace {
+
+constexpr std::uint32_t Million = 1'000'000;
+/// Budget for each power of ten of the availability target.
+constexpr double RatioPerNine = 0.05;
+constexpr double SmallestRatio = 0.05;
+constexpr double LargestRatio = 0.2;
+constexpr std::uint32_t AttemptLimit = 3;
+
+double retryRatio(std::uint32_t availabilityPpm) {
+  const double failing = Million - std::min(availabilityPpm, Million - 1);
+  const double nines = -std::log10(failing / Million);
+  return std::clamp(nines * RatioPerNine, SmallestRatio, LargestRatio);
+}
+
+} // namespace
+
+core::Result<RequestPolicy>
+RequestPolicy::of(const configuration::WorkClass &value) {
+  if (value.Deadline.count() <= 0 || value.LatencyTarget.count() <= 0 ||
+      value.AvailabilityPpm > Million)
+    return core::fail(ErrorKind::InvalidArgument,
+                      "a target of the class is out of range");
+  return RequestPolicy{value.Runs, value.Deadline, value.LatencyTarget,
+                       retryRatio(value.AvailabilityPpm), AttemptLimit};
+}
+
+bool mayTryAgain(ErrorKind reason) {
+  switch (reason) {
+  case ErrorKind::QueueFull:
+  case ErrorKind::DeadlineTooShort:
+  case ErrorKind::NoOwner:
+  case ErrorKind::NoUpstream:
+  case ErrorKind::UpstreamShedding:
+  case ErrorKind::NodeIsolated:
+  case ErrorKind::NodeStopping:
+  case ErrorKind::OwnerChanged:
+  case ErrorKind::PeerUnreachable:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace acaciaroad::requests
--- /dev/null
+++ b/Source/Requests/RetryBudget.h
@@ -0,0 +1,39 @@
+/// \file
+/// Bound on retries and hedges.
+
+#ifndef ACACIAROAD_REQUESTS_RETRYBUDGET_H
+#define ACACIAROAD_REQUESTS_RETRYBUDGET_H
+
+#include "Core/Clock.h"
+#include "Core/Error.h"
+
+namespace acaciaroad::requests {
+
+/// Each request earns a fraction of an extra attempt, and a small floor lets a
+/// class with little traffic retry at all. Since extra attempts earn nothing,
+/// they cannot multiply an overload. One budget serves the retries and hedges
+/// of one class on one node.
+class RetryBudget {
+public:
+  /// \p ratio is extra attempts per request. Fails with InvalidArgument unless
+  /// it is between 0 and 1.
+  static core::Result<RetryBudget> create(double ratio, core::TimePoint now);
+
+  /// A request arrived from a caller.
+  void requested(core::TimePoint now);
+
+  /// Takes one extra attempt; returns false if the budget is used up.
+  bool take(core::TimePoint now);
+
+private:
+  RetryBudget(double ratio, core::TimePoint now);
+  void refill(core::TimePoint now);
+
+  double Ratio;
+  double Level;
+  core::TimePoint Filled;
+};
+
+} // namespace acaciaroad::requests
+
+#endif
