--- a/Source/Codec/Checkpoint.cpp
+++ b/Source/Codec/Checkpoint.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Codec/CatalogueMessages.h"
+#include "Codec/FleetMessages.h"
 #include "Codec/Generated/Checkpoint.pb.h"
 
 namespace acaciaroad::codec {
@@ -11,10 +12,23 @@
 using core::fail;
 using core::Result;
 
+namespace {
+
+/// Whether no aggregate has folded more than the checkpoint says to cover.
+bool isWithinOffset(const Checkpoint &checkpoint) {
+  const auto fleet = checkpoint.Fleet.LastOffset;
+  return checkpoint.Catalogue.NextOffset <= checkpoint.NextOffset &&
+         (!fleet || *fleet < checkpoint.NextOffset);
+}
+
+} // namespace
+
 Result<std::vector<CheckpointChunk>>
 splitCheckpoint(const Checkpoint &checkpoint, std::uint64_t checkpointId) {
   pb::Checkpoint message;
+  message.set_next_offset(checkpoint.NextOffset);
   write(checkpoint.Catalogue, *message.mutable_catalogue());
+  write(checkpoint.Fleet, *message.mutable_fleet());
   const std::string bytes = message.SerializeAsString();
   const std::size_t count = std::max<std::size_t>(
       1, (bytes.size() + ChunkPayloadBytes - 1) / ChunkPayloadBytes);
@@ -24,7 +38,7 @@
   for (std::size_t n = 0; n < count; ++n) {
     CheckpointChunk chunk;
     chunk.CheckpointId = checkpointId;
-    chunk.NextOffset = checkpoint.Catalogue.NextOffset;
+    chunk.NextOffset = checkpoint.NextOffset;
     chunk.Index = static_cast<std::uint32_t>(n);
     chunk.Count = static_cast<std::uint32_t>(count);
     chunk.Hash = core::hashOf(bytes);
@@ -39,7 +53,9 @@
   Checkpoint out;
   const bool isParsed =
       message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
-  if (!isParsed || !read(message.catalogue(), out.Catalogue))
+  out.NextOffset = message.next_offset();
+  if (!isParsed || !read(message.catalogue(), out.Catalogue) ||
+      !read(message.fleet(), out.Fleet) || !isWithinOffset(out))
     return fail(ErrorKind::CorruptMessage, "the checkpoint cannot be decoded");
   return out;
 }
@@ -78,7 +94,7 @@
   auto checkpoint = decodeCheckpoint(bytes);
   if (!checkpoint)
     return tl::unexpected(checkpoint.error());
-  if (checkpoint->Catalogue.NextOffset != pending.NextOffset)
+  if (checkpoint->NextOffset != pending.NextOffset)
     return fail(ErrorKind::CorruptMessage, "the offsets contradict each other");
   Best = pending.NextOffset;
   dropCovered();
--- a/Source/Codec/Checkpoint.h
+++ b/Source/Codec/Checkpoint.h
@@ -14,6 +14,7 @@
 #include "Codec/LogEntry.h"
 #include "Configuration/Catalogue.h"
 #include "Core/Error.h"
+#include "Ownership/FleetTypes.h"
 
 namespace acaciaroad::codec {
 
@@ -25,7 +26,10 @@
 
 /// The state of all aggregates that fold the log, covering the same offsets.
 struct Checkpoint {
+  /// First offset that is not covered.
+  core::Offset NextOffset = 0;
   configuration::CatalogueSnapshot Catalogue;
+  ownership::FleetSnapshot Fleet;
   bool operator==(const Checkpoint &) const = default;
 };
 
--- a/Source/Codec/OwnershipMessages.cpp
+++ b/Source/Codec/OwnershipMessages.cpp
@@ -31,28 +31,6 @@
   return read(from.slice(), to.Slice);
 }
 
-void write(const ownership::InstanceInfo &from, pb::InstanceInfo &to) {
-  to.set_id(from.Id.Value);
-  to.set_name(from.Name);
-  to.set_data_centre(from.DataCentre);
-  to.set_rack(from.Rack);
-  to.set_peer_address(from.PeerAddress);
-  to.set_http_address(from.HttpAddress);
-  to.set_service(from.Service);
-  to.set_checks_grants(from.ChecksGrants);
-}
-
-bool read(const pb::InstanceInfo &from, ownership::InstanceInfo &to) {
-  to.Id = InstanceId{from.id()};
-  to.ChecksGrants = from.checks_grants();
-  return readString(from.name(), to.Name) &&
-         readString(from.data_centre(), to.DataCentre) &&
-         readString(from.rack(), to.Rack) &&
-         readString(from.peer_address(), to.PeerAddress) &&
-         readString(from.http_address(), to.HttpAddress) &&
-         readString(from.service(), to.Service);
-}
-
 template <typename Message>
 void writeWitnesses(const std::vector<InstanceId> &from, Message &to) {
   for (InstanceId it : from)
@@ -102,6 +80,28 @@
 
 } // namespace
 
+void write(const ownership::InstanceInfo &from, pb::InstanceInfo &to) {
+  to.set_id(from.Id.Value);
+  to.set_name(from.Name);
+  to.set_data_centre(from.DataCentre);
+  to.set_rack(from.Rack);
+  to.set_peer_address(from.PeerAddress);
+  to.set_http_address(from.HttpAddress);
+  to.set_service(from.Service);
+  to.set_checks_grants(from.ChecksGrants);
+}
+
+bool read(const pb::InstanceInfo &from, ownership::InstanceInfo &to) {
+  to.Id = InstanceId{from.id()};
+  to.ChecksGrants = from.checks_grants();
+  return readString(from.name(), to.Name) &&
+         readString(from.data_centre(), to.DataCentre) &&
+         readString(from.rack(), to.Rack) &&
+         readString(from.peer_address(), to.PeerAddress) &&
+         readString(from.http_address(), to.HttpAddress) &&
+         readString(from.service(), to.Service);
+}
+
 void write(const ownership::ServiceDefined &from, pb::ServiceDefined &to) {
   to.set_service(from.Service);
   to.set_slice_count(from.SliceCount);
--- a/Source/Codec/OwnershipMessages.h
+++ b/Source/Codec/OwnershipMessages.h
@@ -10,6 +10,7 @@
 
 namespace acaciaroad::codec {
 
+void write(const ownership::InstanceInfo &from, pb::InstanceInfo &to);
 void write(const ownership::ServiceDefined &from, pb::ServiceDefined &to);
 void write(const ownership::InstanceJoined &from, pb::InstanceJoined &to);
 void write(const ownership::InstanceLeaving &from, pb::InstanceLeaving &to);
@@ -23,6 +24,7 @@
 void write(const ownership::DataCentreShareSet &from,
            pb::DataCentreShareSet &to);
 
+bool read(const pb::InstanceInfo &from, ownership::InstanceInfo &to);
 bool read(const pb::ServiceDefined &from, ownership::ServiceDefined &to);
 bool read(const pb::InstanceJoined &from, ownership::InstanceJoined &to);
 bool read(const pb::InstanceLeaving &from, ownership::InstanceLeaving &to);
--- a/Tests/Codec/CheckpointTest.cpp
+++ b/Tests/Codec/CheckpointTest.cpp
@@ -10,6 +10,26 @@
 
 namespace {
 
+ownership::FleetSnapshot sampleFleet() {
+  const ownership::SliceState state{
+      core::InstanceId{1}, 4, {{core::InstanceId{2}, 3}}};
+  ownership::FleetSnapshot out;
+  out.LastOffset = 0;
+  out.Services = {{"questionnaires",
+                   ownership::HotSliceBase + 1,
+                   {state, {}},
+                   {{77, ownership::HotSliceBase, state}}}};
+  out.Instances = {{{core::InstanceId{1}, "q-1", "a", "r", "10.0.0.1:1",
+                     "10.0.0.1:2", "questionnaires", true},
+                    ownership::InstanceStatus::Leaving,
+                    0,
+                    2,
+                    {core::InstanceId{3}, core::InstanceId{4}}}};
+  out.DataCentres = {{"a", 1, 250}};
+  out.Retired = {core::InstanceId{9}};
+  return out;
+}
+
 /// Makes a checkpoint that holds \p keys keys.
 Checkpoint sampleCheckpoint(std::size_t keys) {
   configuration::Catalogue catalogue;
@@ -22,7 +42,7 @@
   for (std::size_t n = 0; n < keys; ++n, ++offset)
     catalogue.apply(keyGranted(offset, "k" + std::to_string(n), "x"), offset);
   catalogue.apply(keyWithdrawn("k1"), offset++);
-  return {catalogue.snapshot()};
+  return {offset, catalogue.snapshot(), sampleFleet()};
 }
 
 constexpr std::size_t ManyKeys = 3600;
@@ -107,6 +127,13 @@
   cr_assert(!assembler.add(older[0])->has_value());
 }
 
+Test(CheckpointTest, aggregateBeyondTheCoveredOffsetIsCorrupt) {
+  Checkpoint checkpoint = sampleCheckpoint(4);
+  checkpoint.Fleet.LastOffset = checkpoint.NextOffset;
+  const auto chunks = splitCheckpoint(checkpoint, 1).value();
+  cr_assert(!decodeCheckpoint(chunks[0].Payload).has_value());
+}
+
 Test(CheckpointTest, unfinishedCheckpointsAreBounded) {
   CheckpointAssembler assembler;
   const auto chunks = chunksOf(ManyKeys, 1);
