--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -70,8 +70,7 @@
 }
 
 core::Result<void> ControlState::fold(const PlacedEntry &entry) {
-  if (const auto *it =
-          std::get_if<ownership::OwnershipRecord>(&entry.Entry))
+  if (const auto *it = std::get_if<ownership::OwnershipRecord>(&entry.Entry))
     return Agent->onRecord(*it, entry.Offset, Hooks.Now());
   const auto *it =
       std::get_if<configuration::ConfigurationRecord>(&entry.Entry);
@@ -105,9 +104,9 @@
 }
 
 void ControlState::submit(codec::LogEntry entry, SubmitHandler handler) {
-  const auto it = Submits.insert(
-      Submits.end(),
-      PendingSubmit{entry, std::move(handler), Hooks.Now() + SubmitTimeout});
+  const auto it =
+      Submits.insert(Submits.end(), PendingSubmit{entry, std::move(handler),
+                                                  Hooks.Now() + SubmitTimeout});
   const core::TimePoint id = it->Deadline;
   Hooks.Append(entry, [this, id, entry] {
     const auto failed = std::find_if(
@@ -264,7 +263,8 @@
 
 bool ControlState::mayGrant(std::string_view account,
                             core::TimePoint now) const {
-  return Agent->mayServe(ownership::AccountsService, core::hashOf(account), now)
+  return Agent->view()
+      ->mayServe(ownership::AccountsService, core::hashOf(account), now)
       .has_value();
 }
 
--- a/Source/Node/ControlThread.cpp
+++ b/Source/Node/ControlThread.cpp
@@ -43,8 +43,7 @@
 std::vector<ControlThread::Task>
 ControlThread::awaitTasks(core::TimePoint deadline) {
   std::unique_lock lock(Mutex);
-  Wakeup.wait_until(lock, deadline,
-                    [&] { return Stopping || !Tasks.empty(); });
+  Wakeup.wait_until(lock, deadline, [&] { return Stopping || !Tasks.empty(); });
   return std::exchange(Tasks, {});
 }
 
--- a/Source/Ownership/OwnershipAgent.cpp
+++ b/Source/Ownership/OwnershipAgent.cpp
@@ -69,6 +69,13 @@
   return {};
 }
 
+void OwnershipAgent::describe(std::string_view service, bool checksGrants) {
+  if (State != Phase::Idle)
+    return;
+  Info.Service = service;
+  Info.ChecksGrants = checksGrants;
+}
+
 void OwnershipAgent::join(TimePoint now) {
   if (State != Phase::Idle)
     return;
@@ -86,10 +93,12 @@
 
 // Log -----------------------------------------------------------------------
 
-void OwnershipAgent::onRecord(const OwnershipRecord &record,
-                              core::Offset offset, TimePoint now) {
-  if (!Map.apply(record, offset))
-    return;
+core::Result<void> OwnershipAgent::onRecord(const OwnershipRecord &record,
+                                            core::Offset offset,
+                                            TimePoint now) {
+  const auto result = Map.apply(record, offset);
+  if (!result)
+    return result;
   for (const InstanceId it : Map.touchedInstances())
     onInstanceTouched(it, now);
   if (State != Phase::Retired)
@@ -99,6 +108,7 @@
   startSlices(now);
   reviewWitnesses(now);
   appendDue(now);
+  return {};
 }
 
 void OwnershipAgent::onLogReachable(bool isReachable, TimePoint now) {
--- a/Source/Ownership/OwnershipAgent.h
+++ b/Source/Ownership/OwnershipAgent.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "Core/Clock.h"
@@ -72,8 +73,12 @@
   /// Enters the fleet. To be called once the log is read to its end.
   void join(core::TimePoint now);
 
-  void onRecord(const OwnershipRecord &record, core::Offset offset,
-                core::TimePoint now);
+  /// Sets what the upstream told of itself. To be called before join().
+  void describe(std::string_view service, bool checksGrants);
+
+  /// Folds a record; errors are those of FleetMap::apply.
+  core::Result<void> onRecord(const OwnershipRecord &record,
+                              core::Offset offset, core::TimePoint now);
   void onMessage(core::InstanceId from, const ControlMessage &message,
                  core::TimePoint now);
   /// Does what is due and returns when the next tick is needed.
