--- /dev/null
+++ b/Source/Node/IdempotencyGate.cpp
@@ -0,0 +1,152 @@
+#include "Node/IdempotencyGate.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace acaciaroad::node {
+
+using requests::BeginVerdict;
+using requests::IdempotencyId;
+using requests::QuorumState;
+
+namespace {
+
+/// How long a request waits for its witnesses.
+constexpr std::chrono::milliseconds AckTimeout{500};
+
+} // namespace
+
+core::Result<std::shared_ptr<IdempotencyGate>>
+IdempotencyGate::create(core::InstanceId self, IdempotencyGateHooks hooks) {
+  auto decisions = requests::IdempotencyRegister::create(self, {});
+  if (!decisions)
+    return tl::unexpected(decisions.error());
+  return std::shared_ptr<IdempotencyGate>(
+      new IdempotencyGate(std::move(*decisions), std::move(hooks)));
+}
+
+IdempotencyGate::IdempotencyGate(requests::IdempotencyRegister decisions,
+                                 IdempotencyGateHooks hooks)
+    : Hooks(std::move(hooks)), Decisions(std::move(decisions)) {}
+
+void IdempotencyGate::setWitnesses(requests::WitnessSets witnesses) {
+  const std::lock_guard lock(Mutex);
+  if (witnesses == Witnesses)
+    return;
+  Witnesses = witnesses;
+  Decisions.setWitnesses(std::move(witnesses));
+}
+
+std::vector<core::InstanceId> IdempotencyGate::witnesses() const {
+  std::set<core::InstanceId> all;
+  for (const auto &it : Witnesses)
+    all.insert(it.begin(), it.end());
+  return {all.begin(), all.end()};
+}
+
+void IdempotencyGate::tell(const requests::IdempotencyTell &message,
+                           std::span<const core::InstanceId> to) const {
+  for (const core::InstanceId it : to)
+    Hooks.Tell(it, message);
+}
+
+core::Result<IdempotencyTicket>
+IdempotencyGate::begin(const requests::IdempotentRequest &request,
+                       core::TimePoint deadline) {
+  Waiter waiter;
+  std::unique_lock lock(Mutex);
+  const core::TimePoint now = Hooks.Now();
+  Decisions.expire(now);
+  auto decision = Decisions.begin(request, now);
+  if (decision.What == BeginVerdict::Refused)
+    return core::fail(decision.Reason);
+  if (decision.What == BeginVerdict::Replay)
+    return IdempotencyTicket{request.Id, std::string(decision.Answer)};
+  const std::vector<core::InstanceId> to = witnesses();
+  if (!to.empty()) {
+    Waiters.insert_or_assign(request.Id, &waiter);
+    lock.unlock();
+    tell(decision.Message, to);
+    lock.lock();
+    const auto limit =
+        std::min(deadline, now + std::chrono::nanoseconds(AckTimeout));
+    if (auto kept = await(request.Id, waiter, limit, lock); !kept)
+      return tl::unexpected(kept.error());
+  }
+  return IdempotencyTicket{request.Id, std::nullopt};
+}
+
+core::Result<void> IdempotencyGate::await(const IdempotencyId &id,
+                                          Waiter &waiter,
+                                          core::TimePoint deadline,
+                                          std::unique_lock<std::mutex> &lock) {
+  waiter.Wakeup.wait_until(
+      lock, deadline, [&] { return waiter.State != QuorumState::Open; });
+  Waiters.erase(id);
+  if (waiter.State == QuorumState::Reached)
+    return {};
+  const auto forget = Decisions.notRun(id);
+  const std::vector<core::InstanceId> to = witnesses();
+  lock.unlock();
+  if (forget)
+    for (const core::InstanceId it : to)
+      Hooks.Forget(it, *forget);
+  return core::fail(core::ErrorKind::PeerUnreachable,
+                    "witnesses do not keep the idempotency key");
+}
+
+void IdempotencyGate::acked(const requests::IdempotencyAck &ack) {
+  const std::lock_guard lock(Mutex);
+  const QuorumState state = Decisions.acked(ack);
+  const auto it = Waiters.find(ack.Id);
+  if (it == Waiters.end() || state == QuorumState::Open)
+    return;
+  it->second->State = state;
+  it->second->Wakeup.notify_one();
+}
+
+void IdempotencyGate::completed(const IdempotencyId &id,
+                                std::string_view answer) {
+  const std::lock_guard lock(Mutex);
+  Decisions.completed(id, answer);
+}
+
+void IdempotencyGate::outcomeUnknown(const IdempotencyId &id) {
+  const std::lock_guard lock(Mutex);
+  Decisions.outcomeUnknown(id);
+}
+
+void IdempotencyGate::notRun(const IdempotencyId &id) {
+  std::unique_lock lock(Mutex);
+  const auto forget = Decisions.notRun(id);
+  const std::vector<core::InstanceId> to = witnesses();
+  lock.unlock();
+  if (!forget)
+    return;
+  for (const core::InstanceId it : to)
+    Hooks.Forget(it, *forget);
+}
+
+core::Result<void>
+IdempotencyGate::import(const requests::IdempotencyHandover &handover) {
+  const std::lock_guard lock(Mutex);
+  return Decisions.import(handover, Hooks.Now());
+}
+
+requests::IdempotencyHandover
+IdempotencyGate::release(const core::SliceId &slice, core::Epoch epoch) {
+  const std::lock_guard lock(Mutex);
+  return Decisions.release(slice, epoch, Hooks.Now());
+}
+
+void IdempotencyGate::tellAll(const core::SliceId &slice, core::Epoch epoch) {
+  std::unique_lock lock(Mutex);
+  const auto messages = Decisions.tells(slice, epoch, Hooks.Now());
+  const std::vector<core::InstanceId> to = witnesses();
+  lock.unlock();
+  for (const requests::IdempotencyTell &it : messages)
+    tell(it, to);
+}
+
+} // namespace acaciaroad::node
