--- a/Source/Programs/StandinServer/StandinServer.cpp
+++ b/Source/Programs/StandinServer/StandinServer.cpp
@@ -66,7 +66,7 @@
     const std::lock_guard lock(Mutex);
     Stopping = true;
     // Wakes the threads of idle connections; running handlers go on.
-    for (const socket_t it : Open)
+    for (const socket_t it : Idle)
       ::shutdown(it, SHUT_RD);
   }
   if (!Listener.joinable())
@@ -82,38 +82,37 @@
 int StandinServer::currentSocket() { return ConnectionOfThread; }
 
 bool StandinServer::process_and_close_socket(socket_t sock) {
-  if (registerSocket(sock)) {
-    ConnectionOfThread = sock;
-    serve(sock);
-    unregisterSocket(sock);
-  }
+  ConnectionOfThread = sock;
+  enableNoDelay(sock);
+  serve(sock);
   ::shutdown(sock, SHUT_RDWR);
   ::close(sock);
   return true;
 }
 
 void StandinServer::serve(socket_t sock) {
-  enableNoDelay(sock);
   SocketStream stream(sock, TransferTimeout);
   bool isClosed = false;
-  while (!isClosed && stream.awaitRequest(IdleTimeout)) {
-    const bool isLast = isStopping();
-    if (!process_request(stream, isLast, isClosed, nullptr) || isLast)
+  while (!isClosed && enterIdle(sock)) {
+    const bool hasRequest = stream.awaitRequest(IdleTimeout);
+    leaveIdle(sock);
+    if (!hasRequest ||
+        !process_request(stream, isStopping(), isClosed, nullptr))
       return;
   }
 }
 
-bool StandinServer::registerSocket(socket_t sock) {
+bool StandinServer::enterIdle(socket_t sock) {
   const std::lock_guard lock(Mutex);
   if (Stopping)
     return false;
-  Open.insert(sock);
+  Idle.insert(sock);
   return true;
 }
 
-void StandinServer::unregisterSocket(socket_t sock) {
+void StandinServer::leaveIdle(socket_t sock) {
   const std::lock_guard lock(Mutex);
-  Open.erase(sock);
+  Idle.erase(sock);
 }
 
 bool StandinServer::isStopping() {
--- a/Source/Programs/StandinServer/StandinServer.h
+++ b/Source/Programs/StandinServer/StandinServer.h
@@ -55,14 +55,14 @@
   StandinServer() = default;
   bool process_and_close_socket(socket_t sock) override;
   void serve(socket_t sock);
-  bool registerSocket(socket_t sock);
-  void unregisterSocket(socket_t sock);
+  bool enterIdle(socket_t sock);
+  void leaveIdle(socket_t sock);
   bool isStopping();
 
   std::uint16_t Port = 0;
   std::mutex Mutex;
-  /// Sockets of open connections.
-  std::set<socket_t> Open;
+  /// Sockets of connections on which no request is running.
+  std::set<socket_t> Idle;
   bool Stopping = false;
   std::thread Listener;
 };
