--- a/Source/Wire/PeerConnection.cpp
+++ b/Source/Wire/PeerConnection.cpp
@@ -65,6 +65,8 @@
     throw zmq::error_t();
   Monitor.connect(endpoint);
   Dealer.connect("tcp://" + Address);
+  // The descriptor signals only what comes after a first look.
+  readMonitor();
 }
 
 int PeerConnection::sendDescriptor() const {
