--- a/Source/Node/DecisionLog.cpp
+++ b/Source/Node/DecisionLog.cpp
@@ -47,14 +47,13 @@
 void DecisionLog::answer(const wire::ForwardHead &head, int status,
                          core::Duration latency) const {
   using std::chrono::duration_cast;
-  Logger->write(
-      Level::Info, "answer",
-      {{"request_id", head.RequestId},
-       {"account", head.Account},
-       {"class", head.WorkClass},
-       {"status", status},
-       {"latency_us",
-        duration_cast<std::chrono::microseconds>(latency).count()}});
+  Logger->write(Level::Info, "answer",
+                {{"request_id", head.RequestId},
+                 {"account", head.Account},
+                 {"class", head.WorkClass},
+                 {"status", status},
+                 {"latency_us",
+                  duration_cast<std::chrono::microseconds>(latency).count()}});
 }
 
 void DecisionLog::refuse(std::string_view requestId, std::string_view account,
--- a/Source/Node/IdempotencyGate.cpp
+++ b/Source/Node/IdempotencyGate.cpp
@@ -81,8 +81,8 @@
                                           Waiter &waiter,
                                           core::TimePoint deadline,
                                           std::unique_lock<std::mutex> &lock) {
-  waiter.Wakeup.wait_until(
-      lock, deadline, [&] { return waiter.State != QuorumState::Open; });
+  waiter.Wakeup.wait_until(lock, deadline,
+                           [&] { return waiter.State != QuorumState::Open; });
   Waiters.erase(id);
   if (waiter.State == QuorumState::Reached)
     return {};
--- a/Source/Node/OrderService.cpp
+++ b/Source/Node/OrderService.cpp
@@ -120,9 +120,9 @@
     return tl::unexpected(early.error());
   if (*early)
     work.Slice = (*early)->Slice.Index;
-  auto permit = Parts.Gate->acquire(PermitRequest{
-      request.Head.Account, request.Head.WorkClass, request.Deadline,
-      work.Slice});
+  auto permit = Parts.Gate->acquire(
+      PermitRequest{request.Head.Account, request.Head.WorkClass,
+                    request.Deadline, work.Slice});
   if (!permit)
     return tl::unexpected(permit.error());
   return run(work, std::move(*permit));
@@ -139,8 +139,7 @@
     return std::nullopt;
   }
   const wire::ForwardHead &head = work.Request.Head;
-  const auto grant =
-      view.Ownership->mayServe(head.Service, head.KeyHash, now);
+  const auto grant = view.Ownership->mayServe(head.Service, head.KeyHash, now);
   if (!grant)
     return tl::unexpected(grant.error());
   return *grant;
@@ -168,8 +167,7 @@
   }
   if (work.IsAtMostOnce)
     return runOnce(work, **grant, std::move(permit));
-  const OrderOutcome outcome =
-      send(work, *grant, work.Sink, std::move(permit));
+  const OrderOutcome outcome = send(work, *grant, work.Sink, std::move(permit));
   if (outcome.End == OrderEnd::Answered)
     return {};
   return core::fail(outcome.Reason);
@@ -183,8 +181,7 @@
   request.Epoch = grant.Epoch;
   request.Id = requests::IdempotencyId::of(head.Account, head.IdempotencyKey);
   request.Fingerprint = fingerprintOf(head);
-  const auto ticket =
-      Parts.Idempotency->begin(request, work.Request.Deadline);
+  const auto ticket = Parts.Idempotency->begin(request, work.Request.Deadline);
   if (!ticket || ticket->Replay)
     permit.finish(upstream::Outcome::Cancelled, core::Duration::zero());
   if (!ticket)
@@ -232,10 +229,10 @@
     outcome.Reason = core::ErrorKind::DeadlineTooShort;
   } else {
     Parts.Decisions->order(head, owned);
-    outcome = Parts.Send(upstream->Address,
-                         Order{head, deadline, grant, work.Request.Body,
-                               work.Request.Cancelled},
-                         sink);
+    outcome = Parts.Send(
+        upstream->Address,
+        Order{head, deadline, grant, work.Request.Body, work.Request.Cancelled},
+        sink);
     Parts.Decisions->orderEnd(head, toString(outcome.End));
   }
   permit.finish(toOutcome(outcome), Parts.Now() - start);
--- a/Source/Node/TrafficState.cpp
+++ b/Source/Node/TrafficState.cpp
@@ -85,11 +85,9 @@
   Choice.setCandidates(candidates);
 }
 
-std::optional<core::InstanceId>
-ServiceTraffic::choose(const ownership::FleetView &fleet,
-                       std::string_view service,
-                       std::span<const core::InstanceId> tried,
-                       core::TimePoint now) {
+std::optional<core::InstanceId> ServiceTraffic::choose(
+    const ownership::FleetView &fleet, std::string_view service,
+    std::span<const core::InstanceId> tried, core::TimePoint now) {
   const std::lock_guard lock(Mutex);
   follow(fleet, service);
   return Choice.choose(tried, now);
--- a/Source/Node/TrafficState.h
+++ b/Source/Node/TrafficState.h
@@ -40,8 +40,8 @@
 
   /// See requests::AttemptPlan.
   requests::Step ended(requests::AttemptPlan &plan,
-                       requests::AttemptOutcome outcome,
-                       core::ErrorKind reason, core::TimePoint now);
+                       requests::AttemptOutcome outcome, core::ErrorKind reason,
+                       core::TimePoint now);
   bool takeHedge(requests::AttemptPlan &plan, core::TimePoint now);
 
   std::optional<core::Duration> hedgeDelay() const;
