--- a/Source/Node/EntryService.h
+++ b/Source/Node/EntryService.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,7 +62,7 @@
   core::Result<AcceptedRequest> accept(const Caller &caller,
                                        const std::string &requestId);
   void refuse(const Caller &caller, const wire::ForwardHead &head,
-              const core::Error &error, core::TimePoint start);
+              const core::Error &error);
 
   const EntryServiceParts Parts;
 };
--- a/Source/Node/RequestIntake.cpp
+++ b/Source/Node/RequestIntake.cpp
@@ -30,8 +30,7 @@
 constexpr std::string_view OrderHeaderPrefix = "X-Acacia-";
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         strncasecmp(a.data(), b.data(), a.size()) == 0;
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
 bool isStripped(std::string_view name) {
@@ -78,10 +77,10 @@
 
 std::optional<std::string_view>
 findHeader(std::span<const wire::Header> headers, std::string_view name) {
-  const auto it = std::find_if(
-      headers.begin(), headers.end(), [&](const wire::Header &header) {
-        return equalsIgnoringCase(header.Name, name);
-      });
+  const auto it = std::find_if(headers.begin(), headers.end(),
+                               [&](const wire::Header &header) {
+                                 return equalsIgnoringCase(header.Name, name);
+                               });
   if (it == headers.end())
     return std::nullopt;
   return it->Value;
@@ -93,8 +92,7 @@
   const auto account = catalogue.authenticate(bearerOf(request.Headers));
   if (!account)
     return tl::unexpected(account.error());
-  const auto found =
-      catalogue.findClass(configuration::pathOf(request.Target));
+  const auto found = catalogue.findClass(configuration::pathOf(request.Target));
   if (!found)
     return tl::unexpected(found.error());
   AcceptedRequest out;
@@ -103,9 +101,8 @@
       request.BodyLength > out.Class.BodyLimitBytes)
     return core::fail(core::ErrorKind::BodyTooLarge);
   const auto key = configuration::routingKey(
-      out.Class, request.Target, [&](std::string_view name) {
-        return findHeader(request.Headers, name);
-      });
+      out.Class, request.Target,
+      [&](std::string_view name) { return findHeader(request.Headers, name); });
   if (!key)
     return tl::unexpected(key.error());
   auto idempotency = idempotencyKey(out.Class, request.Headers);
--- a/Source/Node/RequestIntake.h
+++ b/Source/Node/RequestIntake.h
@@ -37,8 +37,8 @@
 };
 
 /// Returns the value of the header called \p name, in any case of letters.
-std::optional<std::string_view> findHeader(std::span<const wire::Header> headers,
-                                           std::string_view name);
+std::optional<std::string_view>
+findHeader(std::span<const wire::Header> headers, std::string_view name);
 
 /// Checks a request against the configuration. Errors: those of
 /// configuration::Catalogue::authenticate, findClass and routingKey;
--- a/Source/Requests/AttemptPlan.cpp
+++ b/Source/Requests/AttemptPlan.cpp
@@ -21,6 +21,11 @@
   ++UnderWay;
 }
 
+void AttemptPlan::withdrawn() {
+  --Attempts;
+  --UnderWay;
+}
+
 Step AttemptPlan::ended(AttemptOutcome outcome, ErrorKind reason,
                         RetryBudget &budget, core::TimePoint now) {
   if (UnderWay > 0)
--- a/Source/Requests/AttemptPlan.h
+++ b/Source/Requests/AttemptPlan.h
@@ -50,6 +50,9 @@
   Step ended(AttemptOutcome outcome, core::ErrorKind reason,
              RetryBudget &budget, core::TimePoint now);
 
+  /// The attempt that was started last met no upstream and does not count.
+  void withdrawn();
+
   /// Returns whether a hedge may be sent now, and takes it from the budget.
   bool takeHedge(RetryBudget &budget, core::TimePoint now);
 
