--- a/Source/Node/RequestRun.cpp
+++ b/Source/Node/RequestRun.cpp
@@ -253,10 +253,9 @@
       }
       continue;
     }
-    core::TimePoint until =
-        std::min(Deadline, now + std::chrono::nanoseconds(CallerCheckInterval));
-    if (hedgeAt)
-      until = std::min(until, *hedgeAt);
+    const core::TimePoint until =
+        std::min({Deadline, hedgeAt,
+                  now + std::chrono::nanoseconds(CallerCheckInterval)});
     std::vector<std::shared_ptr<wire::ForwardCall>> calls;
     for (const Attempt &it : Attempts)
       calls.push_back(it.Call);
