--- a/Source/Platform/LogFollower.h
+++ b/Source/Platform/LogFollower.h
@@ -31,7 +31,7 @@
   /// Called at the first answer or failure, and whenever that changes.
   std::function<void(bool)> OnReachable;
   /// How long one read waits for records.
-  core::Duration Wait = std::chrono::seconds(5);
+  core::Duration Wait = std::chrono::seconds(1);
   std::size_t MaxRecords = 512;
   core::Duration ShortestPause = std::chrono::milliseconds(50);
   core::Duration LongestPause = std::chrono::seconds(2);
