Upstream: ramp compares a quiet and a full phase; tests on a virtual clock

The first ramp compared each step's latency with the step before. An upstream that grew faster meanwhile hid its crowding: 1045 orders beyond what it bore while it warmed over 10 s, and the minimum latency, taken from single samples, then kept the limit of a warm upstream between 3 and 12. Still failing: the row 'very slow start'.

--- a/Source/Upstream/ColdStartRamp.cpp
+++ b/Source/Upstream/ColdStartRamp.cpp
@@ -6,12 +6,20 @@
 
 namespace {
 
-/// Completed orders that a step asks for, for each order in flight.
-constexpr std::uint32_t InitialStepWork = 4;
+/// Completed orders that a phase asks for, for each order of the limit.
+constexpr std::uint32_t InitialStepWork = 8;
 constexpr std::uint32_t LargestStepWork = 32;
-constexpr core::Duration StepLength = std::chrono::milliseconds(250);
+/// Completed orders without which a phase's latency says too little.
+constexpr std::uint32_t FewestOrders = 48;
+constexpr core::Duration PhaseLength = std::chrono::milliseconds(250);
+/// The phase with few orders has this part of the limit in flight.
+constexpr std::uint32_t FewDivisor = 3;
 /// Latency over its minimum that is not yet taken for a sign of overload.
 constexpr double ToleratedRatio = 1.5;
+/// Part of the rise of an upstream without room that shows there is none.
+constexpr double QueueingShare = 0.5;
+/// Smallest rise that is told from chance.
+constexpr double SmallestRise = 0.2;
 
 } // namespace
 
@@ -24,7 +32,7 @@
 }
 
 ColdStartRamp::ColdStartRamp(std::uint32_t slots, core::TimePoint now)
-    : Slots(slots), StepWork(InitialStepWork), StepStart(now) {}
+    : Slots(slots), StepWork(InitialStepWork), PhaseStart(now) {}
 
 void ColdStartRamp::restart(core::TimePoint now) {
   Limit = 1;
@@ -35,12 +43,17 @@
 
 void ColdStartRamp::observe(double latencyRatio, std::uint32_t inFlight,
                             core::TimePoint now) {
-  if (Warm || inFlight < Limit)
+  if (Warm || inFlight < limit())
     return;
-  RatioSum += latencyRatio;
-  ++Completed;
-  if (Completed >= StepWork * Limit && now - StepStart >= StepLength)
-    closeStep(now);
+  if (Leftover > 0) {
+    --Leftover;
+    return;
+  }
+  Phase &phase = IsFull ? Full : Few;
+  phase.Sum += latencyRatio;
+  ++phase.Count;
+  if (phase.Count >= workOfPhase() && now - PhaseStart >= PhaseLength)
+    closePhase(now);
 }
 
 void ColdStartRamp::overloaded(core::TimePoint now) {
@@ -51,17 +64,50 @@
   beginStep(now);
 }
 
-void ColdStartRamp::closeStep(core::TimePoint now) {
-  const std::uint32_t most = bearable(RatioSum / Completed);
-  Limit = std::min(Limit + 1, most);
+void ColdStartRamp::closePhase(core::TimePoint now) {
+  if (IsFull) {
+    closeStep();
+    beginStep(now);
+    return;
+  }
+  Leftover = limit();
+  IsFull = true;
+  PhaseStart = now;
+}
+
+void ColdStartRamp::closeStep() {
+  const Phase &quiet = Few.Count > 0 ? Few : Full;
+  const double rise = Full.mean() / quiet.mean();
+  if (isCrowded(rise)) {
+    const auto borne = static_cast<std::uint32_t>(Limit / rise);
+    Limit = std::clamp(borne, 1U, Limit - 1);
+    StepWork = std::min(LargestStepWork, StepWork * 2);
+  } else {
+    Limit = std::min(Limit + 1, bearable(quiet.mean()));
+    StepWork = std::max(InitialStepWork, StepWork / 2);
+  }
   Warm = Limit >= Slots;
-  beginStep(now);
 }
 
 void ColdStartRamp::beginStep(core::TimePoint now) {
-  RatioSum = 0;
-  Completed = 0;
-  StepStart = now;
+  Leftover = limit();
+  // With one order in flight there is nothing to compare.
+  IsFull = Limit == 1;
+  Few = Phase();
+  Full = Phase();
+  PhaseStart = now;
+}
+
+std::uint32_t ColdStartRamp::workOfPhase() const {
+  return std::max(FewestOrders, StepWork * limit());
+}
+
+bool ColdStartRamp::isCrowded(double rise) const {
+  if (Limit == 1)
+    return false;
+  // Without room for one more, latency rises by one part in those before.
+  const double queueing = QueueingShare / (Limit - 1);
+  return rise > 1 + std::max(SmallestRise, queueing);
 }
 
 std::uint32_t ColdStartRamp::bearable(double latencyRatio) const {
@@ -71,6 +117,8 @@
 
 bool ColdStartRamp::isWarm() const { return Warm; }
 
-std::uint32_t ColdStartRamp::limit() const { return Limit; }
+std::uint32_t ColdStartRamp::limit() const {
+  return IsFull ? Limit : std::max(1U, Limit / FewDivisor);
+}
 
 } // namespace acaciaroad::upstream
--- a/Source/Upstream/ColdStartRamp.h
+++ b/Source/Upstream/ColdStartRamp.h
@@ -11,10 +11,14 @@
 
 namespace acaciaroad::upstream {
 
-/// Starts at one order and adds one after each step. A step asks for completed
-/// work at the full limit and for some time. Its latency sets how far the limit
-/// may grow: an upstream several times slower than when it was warm bears that
-/// many times fewer orders. Reaching the slots ends the cold start.
+/// Starts at one order and adds one after each step. A step has a phase with
+/// few orders in flight and one with all that the limit allows; both ask for
+/// completed work and some time. If the latency of the full phase is clearly
+/// above that of the other, the added orders only waited in the upstream, and
+/// the limit goes back to what it bore. The two phases follow each other
+/// closely, so an upstream that grows faster meanwhile does not hide its
+/// crowding. An upstream several times slower than when it was warm is given
+/// that many times fewer orders. Reaching the slots ends the cold start.
 class ColdStartRamp {
 public:
   /// Starts cold. Fails with InvalidArgument for no slots.
@@ -38,18 +42,31 @@
   std::uint32_t limit() const;
 
 private:
+  /// Latency ratios of the orders that ended in one phase.
+  struct Phase {
+    double Sum = 0;
+    std::uint32_t Count = 0;
+    double mean() const { return Count == 0 ? 1 : Sum / Count; }
+  };
+
   ColdStartRamp(std::uint32_t slots, core::TimePoint now);
-  void closeStep(core::TimePoint now);
+  void closePhase(core::TimePoint now);
+  void closeStep();
   void beginStep(core::TimePoint now);
+  std::uint32_t workOfPhase() const;
+  bool isCrowded(double rise) const;
   std::uint32_t bearable(double latencyRatio) const;
 
   std::uint32_t Slots;
   std::uint32_t Limit = 1;
   std::uint32_t StepWork;
   bool Warm = false;
-  double RatioSum = 0;
-  std::uint32_t Completed = 0;
-  core::TimePoint StepStart;
+  bool IsFull = true;
+  Phase Few;
+  Phase Full;
+  /// Orders that were sent in the phase before and still count for neither.
+  std::uint32_t Leftover = 0;
+  core::TimePoint PhaseStart;
 };
 
 } // namespace acaciaroad::upstream
--- a/Source/Upstream/LatencyBaseline.cpp
+++ b/Source/Upstream/LatencyBaseline.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::uint32_t BlockSize = 16;
+constexpr std::uint32_t BlockSamples = 64;
+constexpr core::Duration BlockLength = std::chrono::milliseconds(100);
 constexpr double MeanWeight = 1.0 / 32;
 /// Share of the distance by which a lower block pulls the minimum down.
 constexpr double FallWeight = 0.25;
@@ -25,17 +26,19 @@
   const double ns = std::max(1.0, nanoseconds(latency));
   if (Mean == 0) {
     Mean = ns;
-    Minimum = ns;
-    LastBlock = now;
   }
   Mean += (ns - Mean) * MeanWeight;
   BlockSum += ns;
-  if (++BlockCount == BlockSize)
+  if (BlockCount++ == 0 && Minimum == 0)
+    LastBlock = now;
+  if (BlockCount >= BlockSamples && now - LastBlock >= BlockLength)
     closeBlock(now);
 }
 
 void LatencyBaseline::closeBlock(core::TimePoint now) {
-  const double block = BlockSum / BlockSize;
+  const double block = BlockSum / BlockCount;
+  if (Minimum == 0)
+    Minimum = block;
   const std::chrono::duration<double> elapsed = now - LastBlock;
   const double raised = Minimum * (1 + RisePerSecond * elapsed.count());
   if (block < Minimum)
--- a/Source/Upstream/LatencyBaseline.h
+++ b/Source/Upstream/LatencyBaseline.h
@@ -23,10 +23,10 @@
   /// Returns the exponentially weighted mean; zero before the first sample.
   core::Duration mean() const;
 
-  /// Returns the slow-moving minimum; zero before the first sample.
+  /// Returns the slow-moving minimum; zero before the first whole block.
   core::Duration minimum() const;
 
-  /// Returns \p latency over the minimum; 1 before the first sample.
+  /// Returns \p latency over the minimum; 1 before the first whole block.
   double ratio(core::Duration latency) const;
 
 private:
--- /dev/null
+++ b/Tests/Upstream/AdmissionTest.cpp
@@ -0,0 +1,246 @@
+#include "Upstream/Admission.h"
+
+#include <algorithm>
+#include <string>
+
+#include "Support/Table.h"
+#include "Upstream/UpstreamModel.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::tests;
+using core::ErrorKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using upstream::Outcome;
+using upstream::Verdict;
+
+namespace {
+
+constexpr std::uint32_t Slots = 12;
+
+/// One call on an Admission that begins warm with 12 slots.
+struct Call {
+  enum class Kind { Announce, Left, Drain, Outcome };
+  Kind What;
+  std::uint32_t Slots = 12;
+  std::uint64_t BootId = 1;
+  bool Cold = false;
+  upstream::Outcome How = Outcome::Ok;
+};
+
+struct LimitRow {
+  const char *Name;
+  std::vector<Call> Calls;
+  std::uint32_t Limit;
+};
+
+using K = Call::Kind;
+
+const LimitRow LimitRows[] = {
+    {"warm", {}, 12},
+    {"fewer slots", {{K::Announce, 5}}, 5},
+    {"more slots than observed are ramped up to", {{K::Announce, 40}}, 1},
+    {"slots that were proven come back", {{K::Announce, 5}, {K::Announce}}, 12},
+    {"a new boot id is cold", {{K::Announce, 12, 2}}, 1},
+    {"an announced cold start", {{K::Announce, 12, 1, true}}, 1},
+    {"a claim to be warm ends no cold start",
+     {{K::Announce, 12, 2, true}, {K::Announce, 12, 2, false}},
+     1},
+    {"the same announcement again", {{K::Announce}, {K::Announce}}, 12},
+    {"left", {{K::Left}}, 0},
+    {"left and back is cold", {{K::Left}, {K::Announce}}, 1},
+    {"one shed order", {{K::Outcome, 12, 1, false, Outcome::Shed}}, 9},
+    {"three shed orders are a cold start",
+     {{K::Outcome, 12, 1, false, Outcome::Shed},
+      {K::Outcome, 12, 1, false, Outcome::Shed},
+      {K::Outcome, 12, 1, false, Outcome::Shed}},
+     1},
+    {"one broken connection",
+     {{K::Outcome, 12, 1, false, Outcome::Failed}},
+     12},
+    {"two broken connections are a cold start",
+     {{K::Outcome, 12, 1, false, Outcome::Failed},
+      {K::Outcome, 12, 1, false, Outcome::Failed}},
+     1},
+    {"cancelled orders say nothing",
+     {{K::Outcome, 12, 1, false, Outcome::Cancelled},
+      {K::Outcome, 12, 1, false, Outcome::Cancelled}},
+     12},
+};
+
+/// Drives an Admission until it is warm.
+struct Warm {
+  EventLoop Loop;
+  Random Source{7};
+  UpstreamModel Model{Loop, Source, traits()};
+  AdmissionDriver Driver{Loop, Model};
+
+  static UpstreamTraits traits() {
+    UpstreamTraits out;
+    out.IsExponential = false;
+    return out;
+  }
+
+  Warm() {
+    Model.warmUp();
+    Driver.announce(Slots);
+    Driver.stream(Source, "a", 4000, seconds(1), Loop.now() + seconds(30));
+    Loop.runUntil(Loop.now() + seconds(40));
+  }
+};
+
+struct TenantRow {
+  const char *Name;
+  /// Rate of the largest tenant over its normal one.
+  double Factor;
+  std::uint64_t Seed;
+};
+
+const TenantRow TenantRows[] = {
+    {"at its rate", 1, 1},
+    {"at five times", 5, 2},
+    {"at five times, other seed", 5, 3},
+    {"at twenty times", 20, 4},
+};
+
+struct DeadlineRow {
+  const char *Name;
+  /// Requests ahead of it in its own queue.
+  int Ahead;
+  int DeadlineMilliseconds;
+  Verdict Expected;
+};
+
+const DeadlineRow DeadlineRows[] = {
+    {"a queue that is served in time", 24, 20, Verdict::Queued},
+    {"a queue that is too long", 240, 20, Verdict::Refused},
+    {"less than one service time", 0, 3, Verdict::Refused},
+    {"already passed", 0, -1, Verdict::Refused},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(AdmissionTest, limitFollowsObservation, LimitRows) {
+  Warm it;
+  upstream::Admission &admission = *it.Driver.Admission;
+  upstream::Ticket next = 1'000'000;
+  for (const Call &call : row.Calls) {
+    const core::TimePoint now = it.Loop.now();
+    switch (call.What) {
+    case K::Announce:
+      it.Driver.announce(call.Slots, call.BootId, call.Cold);
+      break;
+    case K::Left:
+      admission.left(now);
+      break;
+    case K::Drain:
+      admission.beginDrain();
+      break;
+    case K::Outcome:
+      cr_assert(admission.offer({++next, "a", "any", now + seconds(1), {}}, now)
+                    .What == Verdict::Start);
+      admission.finished(next, call.How, milliseconds(4), now);
+      break;
+    }
+  }
+  cr_assert_eq(admission.limit(), row.Limit, "%s: %u", row.Name,
+               admission.limit());
+}
+
+ACACIA_TABLE_TEST(AdmissionTest, tenantCostsOthersNothing, TenantRows) {
+  EventLoop loop;
+  Random random(row.Seed);
+  UpstreamModel model(loop, random, {});
+  model.warmUp();
+  AdmissionDriver driver(loop, model, {64, 256});
+  driver.announce(Slots);
+  // Eight accounts take 60 % of 3000 orders a second, one of them half of that.
+  const core::TimePoint end = loop.now() + seconds(40);
+  driver.stream(random, "tenant", 900 * row.Factor, milliseconds(250), end);
+  for (int n = 0; n < 7; ++n)
+    driver.stream(random, "small" + std::to_string(n), 900.0 / 7,
+                  milliseconds(250), end);
+  loop.runUntil(loop.now() + seconds(10));
+  for (auto &[name, tally] : driver.Tallies)
+    tally = AccountTally();
+  loop.runUntil(end + seconds(1));
+  for (auto &[name, tally] : driver.Tallies) {
+    if (name == "tenant")
+      continue;
+    cr_assert_eq(tally.Refused, 0, "%s: %u of %s refused", row.Name,
+                 tally.Refused, name.c_str());
+    std::sort(tally.Latencies.begin(), tally.Latencies.end());
+    const core::Duration p99 =
+        tally.Latencies[tally.Latencies.size() * 99 / 100];
+    cr_assert(p99 < milliseconds(40), "%s: p99 of %s is %ld us", row.Name,
+              name.c_str(), static_cast<long>(p99.count() / 1000));
+  }
+}
+
+ACACIA_TABLE_TEST(AdmissionTest, refusesWhatCannotFinish, DeadlineRows) {
+  Warm it;
+  const core::TimePoint now = it.Loop.now();
+  upstream::Admission &admission = *it.Driver.Admission;
+  for (upstream::Ticket id = 0; id < Slots; ++id)
+    cr_assert(
+        admission.offer({1'000'000 + id, "a", "any", now + seconds(9), {}}, now)
+            .What == Verdict::Start);
+  for (int n = 0; n < row.Ahead; ++n)
+    admission.offer({2'000'000U + static_cast<unsigned>(n),
+                     "a",
+                     "any",
+                     now + seconds(9),
+                     {}},
+                    now);
+  const upstream::Decision decision = admission.offer(
+      {3'000'000, "a", "any", now + milliseconds(row.DeadlineMilliseconds), {}},
+      now);
+  cr_assert(decision.What == row.Expected, "%s", row.Name);
+  if (decision.What == Verdict::Refused)
+    cr_assert(decision.Reason == ErrorKind::DeadlineTooShort, "%s", row.Name);
+}
+
+Test(AdmissionTest, queuedWorkExpiresAsNotRun) {
+  std::vector<ErrorKind> refused;
+  auto admission = std::move(
+      upstream::Admission::create({}, {[](upstream::Ticket) {},
+                                       [&](upstream::Ticket, ErrorKind kind) {
+                                         refused.push_back(kind);
+                                       }})
+          .value());
+  const core::TimePoint now(seconds(5));
+  admission->announced({"s", "", 1, 1, 1, false, false, false}, now);
+  cr_assert(admission->offer({1, "a", "c", now + seconds(9), 3}, now).What ==
+            Verdict::Start);
+  cr_assert(
+      admission->offer({2, "a", "c", now + milliseconds(5), 4}, now).What ==
+      Verdict::Queued);
+  cr_assert(!admission->isIdle(3));
+  cr_assert(!admission->isIdle(4));
+  cr_assert(admission->nextDeadline() == now + milliseconds(5));
+  admission->expire(now + milliseconds(5));
+  cr_assert(refused == std::vector<ErrorKind>{ErrorKind::DeadlineTooShort});
+  cr_assert(core::answerFor(refused[0]).HasRan == core::Ran::No);
+  cr_assert(admission->isIdle(4));
+  admission->finished(1, Outcome::Ok, milliseconds(4), now);
+  cr_assert(admission->isIdle(3));
+}
+
+Test(AdmissionTest, slowMeanDoesNotRefuseForever) {
+  auto admission = std::move(
+      upstream::Admission::create(
+          {}, {[](upstream::Ticket) {}, [](upstream::Ticket, ErrorKind) {}})
+          .value());
+  core::TimePoint now(seconds(5));
+  admission->announced({"s", "", 1, 4, 4, false, false, false}, now);
+  upstream::Ticket id = 0;
+  // Orders take far longer than any deadline, then the upstream recovers.
+  for (int n = 0; n < 100; ++n) {
+    const core::Duration service = n < 10 ? seconds(10) : milliseconds(2);
+    cr_assert(
+        admission->offer({++id, "a", "c", now + milliseconds(50), {}}, now)
+            .What == Verdict::Start);
+    now += service;
+    admission->finished(id, Outcome::Ok, service, now);
+  }
+}
--- /dev/null
+++ b/Tests/Upstream/ColdStartTest.cpp
@@ -0,0 +1,99 @@
+#include "Support/Table.h"
+#include "Upstream/UpstreamModel.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t Slots = 12;
+constexpr core::Duration Deadline = seconds(1);
+
+UpstreamTraits traits(std::uint32_t orders, core::Duration time, double factor,
+                      core::Duration service = milliseconds(4)) {
+  UpstreamTraits out;
+  out.WarmAfterOrders = orders;
+  out.WarmAfter = time;
+  out.ColdFactor = factor;
+  out.Service = service;
+  return out;
+}
+
+struct RampRow {
+  const char *Name;
+  UpstreamTraits Traits;
+  /// Whether the announcement claims a warm upstream.
+  bool ClaimsWarm;
+  std::uint64_t Seed;
+};
+
+const RampRow RampRows[] = {
+    {"warms with time", traits(0, seconds(10), 5), false, 1},
+    {"claims to be warm", traits(0, seconds(10), 5), true, 2},
+    {"warms with work", traits(4000, {}, 5), true, 3},
+    {"slow service", traits(0, seconds(20), 4, milliseconds(30)), true, 4},
+    {"bears little at normal speed", traits(0, seconds(8), 1), true, 5},
+    {"very slow start", traits(0, seconds(30), 8), true, 6},
+};
+
+/// Offers twice what the warm upstream can serve.
+void overload(AdmissionDriver &driver, Random &random,
+              const UpstreamTraits &traits, core::TimePoint end) {
+  const double perSecond =
+      2.0 * Slots * 1e9 / static_cast<double>(traits.Service.count());
+  driver.stream(random, "a", perSecond, Deadline, end);
+}
+
+struct SilentRow {
+  const char *Name;
+  UpstreamTraits Traits;
+  std::uint64_t Seed;
+};
+
+const SilentRow SilentRows[] = {
+    {"warms with time", traits(0, seconds(10), 8), 1},
+    {"warms with work", traits(4000, {}, 8), 2},
+    {"slow service", traits(0, seconds(20), 8, milliseconds(30)), 3},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(ColdStartTest, neverMoreThanOneProbeTooMany, RampRows) {
+  EventLoop loop;
+  Random random(row.Seed);
+  UpstreamModel model(loop, random, row.Traits);
+  AdmissionDriver driver(loop, model);
+  driver.announce(Slots, 1, !row.ClaimsWarm);
+  overload(driver, random, row.Traits, loop.now() + seconds(120));
+  loop.runUntil(loop.now() + seconds(130));
+  cr_assert_eq(model.Overloads, 0, "%s: %u overloads, excess %u", row.Name,
+               model.Overloads, model.Excess);
+  cr_assert(!driver.Admission->isCold(), "%s: never warm", row.Name);
+}
+
+ACACIA_TABLE_TEST(ColdStartTest, silentReturnIsDetected, SilentRows) {
+  EventLoop loop;
+  Random random(row.Seed);
+  UpstreamModel model(loop, random, row.Traits);
+  model.warmUp();
+  AdmissionDriver driver(loop, model);
+  driver.announce(Slots);
+  overload(driver, random, row.Traits, loop.now() + seconds(200));
+  loop.runUntil(loop.now() + seconds(60));
+  cr_assert(!driver.Admission->isCold(), "%s: not warm at first", row.Name);
+  model.restart();
+  model.Overloads = 0;
+  // Orders in flight at the restart and those until the first slow answers.
+  const core::Duration cold = row.Traits.Service * 8;
+  loop.runUntil(loop.now() + 2 * cold * Slots);
+  cr_assert(driver.Admission->isCold(), "%s: not detected", row.Name);
+  cr_assert_leq(model.Overloads, 3 * Slots, "%s: %u overloads before", row.Name,
+                model.Overloads);
+  loop.runUntil(loop.now() + 2 * cold * Slots);
+  model.Overloads = 0;
+  loop.runUntil(loop.now() + seconds(60));
+  cr_assert_eq(model.Overloads, 0, "%s: %u overloads after", row.Name,
+               model.Overloads);
+}
