--- a/Source/Wire/ForwardHead.h
+++ b/Source/Wire/ForwardHead.h
@@ -11,16 +11,12 @@
 #include <vector>
 
 #include "Core/Error.h"
+#include "Core/Header.h"
 #include "Core/Identifiers.h"
 
 namespace acaciaroad::wire {
 
-/// One header field of HTTP.
-struct Header {
-  std::string Name;
-  std::string Value;
-  bool operator==(const Header &) const = default;
-};
+using core::Header;
 
 /// How the end of a body is known.
 enum class BodyMode : std::uint8_t {
