--- a/Source/Http/CallerConnection.cpp
+++ b/Source/Http/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include <netdb.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -26,6 +27,18 @@
 
 CallerConnection::~CallerConnection() { ::close(Descriptor); }
 
+std::string CallerConnection::remoteAddress() const {
+  sockaddr_storage address{};
+  socklen_t length = sizeof(address);
+  auto *generic = reinterpret_cast<sockaddr *>(&address);
+  std::array<char, NI_MAXHOST> host{};
+  if (::getpeername(Descriptor, generic, &length) != 0 ||
+      ::getnameinfo(generic, length, host.data(), host.size(), nullptr, 0,
+                    NI_NUMERICHOST) != 0)
+    return {};
+  return host.data();
+}
+
 CallerConnection::Received CallerConnection::receive() {
   const std::size_t held = Buffer.size();
   Buffer.resize(held + ReceiveBytes);
--- a/Source/Http/CallerConnection.h
+++ b/Source/Http/CallerConnection.h
@@ -26,6 +26,9 @@
 
   int descriptor() const { return Descriptor; }
 
+  /// Returns the numeric address of the caller, or "".
+  std::string remoteAddress() const;
+
   /// Result of one receive that does not wait.
   enum class Received : std::uint8_t { Bytes, Nothing, End };
 
--- a/Source/Http/Exchange.h
+++ b/Source/Http/Exchange.h
@@ -51,6 +51,8 @@
   /// In origin form, or "*".
   std::string_view target() const { return Head.Target; }
   std::span<const Header> headers() const { return Head.Headers; }
+  /// Numeric address of the caller, or "".
+  std::string remoteAddress() const { return Connection->remoteAddress(); }
   Framing bodyFraming() const { return Head.Body; }
   /// Bytes of the body, if the caller stated it.
   std::optional<std::uint64_t> contentLength() const;
