--- a/Tests/Administration/AdministrationApiTest.cpp
+++ b/Tests/Administration/AdministrationApiTest.cpp
@@ -3,6 +3,8 @@
 #include <fstream>
 #include <set>
 
+#include <fmt/format.h>
+
 #include "FakeNode.h"
 #include "Support/Mutation.h"
 #include "Support/Table.h"
@@ -236,6 +238,31 @@
   cr_assert(node->Events[1].Outcome == "log_unavailable");
 }
 
+// Each call waits for a further one, as operators' calls do when the log hangs.
+Test(AdministrationApiTest, heartbeatsPassWhenOperatorsWait) {
+  const auto node = FakeNode::create();
+  AdministrationHooks hooks = node->hooks();
+  std::shared_ptr<AdministrationApi> api;
+  int innermost = 0;
+  hooks.InForce = [&](core::Offset, std::chrono::milliseconds) {
+    const auto response = api->handle(request("GET", "/v1/in-force?offset=1"));
+    if (response.Status != 200) {
+      innermost = response.Status;
+      ApiRequest heartbeat = request("POST", "/v1/upstream/leave");
+      heartbeat.RemoteAddress = "127.0.0.1";
+      cr_assert_eq(api->handle(heartbeat).Status, 200);
+    }
+    return InForceReport{};
+  };
+  const TokenSetting setting{"omar", "operator",
+                             hashText(FakeNode::OperateToken)};
+  auto tokens = OperatorTokens::create({&setting, 1}).value();
+  api = AdministrationApi::create(hooks, std::move(tokens), {}).value();
+  api->handle(request("GET", "/v1/in-force?offset=1"));
+  cr_assert_eq(innermost, 503);
+  cr_assert_eq(api->handle(request("GET", "/v1/status")).Status, 200);
+}
+
 namespace {
 
 struct FuzzRow {
@@ -282,8 +309,8 @@
   std::set<std::string> described;
   for (const auto &[path, operations] : description["paths"].items())
     for (const auto &[method, operation] : operations.items())
-      described.insert(method + " " + path + " " +
-                       operation["x-access"].get<std::string>());
+      described.insert(fmt::format("{} {} {}", method, path,
+                                   operation["x-access"].get<std::string>()));
   std::set<std::string> served;
   const auto api = FakeNode::create()->api();
   for (const Route &it : api->routes()) {
--- a/Tests/Administration/FakeNode.cpp
+++ b/Tests/Administration/FakeNode.cpp
@@ -132,7 +132,8 @@
   return {};
 }
 
-ApiRequest request(std::string method, std::string path, std::string body) {
+ApiRequest request(std::string method, std::string_view path,
+                   std::string body) {
   ApiRequest out;
   out.Method = std::move(method);
   const std::size_t query = path.find('?');
@@ -140,7 +141,7 @@
   out.Body = std::move(body);
   out.Bearer = FakeNode::OperateToken;
   out.RemoteAddress = "10.9.9.9";
-  std::string rest = query == std::string::npos ? "" : path.substr(query + 1);
+  std::string rest(query == std::string::npos ? "" : path.substr(query + 1));
   while (!rest.empty()) {
     const std::string pair = rest.substr(0, rest.find('&'));
     rest.erase(0, pair.size() + 1);
--- a/Tests/Administration/FakeNode.h
+++ b/Tests/Administration/FakeNode.h
@@ -63,7 +63,7 @@
 };
 
 /// An operator's request.
-administration::ApiRequest request(std::string method, std::string path,
+administration::ApiRequest request(std::string method, std::string_view path,
                                    std::string body = {});
 
 } // namespace acaciaroad::tests
