--- a/Source/Codec/ControlCodec.cpp
+++ b/Source/Codec/ControlCodec.cpp
@@ -319,6 +319,23 @@
                  });
 }
 
+// Log.
+
+void write(const OffsetQuery & /*from*/, pb::Control &out) {
+  out.mutable_offset_query();
+}
+bool read(const pb::OffsetQuery & /*from*/, OffsetQuery & /*to*/) {
+  return true;
+}
+
+void write(const OffsetReport &from, pb::Control &out) {
+  out.mutable_offset_report()->set_next_offset(from.NextOffset);
+}
+bool read(const pb::OffsetReport &from, OffsetReport &to) {
+  to.NextOffset = from.next_offset();
+  return true;
+}
+
 /// Reads \p from as a \p Body; the outer variant of ownership messages is
 /// entered where the kind belongs to it.
 template <typename Body, typename Message>
@@ -378,6 +395,10 @@
     return readInto<requests::IdempotencyHandoverAsk>(from.handover_ask(), to);
   case pb::Control::kHandover:
     return readInto<requests::IdempotencyHandover>(from.handover(), to);
+  case pb::Control::kOffsetQuery:
+    return readInto<OffsetQuery>(from.offset_query(), to);
+  case pb::Control::kOffsetReport:
+    return readInto<OffsetReport>(from.offset_report(), to);
   default:
     return readOwnership(from, to);
   }
--- a/Source/Codec/ControlCodec.h
+++ b/Source/Codec/ControlCodec.h
@@ -16,13 +16,21 @@
 
 namespace acaciaroad::codec {
 
+/// Asks how far the receiver has folded the log.
+struct OffsetQuery {};
+
+struct OffsetReport {
+  /// First offset that the sender has not folded.
+  core::Offset NextOffset = 0;
+};
+
 /// Every kind of control message.
 using ControlBody =
     std::variant<ownership::ControlMessage, accounts::CreditAsk,
                  accounts::CreditGrant, accounts::CreditReturn,
                  requests::IdempotencyTell, requests::IdempotencyAck,
                  requests::IdempotencyForget, requests::IdempotencyHandoverAsk,
-                 requests::IdempotencyHandover>;
+                 requests::IdempotencyHandover, OffsetQuery, OffsetReport>;
 
 /// A control message and the incarnation that sent it.
 struct PeerControl {
--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -241,6 +241,23 @@
   Hooks.DeliverToTraffic(message);
 }
 
+void ControlState::handle(core::InstanceId from,
+                          const codec::OffsetQuery & /*message*/) {
+  reply(from, codec::OffsetReport{NextOffset});
+}
+
+void ControlState::handle(core::InstanceId from,
+                          const codec::OffsetReport &message) {
+  Hooks.OnOffset(from, message.NextOffset);
+}
+
+void ControlState::queryOffsets() {
+  for (const auto &[id, state] : Agent->map().instances())
+    if (id != Self && Agent->map().holdsLease(id))
+      send(id, codec::OffsetQuery{});
+  Hooks.OnOffset(Self, NextOffset);
+}
+
 // Publication.
 
 void ControlState::publishIfChanged() {
--- a/Source/Node/ControlState.h
+++ b/Source/Node/ControlState.h
@@ -50,6 +50,8 @@
   std::function<void(std::span<const core::SliceId>)> ReleaseSlices;
   /// A message of this node's own traffic threads.
   std::function<void(const codec::ControlBody &)> DeliverToTraffic;
+  /// An instance told how far it has folded the log.
+  std::function<void(core::InstanceId, core::Offset)> OnOffset;
   core::NowFunction Now;
 };
 
@@ -90,6 +92,10 @@
   /// refusal, LogUnavailable, LogOutcomeUnknown after SubmitTimeout.
   void submit(codec::LogEntry entry, SubmitHandler handler);
 
+  /// Asks all instances how far they have folded the log.
+  void queryOffsets();
+
+  core::Offset nextOffset() const { return NextOffset; }
   const configuration::Catalogue &catalogue() const { return *Configuration; }
   const ownership::OwnershipAgent &agent() const { return *Agent; }
 
@@ -124,6 +130,8 @@
               const requests::IdempotencyHandoverAsk &message);
   void handle(core::InstanceId from,
               const requests::IdempotencyHandover &message);
+  void handle(core::InstanceId from, const codec::OffsetQuery &message);
+  void handle(core::InstanceId from, const codec::OffsetReport &message);
 
   void publishIfChanged();
   void reviewAccounts();
