--- a/Source/Ownership/OwnershipAgent.cpp
+++ b/Source/Ownership/OwnershipAgent.cpp
@@ -322,6 +322,15 @@
   return isActive() ? Holder.expiry() : TimePoint{};
 }
 
+std::vector<std::vector<InstanceId>> OwnershipAgent::witnessSets() const {
+  const auto present = Holder.witnesses();
+  std::vector<std::vector<InstanceId>> sets{{present.begin(), present.end()}};
+  const auto next = Holder.candidates();
+  if (Holder.hasCandidates())
+    sets.emplace_back(next.begin(), next.end());
+  return sets;
+}
+
 bool OwnershipAgent::isIsolated(TimePoint now) const {
   return core::toNanoseconds(now) >=
          Clock->ContactExpiry.load(std::memory_order_relaxed);
--- a/Source/Ownership/OwnershipAgent.h
+++ b/Source/Ownership/OwnershipAgent.h
@@ -108,6 +108,10 @@
 
   core::TimePoint leaseExpiry() const;
 
+  /// Returns the sets of witnesses of which a majority each must agree to what
+  /// this instance relies on: the present ones, and those it may propose.
+  std::vector<std::vector<core::InstanceId>> witnessSets() const;
+
   /// Returns when onTick is needed next.
   core::TimePoint nextDeadline(core::TimePoint now) const;
 
