--- a/Source/Administration/AdministrationApi.cpp
+++ b/Source/Administration/AdministrationApi.cpp
@@ -8,6 +8,7 @@
 #include "Administration/ConfigurationEndpoints.h"
 #include "Administration/FleetEndpoints.h"
 #include "Administration/NodeEndpoints.h"
+#include "Configuration/PercentDecoding.h"
 
 namespace acaciaroad::administration {
 
@@ -24,13 +25,19 @@
          hooks.UnixMilliseconds && hooks.Random;
 }
 
-/// Takes the part of \p rest before the next '/' and removes both.
-std::string_view takeSegment(std::string_view &rest) {
-  const std::size_t n = rest.find('/');
-  const std::string_view segment = rest.substr(0, n);
-  rest.remove_prefix(n == std::string_view::npos ? rest.size() : n + 1);
-  return segment;
-}
+/// Counts a call as long as it lives.
+class CallCount {
+public:
+  explicit CallCount(std::atomic<int> &count) : Now(++count), Count(count) {}
+  CallCount(const CallCount &) = delete;
+  CallCount &operator=(const CallCount &) = delete;
+  ~CallCount() { --Count; }
+
+  const int Now;
+
+private:
+  std::atomic<int> &Count;
+};
 
 /// Returns what stands for the "{...}" of \p pattern, "" if it has none, or
 /// nothing if \p path does not match.
@@ -40,8 +47,8 @@
     return std::nullopt;
   std::string item;
   while (!pattern.empty() && !path.empty()) {
-    const std::string_view wanted = takeSegment(pattern);
-    const std::string_view found = takeSegment(path);
+    const std::string_view wanted = configuration::takeUntil(pattern, '/');
+    const std::string_view found = configuration::takeUntil(path, '/');
     if (wanted.starts_with('{') && !found.empty())
       item = found;
     else if (wanted != found)
@@ -98,13 +105,23 @@
     auto who = authorize(it, request);
     if (!who)
       return refuse(who.error());
-    return it.Handle(ApiCall{request, *item, std::move(*who)});
+    return callRoute(it, ApiCall{request, *item, std::move(*who)});
   }
   if (isKnownPath)
     return refuse(ErrorKind::MalformedRequest, "the path has no such method");
   return refuse(ErrorKind::NotFound, request.Path);
 }
 
+ApiResult AdministrationApi::callRoute(const Route &route,
+                                       const ApiCall &call) const {
+  if (route.Needs == Access::OwnUpstream)
+    return route.Handle(call);
+  const CallCount count(OperatorCalls);
+  if (count.Now > MaxOperatorCalls)
+    return refuse(ErrorKind::QueueFull, "too many calls of operators at once");
+  return route.Handle(call);
+}
+
 Result<OperatorIdentity>
 AdministrationApi::authorize(const Route &route,
                              const ApiRequest &request) const {
--- a/Source/Administration/AdministrationApi.h
+++ b/Source/Administration/AdministrationApi.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_ADMINISTRATION_ADMINISTRATIONAPI_H
 #define ACACIAROAD_ADMINISTRATION_ADMINISTRATIONAPI_H
 
+#include <atomic>
 #include <memory>
 #include <span>
 #include <string>
@@ -18,6 +19,10 @@
 /// The API without its transport. handle() may be called from any thread.
 class AdministrationApi {
 public:
+  /// Calls of operators at once; more are refused with QueueFull, so that the
+  /// heartbeats of the upstream always find a thread.
+  static constexpr int MaxOperatorCalls = 12;
+
   /// \p ownAddresses are the numeric addresses of this instance, from which its
   /// upstream calls; loopback addresses always count. InvalidSettings if a hook
   /// is not set.
@@ -35,6 +40,7 @@
                     OperatorTokens tokens,
                     std::vector<std::string> ownAddresses);
 
+  ApiResult callRoute(const Route &route, const ApiCall &call) const;
   ApiResult dispatch(const ApiRequest &request) const;
   core::Result<OperatorIdentity> authorize(const Route &route,
                                            const ApiRequest &request) const;
@@ -43,6 +49,7 @@
   const OperatorTokens Tokens;
   const std::vector<std::string> OwnAddresses;
   std::vector<Route> Routes;
+  mutable std::atomic<int> OperatorCalls{0};
 };
 
 } // namespace acaciaroad::administration
--- a/Source/Configuration/RoutingKey.cpp
+++ b/Source/Configuration/RoutingKey.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Configuration/PercentDecoding.h"
+
 namespace acaciaroad::configuration {
 
 namespace {
@@ -10,30 +12,6 @@
 using core::fail;
 using core::Result;
 
-enum class PlusSign : std::uint8_t { Literal, Space };
-
-std::optional<unsigned> hexDigit(char c) {
-  if (c >= '0' && c <= '9')
-    return static_cast<unsigned>(c - '0');
-  if (c >= 'a' && c <= 'f')
-    return static_cast<unsigned>(c - 'a') + 10U;
-  if (c >= 'A' && c <= 'F')
-    return static_cast<unsigned>(c - 'A') + 10U;
-  return std::nullopt;
-}
-
-/// Returns the byte that the escape at the start of \p text stands for.
-std::optional<char> escapedByte(std::string_view text) {
-  constexpr std::size_t EscapeLength = 3;
-  if (text.size() < EscapeLength)
-    return std::nullopt;
-  const auto high = hexDigit(text[1]);
-  const auto low = hexDigit(text[2]);
-  if (!high || !low)
-    return std::nullopt;
-  return static_cast<char>(*high * 16U + *low);
-}
-
 bool isUnreserved(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
          (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == '~';
@@ -43,32 +21,6 @@
   return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
 }
 
-/// Takes the part of \p rest before \p separator and removes both.
-std::string_view takeUntil(std::string_view &rest, char separator) {
-  const std::size_t n = rest.find(separator);
-  const std::string_view part = rest.substr(0, n);
-  rest.remove_prefix(n == std::string_view::npos ? rest.size() : n + 1);
-  return part;
-}
-
-Result<std::string> percentDecode(std::string_view text, PlusSign plus) {
-  std::string out;
-  while (!text.empty()) {
-    if (text[0] == '%') {
-      const auto byte = escapedByte(text);
-      if (!byte)
-        return fail(ErrorKind::MalformedRequest, "broken percent escape");
-      out.push_back(*byte);
-      text.remove_prefix(3);
-      continue;
-    }
-    const bool isSpace = text[0] == '+' && plus == PlusSign::Space;
-    out.push_back(isSpace ? ' ' : text[0]);
-    text.remove_prefix(1);
-  }
-  return out;
-}
-
 bool hasDotSegment(std::string_view path) {
   while (!path.empty()) {
     const std::string_view segment = takeUntil(path, '/');
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -110,9 +110,8 @@
     options.Transport.AdvertisedAddress =
         core::toString(Settings.Peers.Advertise);
   if (!Settings.Peers.CurvePublicKey.empty())
-    options.Transport.Connection.Curve =
-        wire::CurveKeys{Settings.Peers.CurvePublicKey,
-                        Settings.Peers.CurveSecretKey};
+    options.Transport.Connection.Curve = wire::CurveKeys{
+        Settings.Peers.CurvePublicKey, Settings.Peers.CurveSecretKey};
   options.Pool.Threads = Settings.Traffic.Workers;
   wire::PeerEndpointHooks hooks;
   hooks.OnControl = [this](const wire::PeerMessageView &message) {
@@ -183,8 +182,7 @@
   ownership::AgentOptions options;
   options.Lease.Length = Settings.Lease.Length;
   options.Lease.RenewInterval = Settings.Lease.Renew;
-  auto state =
-      ControlState::create(options, std::move(info), controlHooks());
+  auto state = ControlState::create(options, std::move(info), controlHooks());
   if (!state)
     return tl::unexpected(state.error());
   State = std::move(*state);
@@ -298,9 +296,9 @@
 }
 
 ExitReason Node::run() {
-  Logger->write(Level::Info, "node_start",
-                {{"instance_id", core::toString(Self)},
-                 {"peers", Peers->address()}});
+  Logger->write(
+      Level::Info, "node_start",
+      {{"instance_id", core::toString(Self)}, {"peers", Peers->address()}});
   awaitStart();
   if (auto started = startCallers(); !started)
     Logger->write(Level::Error, "callers_failed",
--- a/Source/Node/NodeAdministration.cpp
+++ b/Source/Node/NodeAdministration.cpp
@@ -1,7 +1,5 @@
 // The part of Node that the administration API calls.
 
-#include "Node/Node.h"
-
 #include <algorithm>
 #include <future>
 
@@ -9,6 +7,7 @@
 
 #include "Codec/LogCodec.h"
 #include "Core/WallClock.h"
+#include "Node/Node.h"
 
 namespace acaciaroad::node {
 
@@ -30,9 +29,8 @@
 T askControl(ControlThread &control, std::function<T()> query) {
   const auto promise = std::make_shared<std::promise<T>>();
   auto future = promise->get_future();
-  control.post([promise, query = std::move(query)] {
-    promise->set_value(query());
-  });
+  control.post(
+      [promise, query = std::move(query)] { promise->set_value(query()); });
   if (future.wait_for(ControlWait) != std::future_status::ready)
     return T{};
   return future.get();
--- a/Source/Node/NodeControl.cpp
+++ b/Source/Node/NodeControl.cpp
@@ -1,7 +1,5 @@
 // The part of Node that joins the control thread to log, peers and traffic.
 
-#include "Node/Node.h"
-
 #include <algorithm>
 #include <future>
 #include <utility>
@@ -9,6 +7,7 @@
 #include "Codec/ControlCodec.h"
 #include "Codec/LogCodec.h"
 #include "Core/WallClock.h"
+#include "Node/Node.h"
 
 namespace acaciaroad::node {
 
@@ -175,13 +174,13 @@
   const std::string bytes = codec::encode(entry);
   const auto failed = std::make_shared<std::function<void()>>(
       [this, onFailed = std::move(onFailed)] { Control->post(onFailed); });
-  const auto submitted = Writer->submit(
-      Settings.Log.Stream, std::as_bytes(std::span(bytes)),
-      [failed](const core::Result<core::Offset> &outcome) {
-        if (!outcome &&
-            outcome.error().Kind != core::ErrorKind::LogOutcomeUnknown)
-          (*failed)();
-      });
+  const auto submitted =
+      Writer->submit(Settings.Log.Stream, std::as_bytes(std::span(bytes)),
+                     [failed](const core::Result<core::Offset> &outcome) {
+                       if (!outcome && outcome.error().Kind !=
+                                           core::ErrorKind::LogOutcomeUnknown)
+                         (*failed)();
+                     });
   if (!submitted)
     (*failed)();
 }
