Node: release slices that are idle at once in one record

A join made its former owners append one SlicesReleased record per slice: the admission gate reported each idle slice in a call of its own. The gate now reports all slices that are idle at once together.

--- a/Source/Node/AdmissionGate.cpp
+++ b/Source/Node/AdmissionGate.cpp
@@ -95,7 +95,8 @@
     Decisions->finished(ticket, outcome, serviceTime, Hooks.Now());
     idle = takeIdleSlices();
   }
-  reportIdle(idle);
+  if (!idle.empty())
+    Hooks.OnSlicesIdle(idle);
 }
 
 void AdmissionGate::announced(const upstream::UpstreamAnnouncement &upstream) {
@@ -113,15 +114,17 @@
   Decisions->beginDrain();
 }
 
-void AdmissionGate::releaseSlice(core::SliceIndex slice) {
+void AdmissionGate::releaseSlices(std::span<const core::SliceIndex> slices) {
   std::vector<core::SliceIndex> idle;
   {
     const std::lock_guard lock(Mutex);
-    Decisions->refuseQueued(slice, core::ErrorKind::OwnerChanged);
-    Releasing.push_back(slice);
+    for (const core::SliceIndex it : slices)
+      Decisions->refuseQueued(it, core::ErrorKind::OwnerChanged);
+    Releasing.insert(Releasing.end(), slices.begin(), slices.end());
     idle = takeIdleSlices();
   }
-  reportIdle(idle);
+  if (!idle.empty())
+    Hooks.OnSlicesIdle(idle);
 }
 
 std::vector<core::SliceIndex> AdmissionGate::takeIdleSlices() {
@@ -135,12 +138,6 @@
   return idle;
 }
 
-void AdmissionGate::reportIdle(
-    const std::vector<core::SliceIndex> &slices) const {
-  for (const core::SliceIndex it : slices)
-    Hooks.OnSliceIdle(it);
-}
-
 std::optional<upstream::UpstreamAnnouncement> AdmissionGate::upstream() const {
   const std::lock_guard lock(Mutex);
   return Decisions->upstream();
--- a/Source/Node/AdmissionGate.h
+++ b/Source/Node/AdmissionGate.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,8 +52,8 @@
 
 /// What the gate tells the node.
 struct AdmissionGateHooks {
-  /// No request of the slice waits or runs any more.
-  std::function<void(core::SliceIndex)> OnSliceIdle;
+  /// No request of the slices waits or runs any more.
+  std::function<void(std::span<const core::SliceIndex>)> OnSlicesIdle;
   core::NowFunction Now;
 };
 
@@ -72,9 +73,10 @@
   void left();
   void beginDrain();
 
-  /// Refuses what waits for a slice that moves away, and reports the slice idle
-  /// as soon as nothing of it runs.
-  void releaseSlice(core::SliceIndex slice);
+  /// Refuses what waits for slices that move away, and reports each slice idle
+  /// as soon as nothing of it runs; those idle at once in one call, since each
+  /// call becomes a record of the log.
+  void releaseSlices(std::span<const core::SliceIndex> slices);
 
   std::optional<upstream::UpstreamAnnouncement> upstream() const;
   upstream::LoadReport loadReport() const;
@@ -98,7 +100,6 @@
   void finish(upstream::Ticket ticket, upstream::Outcome outcome,
               core::Duration serviceTime);
   std::vector<core::SliceIndex> takeIdleSlices();
-  void reportIdle(const std::vector<core::SliceIndex> &slices) const;
 
   const AdmissionGateHooks Hooks;
   mutable std::mutex Mutex;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -60,12 +60,12 @@
 core::Result<void> Node::startGates() {
   AdmissionGateHooks admission;
   admission.Now = bootNow;
-  admission.OnSliceIdle = [this](core::SliceIndex index) {
-    Control->post([this, index] {
-      const auto upstream = Admission->upstream();
-      const core::SliceId slice{upstream ? upstream->Service : "", index};
-      State->onSlicesIdle(std::span(&slice, 1));
-    });
+  admission.OnSlicesIdle = [this](std::span<const core::SliceIndex> idle) {
+    const auto upstream = Admission->upstream();
+    std::vector<core::SliceId> slices;
+    for (const core::SliceIndex it : idle)
+      slices.push_back({upstream ? upstream->Service : "", it});
+    Control->post([this, slices] { State->onSlicesIdle(slices); });
   };
   auto gate = AdmissionGate::create(QueueLimits, std::move(admission));
   if (!gate)
--- a/Source/Node/NodeControl.cpp
+++ b/Source/Node/NodeControl.cpp
@@ -83,14 +83,16 @@
 
 void Node::releaseSlices(std::span<const core::SliceId> slices) {
   const auto upstream = Admission->upstream();
+  std::vector<core::SliceIndex> served;
   std::vector<core::SliceId> idle;
   for (const core::SliceId &it : slices) {
     Logger->write(Level::Info, "own_stop", {{"slice", core::toString(it)}});
     if (upstream && it.Service == upstream->Service)
-      Admission->releaseSlice(it.Index);
+      served.push_back(it.Index);
     else
       idle.push_back(it);
   }
+  Admission->releaseSlices(served);
   if (!idle.empty())
     Control->post([this, idle] { State->onSlicesIdle(idle); });
 }
