--- a/Source/Administration/AdministrationApi.cpp
+++ b/Source/Administration/AdministrationApi.cpp
@@ -73,7 +73,7 @@
   const auto shared =
       std::make_shared<const AdministrationHooks>(std::move(hooks));
   return std::shared_ptr<AdministrationApi>(new AdministrationApi(
-      std::move(shared), std::move(tokens), std::move(ownAddresses)));
+      shared, std::move(tokens), std::move(ownAddresses)));
 }
 
 AdministrationApi::AdministrationApi(
