--- a/Source/Settings/SettingsFile.cpp
+++ b/Source/Settings/SettingsFile.cpp
@@ -6,7 +6,8 @@
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
-#include "Settings/FieldTable.h"
+#include "Settings/FieldReader.h"
+#include "Settings/NodeFields.h"
 
 namespace acaciaroad::settings {
 
@@ -15,111 +16,6 @@
 constexpr std::string_view TokensName = "tokens";
 constexpr std::string_view TokensTable = "administration";
 
-/// Where an error is reported.
-struct Place {
-  std::string_view File;
-  /// 0 where the file says nothing.
-  std::size_t Line = 0;
-};
-
-tl::unexpected<core::Error> failAt(const Place &place, std::string_view what) {
-  std::string where(place.File);
-  if (place.Line != 0)
-    where += fmt::format(":{}", place.Line);
-  return core::fail(core::ErrorKind::InvalidSettings,
-                    fmt::format("{}: {}", where, what));
-}
-
-Place placeOf(std::string_view file, const toml::node &node) {
-  return {file, static_cast<std::size_t>(node.source().begin.line)};
-}
-
-template <typename Target> std::string nameOf(const Field<Target> &field) {
-  return fmt::format("{}.{}", field.Table, field.Name);
-}
-
-template <typename Target>
-core::Result<void> setText(const Field<Target> &field, const Place &place,
-                           const toml::node &node, Target &target) {
-  const auto text = node.value_exact<std::string_view>();
-  if (!text || !isValid(field.Text->Kind, *text))
-    return failAt(place, fmt::format("{} must be a text: {}", nameOf(field),
-                                     allowedRange(field.Text->Kind)));
-  field.Text->Set(target, *text);
-  return {};
-}
-
-template <typename Target>
-core::Result<void> setNumber(const Field<Target> &field, const Place &place,
-                             const toml::node &node, Target &target) {
-  const auto number = node.value_exact<std::int64_t>();
-  const auto &range = *field.Number;
-  if (!number || *number < range.Minimum || *number > range.Maximum)
-    return failAt(place,
-                  fmt::format("{} must be a whole number from {} to {}",
-                              nameOf(field), range.Minimum, range.Maximum));
-  range.Set(target, *number);
-  return {};
-}
-
-template <typename Target>
-core::Result<void> setDefault(const Field<Target> &field, const Place &place,
-                              Target &target) {
-  if (field.Number) {
-    field.Number->Set(target, field.Number->Default);
-    return {};
-  }
-  if (!field.Text->Default)
-    return failAt(place, fmt::format("{} is missing: {}", nameOf(field),
-                                     allowedRange(field.Text->Kind)));
-  if (!field.Text->Default->empty())
-    field.Text->Set(target, *field.Text->Default);
-  return {};
-}
-
-/// Sets each field of \p name from \p table, or to its default.
-template <typename Target>
-core::Result<void> readFields(std::span<const Field<Target>> fields,
-                              std::string_view name, const Place &place,
-                              const toml::table &table, Target &target) {
-  for (const Field<Target> &it : fields) {
-    if (it.Table != name)
-      continue;
-    const toml::node *node = table.get(it.Name);
-    core::Result<void> done;
-    if (node == nullptr)
-      done = setDefault(it, place, target);
-    else if (it.Text)
-      done = setText(it, placeOf(place.File, *node), *node, target);
-    else
-      done = setNumber(it, placeOf(place.File, *node), *node, target);
-    if (!done)
-      return done;
-  }
-  return {};
-}
-
-template <typename Target>
-bool isKnown(std::span<const Field<Target>> fields, std::string_view table,
-             std::string_view name) {
-  return std::any_of(fields.begin(), fields.end(), [&](const auto &it) {
-    return it.Table == table && it.Name == name;
-  });
-}
-
-template <typename Target>
-core::Result<void> refuseUnknown(std::span<const Field<Target>> fields,
-                                 std::string_view name, std::string_view file,
-                                 const toml::table &table) {
-  for (const auto &[key, node] : table) {
-    const bool isTokens = name == TokensTable && key.str() == TokensName;
-    if (!isTokens && !isKnown(fields, name, key.str()))
-      return failAt({file, static_cast<std::size_t>(key.source().begin.line)},
-                    fmt::format("unknown field {}.{}", name, key.str()));
-  }
-  return {};
-}
-
 core::Result<AccessToken> readToken(std::string_view file,
                                     const toml::node &node) {
   const Place place = placeOf(file, node);
@@ -128,8 +24,6 @@
     return failAt(place, "administration.tokens must be an array of tables");
   AccessToken out;
   const std::string_view name = tokenFields().front().Table;
-  if (auto done = refuseUnknown(tokenFields(), name, file, *table); !done)
-    return tl::unexpected(done.error());
   if (auto done = readFields(tokenFields(), name, place, *table, out); !done)
     return tl::unexpected(done.error());
   return out;
@@ -162,8 +56,7 @@
         std::any_of(fields.begin(), fields.end(),
                     [name](const auto &it) { return it.Table == name; });
     if (!isNamed || !node.is_table())
-      return failAt({file, static_cast<std::size_t>(key.source().begin.line)},
-                    fmt::format("unknown table {}", name));
+      return failAt(placeOf(file, key), fmt::format("unknown table {}", name));
   }
   return {};
 }
@@ -171,15 +64,17 @@
 core::Result<void> readTable(std::string_view name, std::string_view file,
                              const toml::table &root, NodeSettings &settings) {
   static const toml::table empty;
+  static constexpr std::string_view Arrays[] = {TokensName};
   const toml::node *node = root.get(name);
   const toml::table &table = node == nullptr ? empty : *node->as_table();
   const Place place = node == nullptr ? Place{file} : placeOf(file, *node);
-  if (auto done = refuseUnknown(nodeFields(), name, file, table); !done)
-    return done;
-  if (auto done = readFields(nodeFields(), name, place, table, settings); !done)
+  const bool hasTokens = name == TokensTable;
+  const auto arrays = std::span(Arrays).first(hasTokens ? 1 : 0);
+  if (auto done =
+          readFields(nodeFields(), name, place, table, settings, arrays);
+      !done)
     return done;
-  return name == TokensTable ? readTokens(file, table, settings)
-                             : core::Result<void>();
+  return hasTokens ? readTokens(file, table, settings) : core::Result<void>();
 }
 
 /// Checks what concerns more than one field.
@@ -218,11 +113,6 @@
   return out;
 }
 
-/// Returns the line that the TOML library's error \p ec speaks of.
-Place placeOf(std::string_view file, const toml::parse_error &ec) {
-  return {file, static_cast<std::size_t>(ec.source().begin.line)};
-}
-
 } // namespace
 
 core::Result<NodeSettings> loadNodeSettings(std::string_view path) {
