--- /dev/null
+++ b/Source/Programs/Load/Sample.h
@@ -0,0 +1,57 @@
+/// \file
+/// What became of one request.
+
+#ifndef ACACIAROAD_LOAD_SAMPLE_H
+#define ACACIAROAD_LOAD_SAMPLE_H
+
+#include <cstdint>
+
+#include "Core/Clock.h"
+#include "Core/ErrorKind.h"
+#include "Programs/Load/Schedule.h"
+
+namespace acaciaroad::load {
+
+enum class Outcome : std::uint8_t {
+  Served,
+  /// Answered with a problem document that says "not run".
+  Refused,
+  /// Answered with a problem document that says the outcome is unknown.
+  Unknown,
+  /// No target took the connection.
+  Unreachable,
+  Timeout,
+  /// The connection broke, or the answer was cut short.
+  Broken,
+  /// The answer belonged to another request, or differed from what was sent.
+  Crossed,
+  /// Any other status.
+  BadStatus,
+};
+
+inline constexpr std::size_t OutcomeCount =
+    static_cast<std::size_t>(Outcome::BadStatus) + 1;
+
+/// Returns the name in the results.
+std::string_view toString(Outcome outcome);
+
+/// The end of one exchange.
+struct Ending {
+  Outcome Result = Outcome::Served;
+  /// Of the problem document; Internal where there is none.
+  core::ErrorKind Kind = core::ErrorKind::Internal;
+};
+
+/// One request and its end.
+struct Sample {
+  Shot Request;
+  Ending End;
+  /// From the intended start.
+  core::Duration Latency{};
+  /// How long after the intended start it was sent.
+  core::Duration Lateness{};
+};
+
+} // namespace acaciaroad::load
+
+#endif
--- a/Source/Programs/StandinUpstream/UpstreamServer.cpp
+++ b/Source/Programs/StandinUpstream/UpstreamServer.cpp
@@ -249,12 +249,10 @@
     switch (Book.stateOf(order)) {
     case OrderState::Running:
       return true;
-    case OrderState::Failed: {
+    case OrderState::Failed:
+      countFailure();
       standin::StandinServer::dropConnection();
-      const std::lock_guard lock(Mutex);
-      ++Stats.Failed;
       return false;
-    }
     case OrderState::Cancelled:
       refuse(response, Refusal::Cancelled);
       return false;
@@ -270,6 +268,11 @@
   }
 }
 
+void UpstreamServer::countFailure() {
+  const std::lock_guard lock(Mutex);
+  ++Stats.Failed;
+}
+
 UpstreamServer::Ending UpstreamServer::work(const Order &order) {
   const core::TimePoint until = core::BootClock::now() + drawServiceTime();
   for (;;) {
--- a/Source/Programs/StandinUpstream/UpstreamServer.h
+++ b/Source/Programs/StandinUpstream/UpstreamServer.h
@@ -90,6 +90,7 @@
   void recordStart(const OrderHeaders &headers);
   bool awaitTurn(const Order &order, const OrderHeaders &headers,
                  httplib::Response &response);
+  void countFailure();
   Ending work(const Order &order);
   void answerEnding(Ending ending, const httplib::Request &request,
                     httplib::Response &response, const OrderHeaders &headers,
