--- a/Source/Http/UpstreamConnection.cpp
+++ b/Source/Http/UpstreamConnection.cpp
@@ -160,8 +160,9 @@
     complete = run.Stream.endsWithEmptyLine();
   if (complete && head && !run.HeadGiven)
     complete = giveHead(run);
-  if (complete)
-    complete = giveBody(run);
+  // What came of an answer that broke off is passed on all the same.
+  if (run.Outcome && !giveBody(run))
+    complete = false;
   Reusable = complete && head->KeepAlive && head->Body != Framing::UntilClose &&
              !run.Stream.isAnsweredEarly() && run.Stream.buffered() == 0;
   if (complete)
--- a/Source/Http/UpstreamStream.cpp
+++ b/Source/Http/UpstreamStream.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
 #include <iterator>
 
 #include <fmt/format.h>
@@ -81,7 +80,7 @@
 ssize_t UpstreamStream::take(std::string &from, std::size_t &used, char *ptr,
                              size_t size) {
   const std::size_t n = std::min(size, from.size() - used);
-  std::memcpy(ptr, from.data() + used, n);
+  std::copy_n(from.data() + used, n, ptr);
   used += n;
   return static_cast<ssize_t>(n);
 }
