--- a/Source/Wire/ForwardCall.cpp
+++ b/Source/Wire/ForwardCall.cpp
@@ -27,8 +27,10 @@
   bool Set = false;
 
   void set() {
-    const std::lock_guard lock(Mutex);
-    Set = true;
+    {
+      const std::lock_guard lock(Mutex);
+      Set = true;
+    }
     Changed.notify_all();
   }
 
@@ -413,8 +415,9 @@
     closed = std::exchange(OnClosed, nullptr);
   if (Cancelled)
     cancelled = std::exchange(OnCancelled, nullptr);
-  Changed.notify_all();
+  // Woken under the lock, a reader would wait again for the lock.
   lock.unlock();
+  Changed.notify_all();
   if (closed)
     closed();
   if (cancelled)
--- a/bench/BenchPath.cpp
+++ b/bench/BenchPath.cpp
@@ -240,6 +240,13 @@
     for (Path &it : paths)
       runRound(it);
   report(paths);
+  for (const auto &[name, node] :
+       {std::pair("entry", entry.get()), std::pair("owner", owner.get())}) {
+    const auto counters = node->transportCounters();
+    std::cout << fmt::format("{:<10} sent {} received {} wake-ups {}\n", name,
+                             counters.Sent, counters.Received,
+                             counters.WakeUps);
+  }
   const long before = countWaits();
   std::this_thread::sleep_for(std::chrono::seconds(FLAGS_idle_seconds));
   if (FLAGS_idle_seconds > 0)
