--- a/Source/Requests/IdempotencyRegister.cpp
+++ b/Source/Requests/IdempotencyRegister.cpp
@@ -154,6 +154,16 @@
   return out;
 }
 
+std::vector<IdempotencyTell>
+IdempotencyRegister::unansweredTells(const core::SliceId &slice,
+                                     core::TimePoint now) const {
+  std::vector<IdempotencyTell> out;
+  for (const Entry &entry : ByAge)
+    if (entry.Slice == slice && entry.Quorum)
+      out.push_back(tell(entry, now));
+  return out;
+}
+
 bool IdempotencyRegister::isWitnessed(const core::SliceId &slice) const {
   return std::none_of(ByAge.begin(), ByAge.end(), [&](const Entry &it) {
     return it.Slice == slice && it.Quorum.has_value();
--- a/Source/Requests/IdempotencyRegister.h
+++ b/Source/Requests/IdempotencyRegister.h
@@ -103,8 +103,12 @@
   std::vector<IdempotencyTell> tells(const core::SliceId &slice,
                                      core::Epoch epoch, core::TimePoint now);
 
-  /// Returns whether a majority of witnesses keeps every id of a slice that was
-  /// told by `tells`.
+  /// Returns the tells of a slice that no majority has answered yet, to repeat
+  /// them after a loss; answers that have come still count.
+  std::vector<IdempotencyTell> unansweredTells(const core::SliceId &slice,
+                                               core::TimePoint now) const;
+
+  /// Returns whether a majority of witnesses keeps every id of a slice.
   bool isWitnessed(const core::SliceId &slice) const;
 
   /// Gives up a slice by a planned move and returns its ids for the new owner.
--- a/Tests/Accounts/CreditFleet.h
+++ b/Tests/Accounts/CreditFleet.h
@@ -206,7 +206,8 @@
     Ticks.emplace_back(core::TimePoint::max());
   }
 
-  void deliver(std::size_t from, std::size_t to, std::function<void()> call) {
+  void deliver(std::size_t from, std::size_t to,
+               const std::function<void()> &call) {
     ++Messages;
     const int copies = Source.chance(Faults.Duplication) ? 2 : 1;
     for (int n = 0; n < copies; ++n) {
--- /dev/null
+++ b/Tests/Requests/AttemptPlanTest.cpp
@@ -0,0 +1,211 @@
+#include "Requests/AttemptPlan.h"
+
+#include <vector>
+
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::requests;
+using configuration::Execution;
+using core::ErrorKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr core::TimePoint Start(seconds(10));
+
+struct Ended {
+  AttemptOutcome Outcome;
+  ErrorKind Reason;
+};
+
+struct PlanRow {
+  const char *Name;
+  Execution Runs;
+  /// Attempts under way before the first of them ends.
+  int AtOnce;
+  std::vector<Ended> Attempts;
+  NextStep Last;
+  /// The error, if the last step fails.
+  ErrorKind Reason;
+};
+
+using O = AttemptOutcome;
+using E = ErrorKind;
+constexpr Execution Idempotent = Execution::Idempotent;
+constexpr Execution AtMostOnce = Execution::AtMostOnce;
+
+const PlanRow PlanRows[] = {
+    {"answered", Idempotent, 1, {{O::Answered, {}}}, NextStep::Answer, {}},
+    {"not sent, idempotent",
+     Idempotent,
+     1,
+     {{O::NotSent, E::PeerUnreachable}},
+     NextStep::Retry,
+     {}},
+    {"not sent, at most once",
+     AtMostOnce,
+     1,
+     {{O::NotSent, E::PeerUnreachable}},
+     NextStep::Retry,
+     {}},
+    {"refused, at most once",
+     AtMostOnce,
+     1,
+     {{O::RefusedNotRun, E::UpstreamShedding}},
+     NextStep::Retry,
+     {}},
+    {"no answer, idempotent",
+     Idempotent,
+     1,
+     {{O::SentNoAnswer, E::OutcomeUnknown}},
+     NextStep::Retry,
+     {}},
+    {"no answer, at most once",
+     AtMostOnce,
+     1,
+     {{O::SentNoAnswer, E::PeerUnreachable}},
+     NextStep::Fail,
+     E::OutcomeUnknown},
+    {"refused, then no answer, at most once",
+     AtMostOnce,
+     1,
+     {{O::RefusedNotRun, E::QueueFull}, {O::SentNoAnswer, E::OutcomeUnknown}},
+     NextStep::Fail,
+     E::OutcomeUnknown},
+    {"all attempts refused",
+     Idempotent,
+     1,
+     {{O::RefusedNotRun, E::QueueFull},
+      {O::RefusedNotRun, E::QueueFull},
+      {O::RefusedNotRun, E::QueueFull}},
+     NextStep::Fail,
+     E::QueueFull},
+    {"no answer, then refusals, is not 'not run'",
+     Idempotent,
+     1,
+     {{O::SentNoAnswer, E::AnswerIncomplete},
+      {O::RefusedNotRun, E::QueueFull},
+      {O::RefusedNotRun, E::QueueFull}},
+     NextStep::Fail,
+     E::OutcomeUnknown},
+    {"a refusal that another instance shares",
+     Idempotent,
+     1,
+     {{O::RefusedNotRun, E::RateExceeded}},
+     NextStep::Fail,
+     E::RateExceeded},
+    {"a duplicate",
+     AtMostOnce,
+     1,
+     {{O::RefusedNotRun, E::DuplicateRequest}},
+     NextStep::Fail,
+     E::DuplicateRequest},
+    {"a hedge is under way",
+     Idempotent,
+     2,
+     {{O::SentNoAnswer, E::OutcomeUnknown}},
+     NextStep::Wait,
+     {}},
+    {"the hedge answers",
+     Idempotent,
+     2,
+     {{O::SentNoAnswer, E::OutcomeUnknown}, {O::Answered, {}}},
+     NextStep::Answer,
+     {}},
+    {"the second answer is ignored",
+     Idempotent,
+     2,
+     {{O::Answered, {}}, {O::Answered, {}}},
+     NextStep::Ignore,
+     {}},
+};
+
+RequestPolicy policy(Execution runs) {
+  configuration::WorkClass it;
+  it.Runs = runs;
+  return RequestPolicy::of(it).value();
+}
+
+struct PolicyRow {
+  const char *Name;
+  std::uint32_t AvailabilityPpm;
+  int DeadlineMilliseconds;
+  bool IsValid;
+  double Ratio;
+};
+
+const PolicyRow PolicyRows[] = {
+    {"two nines", 990'000, 100, true, 0.1},
+    {"three nines", 999'000, 100, true, 0.15},
+    {"five nines are capped", 999'990, 100, true, 0.2},
+    {"everything", 1'000'000, 100, true, 0.2},
+    {"nothing", 0, 100, true, 0.05},
+    {"beyond everything", 1'000'001, 100, false, 0},
+    {"no deadline", 999'000, 0, false, 0},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(AttemptPlanTest, stepFollowsOutcome, PlanRows) {
+  RetryBudget budget = RetryBudget::create(1, Start).value();
+  AttemptPlan plan =
+      AttemptPlan::create(policy(row.Runs), Start + seconds(1), Start).value();
+  for (int n = 0; n < row.AtOnce; ++n)
+    plan.started();
+  Step step;
+  int underWay = row.AtOnce;
+  for (const Ended &it : row.Attempts) {
+    if (underWay == 0) {
+      cr_assert(step.What == NextStep::Retry, "%s: no attempt", row.Name);
+      plan.started();
+      ++underWay;
+    }
+    step = plan.ended(it.Outcome, it.Reason, budget, Start);
+    --underWay;
+  }
+  cr_assert(step.What == row.Last, "%s: step %d", row.Name,
+            static_cast<int>(step.What));
+  if (step.What == NextStep::Fail)
+    cr_assert(step.Reason == row.Reason, "%s: kind %d", row.Name,
+              static_cast<int>(step.Reason));
+}
+
+ACACIA_TABLE_TEST(AttemptPlanTest, policyFollowsTargets, PolicyRows) {
+  configuration::WorkClass it;
+  it.AvailabilityPpm = row.AvailabilityPpm;
+  it.Deadline = milliseconds(row.DeadlineMilliseconds);
+  const auto policy = RequestPolicy::of(it);
+  cr_assert_eq(policy.has_value(), row.IsValid, "%s", row.Name);
+  if (policy)
+    cr_assert_float_eq(policy->RetryRatio, row.Ratio, 1e-6, "%s: %f", row.Name,
+                       policy->RetryRatio);
+}
+
+Test(AttemptPlanTest, timeoutWithAnOrderUnderWayIsUnknown) {
+  RetryBudget budget = RetryBudget::create(1, Start).value();
+  AttemptPlan plan =
+      AttemptPlan::create(policy(Idempotent), Start + seconds(1), Start)
+          .value();
+  cr_assert(plan.timedOut().Reason == E::DeadlineTooShort);
+  plan = AttemptPlan::create(policy(Idempotent), Start + seconds(1), Start)
+             .value();
+  plan.started();
+  cr_assert(plan.timedOut().Reason == E::OutcomeUnknown);
+  cr_assert(plan.ended(O::Answered, {}, budget, Start).What ==
+            NextStep::Ignore);
+  cr_assert(!AttemptPlan::create(policy(Idempotent), Start, Start));
+}
+
+Test(AttemptPlanTest, onlyIdempotentClassesAreHedged) {
+  for (const Execution runs : {Idempotent, AtMostOnce}) {
+    RetryBudget budget = RetryBudget::create(1, Start).value();
+    AttemptPlan plan =
+        AttemptPlan::create(policy(runs), Start + seconds(1), Start).value();
+    cr_assert(!plan.takeHedge(budget, Start));
+    plan.started();
+    cr_assert(!plan.takeHedge(budget, Start + seconds(1)));
+    cr_assert_eq(plan.takeHedge(budget, Start), runs == Idempotent);
+  }
+}
--- /dev/null
+++ b/Tests/Requests/CandidateChoiceTest.cpp
@@ -0,0 +1,144 @@
+#include "Requests/CandidateChoice.h"
+
+#include <map>
+#include <vector>
+
+#include "Support/Random.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::requests;
+using namespace acaciaroad::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr core::TimePoint Start(seconds(10));
+constexpr std::uint32_t Limit = 10;
+
+core::InstanceId id(std::uint64_t n) { return core::InstanceId{n}; }
+
+/// What the chooser knows of instance n + 1; the first `Local` ones are in its
+/// own data centre.
+struct Known {
+  std::uint32_t InFlight = 0;
+  std::uint32_t Limit = 10;
+  int LatencyMilliseconds = 0;
+  int Failures = 0;
+};
+
+struct ChoiceRow {
+  const char *Name;
+  std::size_t Local;
+  std::vector<Known> Peers;
+  std::vector<std::uint64_t> Tried;
+  /// All instances that are chosen at least once in a thousand times.
+  std::vector<std::uint64_t> Chosen;
+};
+
+const ChoiceRow ChoiceRows[] = {
+    {"none", 0, {}, {}, {}},
+    {"own data centre first", 2, {{}, {}, {}, {}}, {}, {1, 2}},
+    {"others if both are busy", 2, {{12}, {11}, {3}, {5}}, {}, {3}},
+    {"own if only one of two is busy", 2, {{12}, {5}, {}, {}}, {}, {2}},
+    {"the less busy of two", 2, {{5}, {4}}, {}, {2}},
+    {"the worst of three is never taken", 3, {{5}, {4}, {3}}, {}, {2, 3}},
+    {"the faster of two", 2, {{2, 10, 50}, {2, 10, 5}}, {}, {2}},
+    {"not one that was tried", 3, {{5}, {4}, {3}}, {3}, {2}},
+    {"all tried", 2, {{}, {}}, {1, 2}, {}},
+    {"not one that takes no work", 2, {{0, 0}, {9}}, {}, {2}},
+    {"not an outlier", 3, {{0, 10, 0, 5}, {9}, {9}}, {}, {2, 3}},
+    {"one of three may be an outlier",
+     3,
+     {{0, 10, 0, 5}, {0, 10, 0, 5}, {0, 10, 0, 5}},
+     {},
+     {2, 3}},
+    {"the only one is never an outlier", 1, {{0, 10, 0, 9}}, {}, {1}},
+};
+
+CandidateChoice chooser(Random &random, std::size_t local,
+                        const std::vector<Known> &peers) {
+  CandidateChoice out =
+      CandidateChoice::create("here", [&] { return random.next(); }).value();
+  std::vector<Candidate> candidates;
+  for (std::size_t n = 0; n < peers.size(); ++n)
+    candidates.push_back({id(n + 1), n < local ? "here" : "there"});
+  out.setCandidates(candidates);
+  for (std::size_t n = 0; n < peers.size(); ++n) {
+    const Known &it = peers[n];
+    out.reported(id(n + 1), {it.InFlight, 0, it.Limit}, Start);
+    if (it.LatencyMilliseconds > 0) {
+      out.sent(id(n + 1));
+      out.ended(id(n + 1), AttemptOutcome::Answered,
+                milliseconds(it.LatencyMilliseconds), Start);
+    }
+    for (int k = 0; k < it.Failures; ++k) {
+      out.sent(id(n + 1));
+      out.ended(id(n + 1), AttemptOutcome::NotSent, {}, Start);
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(CandidateChoiceTest, takesTheBetterOfTwo, ChoiceRows) {
+  Random random(1);
+  CandidateChoice choice = chooser(random, row.Local, row.Peers);
+  std::vector<core::InstanceId> tried;
+  for (const std::uint64_t n : row.Tried)
+    tried.push_back(id(n));
+  std::map<std::uint64_t, int> chosen;
+  for (int n = 0; n < 1000; ++n)
+    if (const auto it = choice.choose(tried, Start))
+      ++chosen[it->Value];
+  std::vector<std::uint64_t> ids;
+  for (const auto &[n, count] : chosen)
+    ids.push_back(n);
+  cr_assert(ids == row.Chosen, "%s", row.Name);
+}
+
+Test(CandidateChoiceTest, ownRequestsCountBeforeTheyAreReported) {
+  Random random(1);
+  CandidateChoice choice = chooser(random, 2, {{0, Limit}, {0, Limit}});
+  std::map<std::uint64_t, int> sent;
+  for (int n = 0; n < 16; ++n) {
+    const core::InstanceId it = choice.choose({}, Start).value();
+    choice.sent(it);
+    ++sent[it.Value];
+  }
+  cr_assert_eq(sent[1], 8);
+  cr_assert_eq(sent[2], 8);
+}
+
+Test(CandidateChoiceTest, outlierReturnsAfterAProbe) {
+  Random random(1);
+  CandidateChoice choice = chooser(random, 3, {{0, 10, 0, 5}, {9}, {9}});
+  cr_assert_eq(choice.ejected(), 1);
+  const std::vector<core::InstanceId> others{id(2), id(3)};
+  core::TimePoint now = Start + milliseconds(999);
+  cr_assert(!choice.choose(others, now));
+  now = Start + seconds(1);
+  cr_assert(choice.choose(others, now) == id(1));
+  // One probe at a time; a failed one doubles the ejection.
+  choice.sent(id(1));
+  cr_assert(!choice.choose(others, now));
+  choice.ended(id(1), AttemptOutcome::SentNoAnswer, {}, now);
+  cr_assert(!choice.choose(others, now + milliseconds(1999)));
+  now += seconds(2);
+  cr_assert(choice.choose(others, now) == id(1));
+  choice.sent(id(1));
+  choice.ended(id(1), AttemptOutcome::Answered, milliseconds(2), now);
+  cr_assert_eq(choice.ejected(), 0);
+}
+
+Test(CandidateChoiceTest, oldReportsLoseWeight) {
+  Random random(1);
+  CandidateChoice choice = chooser(random, 2, {{9, 10}, {4, 10}});
+  // A fresh report of a little load weighs more than an old one of much.
+  const core::TimePoint later = Start + seconds(5);
+  choice.reported(id(2), {4, 0, 10}, later);
+  cr_assert(choice.choose({}, Start) == id(2));
+  cr_assert(choice.choose({}, later) == id(1));
+}
--- /dev/null
+++ b/Tests/Requests/IdempotencyRegisterTest.cpp
@@ -0,0 +1,229 @@
+#include "Requests/IdempotencyRegister.h"
+
+#include <string>
+#include <vector>
+
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::requests;
+using core::ErrorKind;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr core::TimePoint Start(seconds(1000));
+const core::SliceId Slice{"booking", 3};
+const IdempotencyId Id = IdempotencyId::of("account", "key");
+
+/// What happened to the id before its second use.
+enum class Past : std::uint8_t {
+  Nothing,
+  Told,
+  Sent,
+  Done,
+  DoneLarge,
+  Unknown,
+  NotSent,
+  NotRun,
+  LateNotRun,
+  Expired,
+  AlmostExpired,
+};
+
+struct RepeatRow {
+  const char *Name;
+  Past Before;
+  std::uint64_t Fingerprint;
+  BeginVerdict Verdict;
+  ErrorKind Reason;
+};
+
+const RepeatRow RepeatRows[] = {
+    {"first use", Past::Nothing, 1, BeginVerdict::Tell, {}},
+    {"witnesses are being told", Past::Told, 1, BeginVerdict::Refused,
+     ErrorKind::DuplicateRequest},
+    {"in flight", Past::Sent, 1, BeginVerdict::Refused,
+     ErrorKind::DuplicateRequest},
+    {"done", Past::Done, 1, BeginVerdict::Replay, {}},
+    {"done, another request", Past::Done, 2, BeginVerdict::Refused,
+     ErrorKind::IdempotencyKeyReused},
+    {"done, with a large answer", Past::DoneLarge, 1, BeginVerdict::Refused,
+     ErrorKind::DuplicateRequest},
+    {"outcome unknown", Past::Unknown, 1, BeginVerdict::Refused,
+     ErrorKind::OutcomeUnknown},
+    {"never sent", Past::NotSent, 1, BeginVerdict::Tell, {}},
+    {"refused by the upstream", Past::NotRun, 1, BeginVerdict::Tell, {}},
+    {"no refusal after the answer",
+     Past::LateNotRun,
+     1,
+     BeginVerdict::Replay,
+     {}},
+    {"past the window", Past::Expired, 1, BeginVerdict::Tell, {}},
+    {"at the end of the window",
+     Past::AlmostExpired,
+     1,
+     BeginVerdict::Replay,
+     {}},
+};
+
+constexpr RegisterLimits Limits{seconds(60), 4, 100, 10};
+
+IdempotencyRegister makeRegister() {
+  IdempotencyRegister out =
+      IdempotencyRegister::create(core::InstanceId{1}, Limits).value();
+  out.setWitnesses(
+      {{core::InstanceId{11}, core::InstanceId{12}, core::InstanceId{13}}});
+  return out;
+}
+
+QuorumState ack(IdempotencyRegister &it, const IdempotencyTell &tell,
+                std::uint64_t witness, bool isKept = true) {
+  return it.acked({core::InstanceId{witness}, tell.Id, tell.Sequence, isKept});
+}
+
+void bring(IdempotencyRegister &it, Past past) {
+  if (past == Past::Nothing)
+    return;
+  const BeginDecision first = it.begin({Slice, 1, Id, 1}, Start);
+  if (past == Past::Told)
+    return;
+  if (past == Past::NotSent) {
+    cr_assert(it.notRun(Id).has_value());
+    return;
+  }
+  ack(it, first.Message, 11);
+  ack(it, first.Message, 12);
+  if (past == Past::Sent)
+    return;
+  if (past == Past::Unknown) {
+    it.outcomeUnknown(Id);
+    cr_assert(!it.notRun(Id).has_value());
+    return;
+  }
+  if (past == Past::NotRun) {
+    cr_assert(it.notRun(Id).has_value());
+    return;
+  }
+  it.completed(Id, past == Past::DoneLarge ? "a large answer" : "answer");
+  if (past == Past::LateNotRun)
+    cr_assert(!it.notRun(Id).has_value());
+}
+
+struct QuorumRow {
+  const char *Name;
+  WitnessSets Sets;
+  /// Witnesses in the order of their answers; negative ones refuse.
+  std::vector<int> Answers;
+  QuorumState Expected;
+};
+
+core::InstanceId witness(std::uint64_t n) { return core::InstanceId{n}; }
+
+const QuorumRow QuorumRows[] = {
+    {"no witnesses", {}, {}, QuorumState::Reached},
+    {"one of three",
+     {{witness(1), witness(2), witness(3)}},
+     {1},
+     QuorumState::Open},
+    {"two of three",
+     {{witness(1), witness(2), witness(3)}},
+     {1, 3},
+     QuorumState::Reached},
+    {"one of three twice",
+     {{witness(1), witness(2), witness(3)}},
+     {1, 1},
+     QuorumState::Open},
+    {"a stranger",
+     {{witness(1), witness(2), witness(3)}},
+     {1, 4},
+     QuorumState::Open},
+    {"two of three refuse",
+     {{witness(1), witness(2), witness(3)}},
+     {-1, 3, -2},
+     QuorumState::Impossible},
+    {"old majority only",
+     {{witness(1), witness(2), witness(3)},
+      {witness(3), witness(4), witness(5)}},
+     {1, 2, 3},
+     QuorumState::Open},
+    {"both majorities",
+     {{witness(1), witness(2), witness(3)},
+      {witness(3), witness(4), witness(5)}},
+     {1, 3, 5},
+     QuorumState::Reached},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(IdempotencyRegisterTest, repeatedId, RepeatRows) {
+  IdempotencyRegister it = makeRegister();
+  bring(it, row.Before);
+  core::TimePoint now = Start;
+  if (row.Before == Past::Expired)
+    now += Limits.Window;
+  if (row.Before == Past::AlmostExpired)
+    now += Limits.Window - core::Duration(1);
+  const BeginDecision second = it.begin({Slice, 1, Id, row.Fingerprint}, now);
+  cr_assert(second.What == row.Verdict, "%s", row.Name);
+  if (row.Verdict == BeginVerdict::Refused)
+    cr_assert(second.Reason == row.Reason, "%s", row.Name);
+  if (row.Verdict == BeginVerdict::Replay)
+    cr_assert(second.Answer == "answer", "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(IdempotencyRegisterTest, majorityOfWitnesses, QuorumRows) {
+  WitnessQuorum quorum(row.Sets);
+  for (const int n : row.Answers)
+    quorum.add(witness(static_cast<std::uint64_t>(std::abs(n))), n > 0);
+  cr_assert(quorum.state() == row.Expected, "%s", row.Name);
+}
+
+Test(IdempotencyRegisterTest, orderWaitsForTheMajorityOfItsOwnTell) {
+  IdempotencyRegister it = makeRegister();
+  const BeginDecision first = it.begin({Slice, 1, Id, 1}, Start);
+  cr_assert(ack(it, first.Message, 11) == QuorumState::Open);
+  cr_assert(it.notRun(Id).has_value());
+  const BeginDecision second = it.begin({Slice, 1, Id, 1}, Start);
+  // An answer to the first tell says nothing about the second.
+  cr_assert(ack(it, first.Message, 12) == QuorumState::Open);
+  cr_assert(ack(it, second.Message, 13) == QuorumState::Open);
+  cr_assert(ack(it, second.Message, 11) == QuorumState::Reached);
+  // Reached is told once, so the order is sent once.
+  cr_assert(ack(it, second.Message, 12) == QuorumState::Open);
+}
+
+Test(IdempotencyRegisterTest, fullRegisterRefusesNewIds) {
+  IdempotencyRegister it = makeRegister();
+  for (int n = 0; n < 4; ++n)
+    cr_assert(it.begin({Slice, 1, IdempotencyId::of("a", std::to_string(n)), 1},
+                       Start)
+                  .What == BeginVerdict::Tell);
+  const BeginDecision fifth = it.begin({Slice, 1, Id, 1}, Start);
+  cr_assert(fifth.What == BeginVerdict::Refused);
+  cr_assert(fifth.Reason == ErrorKind::RegisterFull);
+  cr_assert(it.nextDeadline() == Start + Limits.Window);
+  it.expire(Start + Limits.Window);
+  cr_assert_eq(it.size(), 0);
+}
+
+Test(IdempotencyRegisterTest, storedAnswersAreBounded) {
+  RegisterLimits limits = Limits;
+  limits.MostIds = 1000;
+  IdempotencyRegister it =
+      IdempotencyRegister::create(core::InstanceId{1}, limits).value();
+  for (int n = 0; n < 1000; ++n) {
+    const IdempotencyId id = IdempotencyId::of("a", std::to_string(n));
+    cr_assert(it.begin({Slice, 1, id, 1}, Start).What == BeginVerdict::Send);
+    it.completed(id, "0123456789");
+    cr_assert_leq(it.answerBytes(), limits.MostAnswerBytes);
+  }
+  cr_assert_eq(it.answerBytes(), limits.MostAnswerBytes);
+  it.expire(Start + Limits.Window);
+  cr_assert_eq(it.answerBytes(), 0);
+}
+
+Test(IdempotencyRegisterTest, accountsDoNotShareIds) {
+  cr_assert(IdempotencyId::of("a", "bc") != IdempotencyId::of("ab", "c"));
+  cr_assert(IdempotencyId::of("a", "k") != IdempotencyId::of("b", "k"));
+}
