--- a/Source/Codec/ControlCodec.cpp
+++ b/Source/Codec/ControlCodec.cpp
@@ -72,9 +72,10 @@
   auto &to = *out.mutable_lease_promise();
   to.set_holder(from.Holder.Value);
   to.set_asked_at(from.AskedAt);
+  to.set_read_to(from.ReadTo);
 }
 bool read(const pb::LeasePromise &from, ownership::LeasePromise &to) {
-  to = {InstanceId{from.holder()}, from.asked_at()};
+  to = {InstanceId{from.holder()}, from.asked_at(), from.read_to()};
   return true;
 }
 
