--- a/Source/Codec/ControlCodec.cpp
+++ b/Source/Codec/ControlCodec.cpp
@@ -322,10 +322,11 @@
 
 // Log.
 
-void write(const OffsetQuery & /*from*/, pb::Control &out) {
-  out.mutable_offset_query();
+void write(const OffsetQuery &from, pb::Control &out) {
+  out.mutable_offset_query()->set_offset(from.Offset);
 }
-bool read(const pb::OffsetQuery & /*from*/, OffsetQuery & /*to*/) {
+bool read(const pb::OffsetQuery &from, OffsetQuery &to) {
+  to.Offset = from.offset();
   return true;
 }
 
--- a/Source/Codec/ControlCodec.h
+++ b/Source/Codec/ControlCodec.h
@@ -16,8 +16,10 @@
 
 namespace acaciaroad::codec {
 
-/// Asks how far the receiver has folded the log.
-struct OffsetQuery {};
+/// Asks the receiver to tell once it has folded the record at Offset.
+struct OffsetQuery {
+  core::Offset Offset = 0;
+};
 
 struct OffsetReport {
   /// First offset that the sender has not folded.
--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -62,6 +62,8 @@
   for (const PlacedEntry &it : entries)
     resolve(it, fold(it));
   NextOffset = std::max(NextOffset, next);
+  Hooks.OnOffset(Self, NextOffset);
+  answerOffsetQueries();
   if (!isCurrent)
     return;
   Current = true;
@@ -242,8 +244,20 @@
 }
 
 void ControlState::handle(core::InstanceId from,
-                          const codec::OffsetQuery & /*message*/) {
-  reply(from, codec::OffsetReport{NextOffset});
+                          const codec::OffsetQuery &message) {
+  OffsetAsks.push_back({from, message.Offset});
+  if (OffsetAsks.size() > MaxOffsetAsks)
+    OffsetAsks.pop_front();
+  answerOffsetQueries();
+}
+
+void ControlState::answerOffsetQueries() {
+  std::erase_if(OffsetAsks, [this](const OffsetAsk &ask) {
+    if (ask.Offset >= NextOffset)
+      return false;
+    reply(ask.From, codec::OffsetReport{NextOffset});
+    return true;
+  });
 }
 
 void ControlState::handle(core::InstanceId from,
@@ -251,10 +265,10 @@
   Hooks.OnOffset(from, message.NextOffset);
 }
 
-void ControlState::queryOffsets() {
+void ControlState::queryOffsets(core::Offset offset) {
   for (const auto &[id, state] : Agent->map().instances())
     if (id != Self && Agent->map().holdsLease(id))
-      send(id, codec::OffsetQuery{});
+      send(id, codec::OffsetQuery{offset});
   Hooks.OnOffset(Self, NextOffset);
 }
 
--- a/Source/Node/ControlState.h
+++ b/Source/Node/ControlState.h
@@ -6,6 +6,7 @@
 #define ACACIAROAD_NODE_CONTROLSTATE_H
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
@@ -92,8 +93,8 @@
   /// refusal, LogUnavailable, LogOutcomeUnknown after SubmitTimeout.
   void submit(codec::LogEntry entry, SubmitHandler handler);
 
-  /// Asks all instances how far they have folded the log.
-  void queryOffsets();
+  /// Asks all instances to tell once they have folded the record at \p offset.
+  void queryOffsets(core::Offset offset);
 
   core::Offset nextOffset() const { return NextOffset; }
   const configuration::Catalogue &catalogue() const { return *Configuration; }
@@ -108,6 +109,14 @@
     core::TimePoint Deadline{};
   };
 
+  struct OffsetAsk {
+    core::InstanceId From;
+    core::Offset Offset = 0;
+  };
+
+  /// Unanswered questions; the oldest is dropped beyond.
+  static constexpr std::size_t MaxOffsetAsks = 256;
+
   explicit ControlState(ControlStateHooks hooks);
   ownership::AgentHooks agentHooks();
 
@@ -133,6 +142,7 @@
   void handle(core::InstanceId from, const codec::OffsetQuery &message);
   void handle(core::InstanceId from, const codec::OffsetReport &message);
 
+  void answerOffsetQueries();
   void publishIfChanged();
   void reviewAccounts();
   void reviewAccount(const configuration::ClientAccount &account,
@@ -149,6 +159,8 @@
   core::InstanceId Self;
   core::Offset NextOffset = 0;
   std::list<PendingSubmit> Submits;
+  /// Questions about offsets that are not folded yet.
+  std::deque<OffsetAsk> OffsetAsks;
   std::set<core::SliceId> Releasing;
   bool Changed = true;
   bool Current = false;
--- a/Source/Node/NodeAdministration.cpp
+++ b/Source/Node/NodeAdministration.cpp
@@ -20,6 +20,9 @@
 /// Longest wait of an administration thread for the control thread.
 constexpr std::chrono::seconds ControlWait{5};
 
+/// Interval between two questions how far instances have folded the log.
+constexpr std::chrono::seconds QueryRepeat{1};
+
 /// Names of instances in an InForceReport.
 constexpr std::size_t MaxMissingNames = 10;
 
@@ -176,8 +179,8 @@
     std::vector<core::InstanceId> Ids;
     std::unordered_map<core::InstanceId, std::string> Names;
   };
-  const Live live = askControl<Live>(*Control, [this] {
-    State->queryOffsets();
+  const auto query = [this, offset] {
+    State->queryOffsets(offset);
     Live out;
     const ownership::FleetMap &map = State->agent().map();
     for (const auto &[id, state] : map.instances()) {
@@ -187,9 +190,18 @@
       out.Names.emplace(id, state.Info->Name);
     }
     return out;
-  });
+  };
+  // Questions and answers may be lost, and instances may come and go.
   const auto deadline = core::BootClock::now() + wait;
-  const auto missing = Offsets.await(live.Ids, offset, deadline);
+  Live live;
+  std::vector<core::InstanceId> missing;
+  do {
+    live = askControl<Live>(*Control, query);
+    missing =
+        Offsets.await(live.Ids, offset,
+                      std::min(deadline, core::BootClock::now() +
+                                             core::Duration(QueryRepeat)));
+  } while (!missing.empty() && core::BootClock::now() < deadline);
   InForceReport out;
   out.Offset = offset;
   out.LiveInstances = live.Ids.size();
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -16,8 +16,8 @@
 OPERATOR_TOKEN = "demo-operator-token"
 
 SERVICES = {
-    "sondagem": [("questionnaire", 5), ("interview", 4), ("recording", 3)],
-    "agency": [("catalogue", 5), ("booking", 4), ("tender", 3)],
+    "sondagem": [("questionnaires", 5), ("interviews", 4), ("recordings", 3)],
+    "agency": [("catalogue", 5), ("leases", 4), ("tenders", 3)],
 }
 DATA_CENTRES = {
     "sondagem": ["pt-norte-a", "pt-norte-b", "pt-norte-c"],
@@ -25,6 +25,7 @@
 }
 SLOTS = {"sondagem": 12, "agency": 18}
 READY_TIMEOUT_S = 20
+CREDIT_WAIT_S = 6
 
 
 def free_port():
@@ -176,6 +177,27 @@
                 raise RuntimeError("not ready: " + url)
             time.sleep(0.05)
 
+    def status(self, node=0):
+        return http_json("GET", "http://%s/v1/status" %
+                         self.instances[node].admin)[1]
+
+    def await_members(self):
+        """Waits until every node counts every instance as live."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            counts = [len([i for i in self.status(n)["instances"]
+                           if i["state"] == "live"])
+                      for n in range(len(self.instances))]
+            if min(counts) == len(self.instances):
+                return
+            time.sleep(0.1)
+        raise RuntimeError("members: %s" % counts)
+
+    def await_credit(self):
+        """Waits out the time in which a new owner of an account grants
+        nothing, and lets the buckets fill."""
+        time.sleep(CREDIT_WAIT_S)
+
     def ctl(self, *arguments, node=0, check=True):
         """Runs acaciactl against one node and returns its output."""
         done = subprocess.run([
@@ -189,8 +211,7 @@
 
     def grant_keys(self, accounts):
         for it in accounts:
-            out = json.loads(self.ctl("--output", "json", "key", "grant",
-                                      "--account", it))
+            out = json.loads(self.ctl("--output", "json", "key", "grant", it))
             self.keys[it] = out["key"]
         return self.keys
 
