--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -33,7 +33,7 @@
     classes = load_classes(example)
     lines = ["[experiment]", 'name = "%s"' % name, "seed = %d" % seed,
              "duration_s = %s" % float(duration_s), "timeout_ms = 5000",
-             "targets = [%s]" % ", ".join('"%s"' % t for t in targets),
+             'targets = "%s"' % ",".join(targets),
              "connections_per_target = %d" % connections]
     scale = 1.0
     total = sum(a["rate_per_second"] for a in example["accounts"].values())
