--- a/Tests/Programs/Ctl/SessionTest.cpp
+++ b/Tests/Programs/Ctl/SessionTest.cpp
@@ -210,3 +210,54 @@
   cr_assert_eq(desk.Node->Log.size(), before + 1);
   cr_assert_eq(desk.Node->hooks().View()->accountCount(), Accounts);
 }
+
+namespace {
+
+struct WireRow {
+  const char *Name;
+  const char *Token;
+  std::vector<std::string> Words;
+  ExitCode Code;
+};
+
+const WireRow WireRows[] = {
+    {"answer", FakeNode::ViewToken, {"status"}, ExitCode::Done},
+    {"encoded key",
+     FakeNode::ViewToken,
+     {"owner", "questionnaires", "a/b &c?"},
+     ExitCode::Done},
+    {"problem",
+     FakeNode::ViewToken,
+     {"class", "show", "a"},
+     ExitCode::NotFound},
+    {"unknown token", "nobody", {"status"}, ExitCode::NotAuthorized},
+    {"viewer",
+     FakeNode::ViewToken,
+     {"instance", "drain", "q-1"},
+     ExitCode::NotAuthorized},
+    {"change",
+     FakeNode::OperateToken,
+     {"account", "set", "x", "rate_per_second=1", "burst=1"},
+     ExitCode::Done},
+};
+
+ExitCode runOverHttp(const std::string &address, const WireRow &row) {
+  SessionHooks hooks;
+  hooks.Send = httpTransport(address, row.Token).value();
+  hooks.Print = [](std::string_view) {};
+  hooks.Tell = [](std::string_view) {};
+  return Session({}, hooks).run(row.Words);
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(SessionTest, worksOverHttp, WireRows) {
+  const auto node = FakeNode::create();
+  auto server = administration::AdministrationServer::create({"127.0.0.1", 0},
+                                                             node->api())
+                    .value();
+  const std::string address = "127.0.0.1:" + std::to_string(server->port());
+  cr_assert(runOverHttp(address, row) == row.Code, "%s", row.Name);
+  server->stop();
+  cr_assert(runOverHttp(address, row) == ExitCode::Unavailable, "%s", row.Name);
+}
