Receive into a scratch buffer; fewer heartbeats

Each receive and each look-ahead cleared 64 KiB that were then overwritten.

A look-ahead has one deadline, so that a slow caller cannot hold a thread for as many as it sends pieces.

--- a/Source/Http/CallerConnection.cpp
+++ b/Source/Http/CallerConnection.cpp
@@ -18,7 +18,6 @@
 
 using core::ErrorKind;
 
-constexpr std::size_t ReceiveBytes = 16384;
 constexpr std::string_view LineEnd = "\r\n";
 
 } // namespace
@@ -40,12 +39,8 @@
 }
 
 CallerConnection::Received CallerConnection::receive() {
-  const std::size_t held = Buffer.size();
-  Buffer.resize(held + ReceiveBytes);
-  const ssize_t n =
-      ::recv(Descriptor, Buffer.data() + held, ReceiveBytes, MSG_DONTWAIT);
+  const ssize_t n = receiveInto(Descriptor, Buffer);
   const int ec = errno;
-  Buffer.resize(held + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
   if (n > 0)
     return Received::Bytes;
   const bool isOpen = n < 0 && (ec == EAGAIN || ec == EINTR);
--- a/Source/Http/Exchange.cpp
+++ b/Source/Http/Exchange.cpp
@@ -55,20 +55,28 @@
   // A caller that waits for leave to send has not sent a body yet.
   if (ContinueDue || Reader.isDone())
     return {};
-  Prefetched.resize(Options.PrefetchBytes);
-  std::size_t held = 0;
-  const auto room = std::as_writable_bytes(std::span(Prefetched));
-  while (held < room.size() && !Reader.isDone()) {
-    const auto deadline = core::BootClock::now() + Options.BodyTimeout;
-    const auto n = Reader.read(room.subspan(held), deadline);
+  // One deadline for all of it: slow callers must not hold threads for long.
+  const auto deadline = core::BootClock::now() + Options.BodyTimeout;
+  while (Prefetched.size() < Options.PrefetchBytes && !Reader.isDone()) {
+    const std::size_t held = Prefetched.size();
+    Prefetched.resize(std::min(held + prefetchStep(), Options.PrefetchBytes));
+    const auto room =
+        std::as_writable_bytes(std::span(Prefetched).subspan(held));
+    const auto n = Reader.read(room, deadline);
     if (!n)
       return tl::unexpected(n.error());
-    held += *n;
+    Prefetched.resize(held + *n);
   }
-  Prefetched.resize(held);
   return {};
 }
 
+std::size_t Exchange::prefetchStep() const {
+  constexpr std::uint64_t StepBytes = 4096;
+  if (Head.Body == Framing::Sized)
+    return std::min<std::uint64_t>(Head.BodyLength, Options.PrefetchBytes);
+  return StepBytes;
+}
+
 core::Result<std::size_t> Exchange::readBody(std::span<std::byte> out) {
   if (!Attached)
     return core::fail(ErrorKind::BodyIncomplete, "the exchange is over");
--- a/Source/Http/Exchange.h
+++ b/Source/Http/Exchange.h
@@ -108,6 +108,7 @@
   Exchange(std::shared_ptr<CallerConnection> connection, RequestHead head,
            ExchangeOptions options, const std::atomic<bool> &stopping);
 
+  std::size_t prefetchStep() const;
   bool isBodiless(int status) const;
   void formatHead(int status, std::span<const Header> headers,
                   std::optional<std::uint64_t> length);
--- a/Source/Http/SocketWait.cpp
+++ b/Source/Http/SocketWait.cpp
@@ -4,8 +4,10 @@
 #include <cerrno>
 #include <chrono>
 #include <limits>
+#include <vector>
 
 #include <poll.h>
+#include <sys/socket.h>
 
 namespace acaciaroad::http {
 
@@ -38,6 +40,17 @@
 
 } // namespace
 
+ssize_t receiveInto(int descriptor, std::string &buffer) {
+  constexpr std::size_t ReceiveBytes = 65536;
+  // To grow the buffer first would clear bytes that are overwritten.
+  thread_local std::vector<char> scratch(ReceiveBytes);
+  const ssize_t n =
+      ::recv(descriptor, scratch.data(), scratch.size(), MSG_DONTWAIT);
+  if (n > 0)
+    buffer.append(scratch.data(), static_cast<std::size_t>(n));
+  return n;
+}
+
 bool waitReadable(int descriptor, core::TimePoint deadline) {
   return waitFor(descriptor, POLLIN, deadline);
 }
--- a/Source/Http/SocketWait.h
+++ b/Source/Http/SocketWait.h
@@ -1,13 +1,21 @@
 /// \file
-/// Waits for a socket until a deadline.
+/// Waits for a socket until a deadline, and receives from it.
 
 #ifndef ACACIAROAD_HTTP_SOCKETWAIT_H
 #define ACACIAROAD_HTTP_SOCKETWAIT_H
 
+#include <string>
+
+#include <sys/types.h>
+
 #include "Core/Clock.h"
 
 namespace acaciaroad::http {
 
+/// Receives once, without a wait, and appends what came to \p buffer. Returns
+/// what recv() returns, and leaves errno.
+ssize_t receiveInto(int descriptor, std::string &buffer);
+
 /// Waits until a read would not block; returns false at \p deadline.
 bool waitReadable(int descriptor, core::TimePoint deadline);
 
--- a/Source/Http/UpstreamStream.cpp
+++ b/Source/Http/UpstreamStream.cpp
@@ -15,7 +15,6 @@
 
 /// Writes are gathered up to this size.
 constexpr std::size_t GatherBytes = 65536;
-constexpr std::size_t ReceiveBytes = 65536;
 /// Interim answers before the answer proper.
 constexpr int InterimLimit = 8;
 constexpr std::size_t TailBytes = 3;
@@ -96,13 +95,9 @@
     Buffer.clear();
     Used = 0;
   }
-  const std::size_t held = Buffer.size();
   while (true) {
-    Buffer.resize(held + ReceiveBytes);
-    const ssize_t n =
-        ::recv(Descriptor, Buffer.data() + held, ReceiveBytes, MSG_DONTWAIT);
+    const ssize_t n = receiveInto(Descriptor, Buffer);
     const int ec = errno;
-    Buffer.resize(held + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
     if (n > 0)
       return true;
     Ended = n == 0;
--- a/Source/Wire/PeerConnection.cpp
+++ b/Source/Wire/PeerConnection.cpp
@@ -37,6 +37,7 @@
   dealer.set(zmq::sockopt::heartbeat_ivl, countOf(options.HeartbeatInterval));
   dealer.set(zmq::sockopt::heartbeat_timeout,
              countOf(options.HeartbeatTimeout));
+  dealer.set(zmq::sockopt::heartbeat_ttl, countOf(options.SilenceLimit));
   dealer.set(zmq::sockopt::connect_timeout, countOf(options.ConnectTimeout));
   if (!options.Curve)
     return;
--- a/Source/Wire/PeerConnection.h
+++ b/Source/Wire/PeerConnection.h
@@ -25,9 +25,13 @@
   int HighWaterMark = 1024;
   /// Messages that wait for one connection to come up.
   std::size_t PendingLimit = 1024;
-  /// Interval of ZeroMQ's heartbeats, and the wait for an answer to one.
-  std::chrono::milliseconds HeartbeatInterval{3000};
-  std::chrono::milliseconds HeartbeatTimeout{3000};
+  /// Interval of ZeroMQ's heartbeats, and the wait for an answer to one. They
+  /// find peers that vanished without closing; requests have deadlines, so a
+  /// short interval would only cost wake-ups.
+  std::chrono::milliseconds HeartbeatInterval{10'000};
+  std::chrono::milliseconds HeartbeatTimeout{10'000};
+  /// A peer drops our connection when it hears nothing for this time.
+  std::chrono::milliseconds SilenceLimit{30'000};
   /// Wait for the first handshake.
   std::chrono::milliseconds ConnectTimeout{1000};
 };
