--- a/Tests/Http/CallerServerTest.cpp
+++ b/Tests/Http/CallerServerTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/CallerServer.h"
 
 #include <future>
+#include <random>
 
 #include <nlohmann/json.hpp>
 
@@ -210,6 +211,21 @@
      }},
 };
 
+const unsigned FuzzSeeds[] = {1, 2, 3, 4};
+
+/// A request that is mostly well-formed, in a way that depends on \p random
+/// alone.
+std::string mutatedRequest(std::mt19937 &random) {
+  std::string out = random() % 2 == 0 ? Chunked + "3\r\nabc\r\n0\r\n\r\n"
+                                      : Start + "Content-Length: 3\r\n\r\nabc";
+  const auto edits = 1 + random() % 4;
+  for (std::uint32_t n = 0; n < edits; ++n)
+    out[random() % out.size()] = static_cast<char>(random());
+  if (random() % 4 == 0)
+    out.resize(random() % out.size());
+  return out;
+}
+
 struct RefusalRow {
   core::ErrorKind Kind;
   std::optional<int> RetryAfter;
@@ -283,6 +299,20 @@
   cr_assert(answer.ends_with("\"request_id\":\"r-1\"}"));
 }
 
+ACACIA_TABLE_TEST(CallerServerTest, corruptRequestsNeverCrash, FuzzSeeds) {
+  constexpr int Requests = 300;
+  const auto server = start(echo);
+  std::mt19937 random(row);
+  for (int n = 0; n < Requests; ++n) {
+    const std::string answer =
+        exchangeWith(*server, mutatedRequest(random), true);
+    cr_assert(answer.empty() || answer.starts_with("HTTP/1.1 "));
+  }
+  const std::string answer =
+      exchangeWith(*server, Start + "Connection: close\r\n\r\n", false);
+  cr_assert(answer.ends_with("<>"));
+}
+
 Test(CallerServerTest, continueIsSentOnlyWhenTheBodyIsWanted) {
   const auto server = start([](const std::shared_ptr<Exchange> &it) {
     if (it->target() == "/wanted")
