Remove an ended call before its readers wake

A reader that saw the end of a call could still find it counted as running; the address sanitizer's timing showed it in requestThatNeverLeftIsUnreachable. The hook now runs under the call's lock.

--- a/Source/Wire/ForwardCall.cpp
+++ b/Source/Wire/ForwardCall.cpp
@@ -408,18 +408,16 @@
 }
 
 void ForwardCall::settle(Lock &lock) {
-  std::function<void()> closed;
   std::function<void()> cancelled;
   const std::function<void()> event = OnEvent;
-  if (Closed && !std::exchange(CloseReported, true))
-    closed = std::exchange(OnClosed, nullptr);
+  // Under the lock, so that whoever sees the end of the call finds it removed.
+  if (Closed && !std::exchange(CloseReported, true) && OnClosed)
+    std::exchange(OnClosed, nullptr)();
   if (Cancelled)
     cancelled = std::exchange(OnCancelled, nullptr);
   // Woken under the lock, a reader would wait again for the lock.
   lock.unlock();
   Changed.notify_all();
-  if (closed)
-    closed();
   if (cancelled)
     cancelled();
   if (event)
--- a/Source/Wire/ForwardCall.h
+++ b/Source/Wire/ForwardCall.h
@@ -123,7 +123,8 @@
   // What follows is for ForwardClient and ForwardServer, on the transport
   // thread.
 
-  /// \p hook runs once, when no more frames are expected.
+  /// \p hook runs once, when no more frames are expected; it must not use the
+  /// call.
   void setOnClosed(std::function<void()> hook);
 
   /// Takes a frame; returns false if it does not belong to this call.
