--- a/Source/Requests/IdempotencyMessages.h
+++ b/Source/Requests/IdempotencyMessages.h
@@ -21,7 +21,8 @@
 struct IdempotencyId {
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
-  auto operator<=>(const IdempotencyId &) const = default;
+  // clang-tidy 14 takes the 0 in rewritten comparisons for a pointer.
+  auto operator<=>(const IdempotencyId &) const = default; // NOLINT
 
   static IdempotencyId of(std::string_view account, std::string_view key);
 };
--- a/Tests/Requests/CandidateChoiceTest.cpp
+++ b/Tests/Requests/CandidateChoiceTest.cpp
@@ -1,6 +1,8 @@
 #include "Requests/CandidateChoice.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "Support/Random.h"
@@ -89,14 +91,11 @@
   std::vector<core::InstanceId> tried;
   for (const std::uint64_t n : row.Tried)
     tried.push_back(id(n));
-  std::map<std::uint64_t, int> chosen;
+  std::set<std::uint64_t> chosen;
   for (int n = 0; n < 1000; ++n)
     if (const auto it = choice.choose(tried, Start))
-      ++chosen[it->Value];
-  std::vector<std::uint64_t> ids;
-  for (const auto &[n, count] : chosen)
-    ids.push_back(n);
-  cr_assert(ids == row.Chosen, "%s", row.Name);
+      chosen.insert(it->Value);
+  cr_assert(std::ranges::equal(chosen, row.Chosen), "%s", row.Name);
 }
 
 Test(CandidateChoiceTest, ownRequestsCountBeforeTheyAreReported) {
--- a/Tests/Requests/IdempotencyTakeoverTest.cpp
+++ b/Tests/Requests/IdempotencyTakeoverTest.cpp
@@ -102,7 +102,7 @@
     Owners.push_back(std::move(it));
   }
 
-  void send(std::function<void()> call) {
+  void send(const std::function<void()> &call) {
     const int copies = Source.chance(Row.Duplication) ? 2 : 1;
     for (int n = 0; n < copies; ++n)
       if (!Source.chance(Row.Loss))
