--- a/Tests/Accounts/RateJudge.h
+++ b/Tests/Accounts/RateJudge.h
@@ -26,12 +26,13 @@
     return Level >= 0;
   }
 
-  /// Returns whether one request would conform, and takes it if so.
-  bool takeIfConforming(core::TimePoint now) {
+  /// Returns whether a request of \p cost units would conform, and takes it if
+  /// so.
+  bool takeIfConforming(core::TimePoint now, std::int64_t cost = 1) {
     refill(now);
-    if (Level < Unit)
+    if (Level < cost * Unit)
       return false;
-    Level -= Unit;
+    Level -= cost * Unit;
     return true;
   }
 
