--- a/bench/BenchCredit.cpp
+++ b/bench/BenchCredit.cpp
@@ -81,7 +81,7 @@
     grants.push_back({ask.Id,
                       ask.Account,
                       accounts::CreditStatus::Granted,
-                      ask.Needed + 9,
+                      ask.Needed + ask.Wanted,
                       std::chrono::milliseconds(500),
                       {}});
   };
