--- a/Tests/Accounts/CreditFleetTest.cpp
+++ b/Tests/Accounts/CreditFleetTest.cpp
@@ -17,7 +17,8 @@
   for (int n = 0; n < 8; ++n) {
     const std::int64_t rate = n < 2 ? 400 : 20 + 10 * n;
     const double over = n % 3 == 0 ? factor : 0.7;
-    out.push_back({"account" + std::to_string(n), rate, rate / 2,
+    out.push_back({"account" + std::to_string(n), rate,
+                   n % 2 == 0 ? rate / 2 : rate / 10 + 2,
                    static_cast<double>(rate) * over, n % 2 == 0 ? 0.0 : 2.0});
   }
   return out;
@@ -52,6 +53,15 @@
 
 constexpr std::uint64_t Seeds = 25;
 
+/// Sends far more than the burst of every account at one moment.
+void salvo(CreditFleet &fleet) {
+  constexpr int PerNode = 20;
+  for (std::size_t account = 0; account < 8; ++account)
+    for (std::size_t node = 0; node < Nodes; ++node)
+      for (int n = 0; n < PerNode; ++n)
+        fleet.request(account, node);
+}
+
 /// Causes one fault at a random moment, and then the next.
 void cause(EventLoop &loop, Random &random, CreditFleet &fleet, Chaos what) {
   if (what == Chaos::None)
@@ -77,6 +87,7 @@
                [&fleet, node] { fleet.pause(node, false); });
     break;
   }
+  loop.after(milliseconds(random.below(1200)), [&] { salvo(fleet); });
   loop.after(milliseconds(400 + random.below(1200)),
              [&, what] { cause(loop, random, fleet, what); });
 }
@@ -116,8 +127,10 @@
   EventLoop loop;
   Random random(11);
   std::vector<ModelAccount> accounts = accountsAt(1);
-  for (ModelAccount &it : accounts)
+  for (ModelAccount &it : accounts) {
     it.Offered = static_cast<double>(it.PerSecond) * row.Rate;
+    it.Burst = it.PerSecond / 2;
+  }
   CreditFleet fleet(loop, random, Nodes, accounts, {});
   loop.runUntil(loop.now() + seconds(2));
   fleet.run(loop.now() + seconds(60));
