--- a/Source/Ownership/FleetMap.cpp
+++ b/Source/Ownership/FleetMap.cpp
@@ -19,6 +19,15 @@
   return core::hashOf(service.name(), index);
 }
 
+/// Removes what \p isDone says; an emptied list keeps no memory, as there are
+/// hundreds of thousands of them.
+template <typename Function>
+void removeFrom(std::vector<Predecessor> &list, Function isDone) {
+  std::erase_if(list, isDone);
+  if (list.empty())
+    list = std::vector<Predecessor>();
+}
+
 bool areWitnessesValid(core::InstanceId holder,
                        std::vector<core::InstanceId> witnesses) {
   if (witnesses.size() > MaxWitnesses)
@@ -315,8 +324,8 @@
     Instances.at(state.Owner).PredecessorOf.insert(ref);
   }
   // The same incarnation knows what it still runs itself.
-  std::erase_if(state.Predecessors,
-                [to](const Predecessor &it) { return it.Id == to; });
+  removeFrom(state.Predecessors,
+             [to](const Predecessor &it) { return it.Id == to; });
   if (to)
     Instances.at(to).PredecessorOf.erase(ref);
   service.setOwner(index, to);
@@ -329,7 +338,7 @@
   if (std::find(before.begin(), before.end(), predecessor) == before.end())
     return false;
   auto &list = service.edit(ref.Index).Predecessors;
-  std::erase(list, predecessor);
+  removeFrom(list, [&](const Predecessor &it) { return it == predecessor; });
   const auto it = Instances.find(predecessor.Id);
   const bool isListed =
       std::any_of(list.begin(), list.end(), [&](const Predecessor &other) {
@@ -343,8 +352,8 @@
 void FleetMap::clearAllOf(core::InstanceId id) {
   const std::set<SliceRef> refs = Instances.at(id).PredecessorOf;
   for (const SliceRef ref : refs) {
-    std::erase_if(Services[ref.Service].edit(ref.Index).Predecessors,
-                  [id](const Predecessor &it) { return it.Id == id; });
+    removeFrom(Services[ref.Service].edit(ref.Index).Predecessors,
+               [id](const Predecessor &it) { return it.Id == id; });
     TouchedSlices.push_back(ref);
   }
   Instances.at(id).PredecessorOf.clear();
@@ -481,8 +490,9 @@
 std::vector<core::InstanceId>
 FleetMap::eligible(std::string_view service) const {
   const ServiceSlices *found = this->service(service);
-  return found == nullptr ? std::vector<core::InstanceId>{}
-                          : found->placement().eligible();
+  if (found == nullptr)
+    return {};
+  return found->placement().eligible();
 }
 
 std::vector<SliceRef> FleetMap::slicesOf(core::InstanceId id) const {
--- a/Source/Ownership/Placement.cpp
+++ b/Source/Ownership/Placement.cpp
@@ -12,6 +12,7 @@
     return;
   it->second.SharePermille = sharePermille;
   list(id, it->second);
+  noteEligible(id, sharePermille > 0);
 }
 
 void Placement::removeMember(core::InstanceId id) {
@@ -20,6 +21,7 @@
     return;
   unlist(id, it->second);
   Members.erase(it);
+  noteEligible(id, false);
 }
 
 void Placement::setShare(core::InstanceId id, std::uint32_t sharePermille) {
@@ -29,6 +31,7 @@
   unlist(id, it->second);
   it->second.SharePermille = sharePermille;
   list(id, it->second);
+  noteEligible(id, sharePermille > 0);
 }
 
 void Placement::give(core::InstanceId id, core::SliceIndex slice) {
@@ -93,13 +96,13 @@
   return static_cast<std::uint32_t>(sliceCount * share / TotalShare);
 }
 
-std::vector<core::InstanceId> Placement::eligible() const {
-  std::vector<core::InstanceId> out;
-  out.reserve(Order.size());
-  for (const auto &it : Order)
-    out.push_back(core::InstanceId{it.second});
-  std::sort(out.begin(), out.end());
-  return out;
+void Placement::noteEligible(core::InstanceId id, bool isEligible) {
+  const auto it = std::lower_bound(Eligible.begin(), Eligible.end(), id);
+  const bool isListed = it != Eligible.end() && *it == id;
+  if (isEligible && !isListed)
+    Eligible.insert(it, id);
+  else if (!isEligible && isListed)
+    Eligible.erase(it);
 }
 
 Placement::OrderKey Placement::keyOf(core::InstanceId id,
--- a/Source/Ownership/Placement.h
+++ b/Source/Ownership/Placement.h
@@ -49,7 +49,7 @@
   std::uint32_t fairShare(core::InstanceId id, std::uint32_t sliceCount) const;
 
   /// Returns the eligible members in the order of their ids.
-  std::vector<core::InstanceId> eligible() const;
+  const std::vector<core::InstanceId> &eligible() const { return Eligible; }
 
 private:
   struct Member {
@@ -61,10 +61,12 @@
   static OrderKey keyOf(core::InstanceId id, const Member &member);
   void unlist(core::InstanceId id, const Member &member);
   void list(core::InstanceId id, const Member &member);
+  void noteEligible(core::InstanceId id, bool isEligible);
 
   std::unordered_map<core::InstanceId, Member> Members;
   /// Eligible members by relative load, then id.
   std::set<OrderKey> Order;
+  std::vector<core::InstanceId> Eligible;
   std::uint64_t TotalShare = 0;
 };
 
