--- a/Source/Programs/Load/Report.cpp
+++ b/Source/Programs/Load/Report.cpp
@@ -10,7 +10,7 @@
 
 constexpr core::Duration Second = std::chrono::seconds(1);
 /// Divisions of the keys of a class for unavailable time.
-constexpr std::uint32_t KeyDivisions = 64;
+constexpr std::uint32_t KeyDivisions = 16;
 constexpr double P50 = 0.5;
 constexpr double P90 = 0.9;
 constexpr double P99 = 0.99;
@@ -74,6 +74,8 @@
       ++Out.WrongfullyRefused;
     if (sample.End.Result == Outcome::Served)
       Latencies.add(sample.Latency);
+    else if (sample.Request.IsWithinRate)
+      disturb(sample.Request.Time);
     Outages[{workClass, sample.Request.Key % KeyDivisions}].add(sample);
   }
 
@@ -93,7 +95,14 @@
   }
 
 private:
+  void disturb(core::Duration time) {
+    if (!FirstDisturbed)
+      FirstDisturbed = time;
+    Out.Disturbance = time - *FirstDisturbed;
+  }
+
   GroupReport Out;
+  std::optional<core::Duration> FirstDisturbed;
   LatencyRecorder Latencies;
   std::map<std::pair<std::size_t, std::uint32_t>, OutageClock> Outages;
 };
--- a/Source/Programs/Load/Report.h
+++ b/Source/Programs/Load/Report.h
@@ -36,9 +36,12 @@
   /// Refused although the account was within its rate and burst.
   std::uint64_t WrongfullyRefused = 0;
   LatencySummary Latency;
+  /// From the first to the last request that was not served although the
+  /// account was within its rate.
+  core::Duration Disturbance{};
   /// Mean over the divisions of the keys: time from the first request that the
   /// system did not serve, without a fault of the account, to the next one
-  /// served.
+  /// served. No finer than the time between two requests of a division.
   core::Duration Unavailable{};
   /// Longest such time of one division.
   core::Duration LongestOutage{};
--- a/Source/Programs/Load/ReportJson.cpp
+++ b/Source/Programs/Load/ReportJson.cpp
@@ -45,6 +45,7 @@
   out["unknown_by_kind"] = kindsJson(group, core::Ran::Unknown);
   out["wrongfully_refused"] = group.WrongfullyRefused;
   out["latency_ms"] = latencyJson(group.Latency);
+  out["disturbance_ms"] = millisecondsOf(group.Disturbance);
   out["unavailable_ms"] = millisecondsOf(group.Unavailable);
   out["longest_outage_ms"] = millisecondsOf(group.LongestOutage);
   return out;
--- a/Tests/Processes/deployment.py
+++ b/Tests/Processes/deployment.py
@@ -21,6 +21,9 @@
 }
 ACCOUNTS = {"large": (200, 400), "small": (20, 40)}
 READY_TIMEOUT_S = 40
+# The load report takes an account's bucket for full at the start; a new one
+# is empty and needs burst / rate.
+BUCKET_FILL_S = max(burst / rate for rate, burst in ACCOUNTS.values()) + 1
 LOAD_TIMEOUT_S = 120
 
 
@@ -47,6 +50,7 @@
                      {"rate_per_second": rate, "burst": burst})
             self.await_true(lambda n=name: self.grant(n), "key of " + name)
         self.await_true(self.is_served, "every class served")
+        time.sleep(BUCKET_FILL_S)
 
     def admin(self, method, path, body=None, node=0, timeout=10):
         return fleet.http_json(method, "http://%s%s" % (
--- a/Tests/Processes/fault_test.py
+++ b/Tests/Processes/fault_test.py
@@ -65,22 +65,36 @@
 
 
 # Name, fault, largest share of requests that may stay unserved, and the
-# longest outage of a division of keys in ms. The numbers bound what the
-# recovery that the design states costs at this load: a takeover within 1 s is
-# about 7% of 15 s for a sixth of the requests.
+# longest time in ms from the first to the last request that was not served
+# although its account was within its rate.
 ROWS = [
-    ("no_fault", no_fault, 0.005, 500),
-    ("lost_node", lost_node, 0.10, 5000),
-    ("paused_node", paused_node, 0.20, 8000),
-    ("log_outage", log_outage, 0.01, 1000),
-    ("lost_log_answers", lost_log_answers, 0.20, 9000),
-    ("lost_upstream_answers", lost_upstream_answers, 0.15, 5000),
-    ("stopped_node", stopped_node, 0.02, 2000),
-    ("frozen_upstream", frozen_upstream, 0.10, 5000),
+    ("no_fault", no_fault, 0.005, 0),
+    ("lost_node", lost_node, 0.10, 1500),
+    ("paused_node", paused_node, 0.20, 4500),
+    ("log_outage", log_outage, 0.01, 0),
+    ("lost_log_answers", lost_log_answers, 0.20, 1500),
+    ("lost_upstream_answers", lost_upstream_answers, 0.15, 1500),
+    ("stopped_node", stopped_node, 0.02, 500),
+    ("frozen_upstream", frozen_upstream, 0.10, 3000),
 ]
 
+# A graceful stop answers every request.
+CUT_OUTCOMES = ("unknown", "timeout", "broken", "unreachable", "bad_status")
 
-def run_row(name, fault, unserved_share, outage_ms):
+
+def check_stop(it, result):
+    found = []
+    for name in CUT_OUTCOMES:
+        if result["all"][name]:
+            found.append("cut by a graceful stop: %d %s" % (
+                result["all"][name], name))
+    code = it.fleet.instances[0].node.wait(15)
+    if code != 0:
+        found.append("exit code %s after SIGTERM" % code)
+    return found
+
+
+def run_row(name, fault, unserved_share, disturbance_ms):
     it = deployment.Deployment()
     found = []
     try:
@@ -94,17 +108,17 @@
         if unserved > unserved_share:
             found.append("unserved share %.4f > %.4f" % (
                 unserved, unserved_share))
-        if result["all"]["longest_outage_ms"] > outage_ms:
-            found.append("outage %.0f ms > %d ms" % (
-                result["all"]["longest_outage_ms"], outage_ms))
+        disturbance = result["all"]["disturbance_ms"]
+        if disturbance > disturbance_ms:
+            found.append("disturbance %.0f ms > %d ms" % (
+                disturbance, disturbance_ms))
+        if name == "stopped_node":
+            found += check_stop(it, result)
         kinds = {**result["all"]["refused_by_kind"],
                  **result["all"]["unknown_by_kind"]}
-        print("%s: unserved %.4f, longest outage %.0f ms, kinds %s" % (
-            name, unserved, result["all"]["longest_outage_ms"], kinds))
-        if name == "stopped_node":
-            code = it.fleet.instances[0].node.wait(15)
-            if code != 0:
-                found.append("exit code %s after SIGTERM" % code)
+        print("%s: unserved %.4f, disturbance %.0f ms, wrongful %d, kinds %s"
+              % (name, unserved, disturbance,
+                 result["all"]["wrongfully_refused"], kinds))
     except AssertionError as error:
         found.append(str(error))
     finally:
--- a/Tests/Programs/ReportTest.cpp
+++ b/Tests/Programs/ReportTest.cpp
@@ -80,6 +80,15 @@
   cr_assert(ms >= row.Milliseconds * 0.999 && ms <= row.Milliseconds * 1.01);
 }
 
+Test(ReportTest, disturbanceSpansRequestsWithinTheRate) {
+  const Sample samples[] = {
+      sampleAt(1s, 0, {Outcome::Refused, ErrorKind::RateExceeded}, false),
+      sampleAt(2s, 0, {Outcome::Refused, ErrorKind::RateExceeded}),
+      sampleAt(3s, 0, Served), sampleAt(4s, 0, {Outcome::Timeout}),
+      sampleAt(9s, 0, Served)};
+  cr_assert(analyse(twoAccounts(), samples).All.Disturbance == 2s);
+}
+
 Test(ReportTest, outageWithoutEndLastsToTheEnd) {
   const Sample samples[] = {sampleAt(4s, 0, {Outcome::Broken})};
   const Report report = analyse(twoAccounts(), samples);
