--- a/Source/Administration/TotalsStream.h
+++ b/Source/Administration/TotalsStream.h
@@ -29,7 +29,7 @@
 public:
   /// Records may stand this much earlier or later than their time says: the
   /// interval, the skew of clocks and a log outage.
-  static constexpr std::int64_t SlackMilliseconds = 2 * 60 * 60 * 1000;
+  static constexpr std::int64_t SlackMilliseconds = 7'200'000;
 
   explicit TotalsStream(TotalsStreamHooks hooks) : Hooks(std::move(hooks)) {}
 
