--- a/Source/Administration/AdministrationServer.cpp
+++ b/Source/Administration/AdministrationServer.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::size_t Threads = 16;
+static_assert(Threads > AdministrationApi::MaxOperatorCalls,
+              "operators must leave a thread to the upstream");
 constexpr std::size_t MaxConnections = 256;
 
 std::string_view withoutQuotes(std::string_view text) {
--- a/Tests/Administration/AdministrationApiTest.cpp
+++ b/Tests/Administration/AdministrationApiTest.cpp
@@ -244,7 +244,9 @@
   AdministrationHooks hooks = node->hooks();
   std::shared_ptr<AdministrationApi> api;
   int innermost = 0;
+  int waiting = 0;
   hooks.InForce = [&](core::Offset, std::chrono::milliseconds) {
+    ++waiting;
     const auto response = api->handle(request("GET", "/v1/in-force?offset=1"));
     if (response.Status != 200) {
       innermost = response.Status;
@@ -260,6 +262,7 @@
   api = AdministrationApi::create(hooks, std::move(tokens), {}).value();
   api->handle(request("GET", "/v1/in-force?offset=1"));
   cr_assert_eq(innermost, 503);
+  cr_assert_eq(waiting, AdministrationApi::MaxOperatorCalls);
   cr_assert_eq(api->handle(request("GET", "/v1/status")).Status, 200);
 }
 
