Hand ids and credit over before a slice starts

A slice of a service with a class that runs at most once starts only when the ids of its former owners are known: from the former owner itself in a planned move, else from so many of its witnesses that every majority is met, and when majorities of the own witnesses know them too. A planned move of an account hands its bucket over, so that the new owner need not wait out the credit. Placement decisions get their log lines.

--- a/Source/Codec/ControlCodec.cpp
+++ b/Source/Codec/ControlCodec.cpp
@@ -231,6 +231,33 @@
          readSettled(from, to.Settled);
 }
 
+void write(const accounts::CreditHandover &from, pb::Control &out) {
+  auto &to = *out.mutable_credit_handover();
+  to.set_account(from.Account);
+  to.set_level(from.Level);
+  for (const accounts::OutstandingCredit &it : from.Outstanding) {
+    auto &credit = *to.add_outstanding();
+    credit.set_holder(it.Holder.Value);
+    credit.set_ask(it.Ask);
+    credit.set_amount(it.Amount);
+    credit.set_remaining_ns(durationNumber(it.Remaining));
+  }
+}
+bool read(const pb::CreditHandover &from, accounts::CreditHandover &to) {
+  to.Level = from.level();
+  if (from.outstanding_size() > MaxRepeated ||
+      !readString(from.account(), to.Account))
+    return false;
+  return readAll(from.outstanding(), to.Outstanding,
+                 [](const pb::OutstandingCredit &message,
+                    accounts::OutstandingCredit &it) {
+                   it.Holder = InstanceId{message.holder()};
+                   it.Ask = message.ask();
+                   it.Amount = message.amount();
+                   return readDuration(message.remaining_ns(), it.Remaining);
+                 });
+}
+
 // Requests.
 
 void write(const requests::IdempotencyTell &from, pb::Control &out) {
@@ -387,6 +414,8 @@
     return readInto<accounts::CreditGrant>(from.credit_grant(), to);
   case pb::Control::kCreditReturn:
     return readInto<accounts::CreditReturn>(from.credit_return(), to);
+  case pb::Control::kCreditHandover:
+    return readInto<accounts::CreditHandover>(from.credit_handover(), to);
   case pb::Control::kTell:
     return readInto<requests::IdempotencyTell>(from.tell(), to);
   case pb::Control::kAck:
--- a/Source/Codec/ControlCodec.h
+++ b/Source/Codec/ControlCodec.h
@@ -30,8 +30,9 @@
 using ControlBody =
     std::variant<ownership::ControlMessage, accounts::CreditAsk,
                  accounts::CreditGrant, accounts::CreditReturn,
-                 requests::IdempotencyTell, requests::IdempotencyAck,
-                 requests::IdempotencyForget, requests::IdempotencyHandoverAsk,
+                 accounts::CreditHandover, requests::IdempotencyTell,
+                 requests::IdempotencyAck, requests::IdempotencyForget,
+                 requests::IdempotencyHandoverAsk,
                  requests::IdempotencyHandover, OffsetQuery, OffsetReport>;
 
 /// A control message and the incarnation that sent it.
--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -13,6 +13,7 @@
                      ownership::InstanceInfo info, ControlStateHooks hooks) {
   std::unique_ptr<ControlState> state(new ControlState(std::move(hooks)));
   state->Self = info.Id;
+  state->Handovers = requests::HandoverLedger(info.Id);
   auto agent = ownership::OwnershipAgent::create(options, std::move(info),
                                                  state->agentHooks());
   if (!agent)
@@ -39,6 +40,11 @@
     Hooks.Append(codec::LogEntry(record), [] {});
   };
   out.Changed = [this] { Changed = true; };
+  out.SliceTouched = [this](ownership::SliceRef ref, core::TimePoint now) {
+    onSliceTouched(ref, now);
+  };
+  out.MayStart = [this](const core::SliceId &slice) { return mayStart(slice); };
+  out.MayPropose = [this] { return Hooks.AreAllIdsWitnessed(); };
   return out;
 }
 
@@ -72,15 +78,21 @@
 }
 
 core::Result<void> ControlState::fold(const PlacedEntry &entry) {
-  if (const auto *it = std::get_if<ownership::OwnershipRecord>(&entry.Entry))
-    return Agent->onRecord(*it, entry.Offset, Hooks.Now());
+  if (const auto *it = std::get_if<ownership::OwnershipRecord>(&entry.Entry)) {
+    auto verdict = Agent->onRecord(*it, entry.Offset, Hooks.Now());
+    if (verdict)
+      logPlacement(entry.Entry);
+    return verdict;
+  }
   const auto *it =
       std::get_if<configuration::ConfigurationRecord>(&entry.Entry);
   if (it == nullptr)
     return {};
   auto verdict = Configuration->apply(*it, entry.Offset);
-  if (verdict)
-    Changed = true;
+  if (!verdict)
+    return verdict;
+  Changed = true;
+  logPlacement(entry.Entry);
   return verdict;
 }
 
@@ -151,6 +163,7 @@
 void ControlState::onSlicesIdle(std::span<const core::SliceId> slices) {
   for (const core::SliceId &it : slices)
     Releasing.erase(it);
+  handOverIds(slices);
   Agent->onSlicesIdle(slices, Hooks.Now());
 }
 
@@ -162,6 +175,12 @@
   Witness->expire(now);
   if (const auto due = Witness->nextDeadline())
     next = std::min(next, *due);
+  askForIds(now);
+  if (const auto due = Handovers.nextDeadline())
+    next = std::min(next, *due);
+  if (!Hooks.AreAllIdsWitnessed())
+    next = std::min(next, NextRetell);
+  logLease(now);
   publishIfChanged();
   return next;
 }
@@ -205,7 +224,9 @@
     reply(from, refusal);
     return;
   }
-  reply(from, Credit.asked(message, now));
+  const accounts::CreditGrant grant = Credit.asked(message, now);
+  Hooks.Log->creditGrant(from, grant);
+  reply(from, grant);
 }
 
 void ControlState::handle(core::InstanceId /*from*/,
@@ -218,6 +239,11 @@
   Credit.returned(message, Hooks.Now());
 }
 
+void ControlState::handle(core::InstanceId /*from*/,
+                          const accounts::CreditHandover &message) {
+  CreditIn.insert_or_assign(message.Account, message);
+}
+
 void ControlState::handle(core::InstanceId from,
                           const requests::IdempotencyTell &message) {
   reply(from, Witness->told(message, Hooks.Now()));
@@ -240,7 +266,7 @@
 
 void ControlState::handle(core::InstanceId /*from*/,
                           const requests::IdempotencyHandover &message) {
-  Hooks.DeliverToTraffic(message);
+  onImported(message);
 }
 
 void ControlState::handle(core::InstanceId from,
@@ -282,8 +308,8 @@
   view->Ownership = Agent->view();
   view->NextOffset = NextOffset;
   Hooks.Publish(std::move(view));
-  reviewAccounts();
   releaseSlices();
+  reviewAccounts();
 }
 
 void ControlState::reviewAccounts() {
@@ -306,10 +332,17 @@
     Credit.disown(account.Name);
     return;
   }
-  if (Credit.owns(account.Name))
+  if (Credit.owns(account.Name)) {
     (void)Credit.change(account.Name, rate, now);
-  else
+    return;
+  }
+  const auto handed = CreditIn.find(account.Name);
+  if (handed == CreditIn.end()) {
     (void)Credit.own(account.Name, rate, now);
+    return;
+  }
+  (void)Credit.own(handed->second, rate, now);
+  CreditIn.erase(handed);
 }
 
 void ControlState::releaseSlices() {
@@ -317,8 +350,141 @@
   for (const core::SliceId &it : Agent->drainingSlices())
     if (Releasing.insert(it).second)
       fresh.push_back(it);
-  if (!fresh.empty())
-    Hooks.ReleaseSlices(fresh);
+  if (fresh.empty())
+    return;
+  handOverCredit(fresh);
+  Hooks.ReleaseSlices(fresh);
+}
+
+void ControlState::handOverCredit(std::span<const core::SliceId> slices) {
+  const core::TimePoint now = Hooks.Now();
+  const ownership::FleetMap &map = Agent->map();
+  for (const configuration::AccountItem &it : Configuration->accounts()) {
+    const auto owner =
+        map.ownerOf(ownership::AccountsService, core::hashOf(it.Value.Name));
+    const bool isMoving = owner && std::find(slices.begin(), slices.end(),
+                                             owner->Slice) != slices.end();
+    if (!isMoving)
+      continue;
+    // The view that moved the slice is published, so nothing is granted after.
+    if (auto handover = Credit.handOver(it.Value.Name, now))
+      send(owner->Instance, std::move(*handover));
+  }
+}
+
+// Ids of at-most-once requests.
+
+bool ControlState::needsIds(std::string_view service) const {
+  const auto classes = Configuration->classes();
+  return std::any_of(
+      classes.begin(), classes.end(), [&](const configuration::ClassItem &it) {
+        return it.Value.Service == service &&
+               it.Value.Runs == configuration::Execution::AtMostOnce;
+      });
+}
+
+requests::HandoverSource ControlState::sourceOf(core::InstanceId id) const {
+  requests::HandoverSource out;
+  out.Owner = id;
+  out.IsLost = !Agent->map().holdsLease(id);
+  if (const ownership::InstanceState *state = Agent->map().instance(id))
+    out.Witnesses = state->Witnesses;
+  return out;
+}
+
+void ControlState::onSliceTouched(ownership::SliceRef ref,
+                                  core::TimePoint now) {
+  const ownership::FleetMap &map = Agent->map();
+  const ownership::SliceState *state = map.slice(ref);
+  const core::SliceId slice = map.idOf(ref);
+  if (state == nullptr || state->Owner != Self) {
+    Owned.erase(slice);
+    Handovers.lost(slice);
+    return;
+  }
+  const auto [it, isNew] = Owned.try_emplace(slice, state->Epoch);
+  if (!isNew && it->second == state->Epoch) {
+    std::vector<core::InstanceId> remaining;
+    for (const ownership::Predecessor &p : state->Predecessors)
+      remaining.push_back(p.Id);
+    Handovers.onRemaining(slice, remaining, now);
+    return;
+  }
+  it->second = state->Epoch;
+  if (!needsIds(slice.Service))
+    return;
+  std::vector<requests::HandoverSource> sources;
+  for (const ownership::Predecessor &p : state->Predecessors)
+    sources.push_back(sourceOf(p.Id));
+  Handovers.gained(slice, state->Epoch, std::move(sources), now);
+}
+
+bool ControlState::mayStart(const core::SliceId &slice) const {
+  return Handovers.isComplete(slice) && Hooks.AreIdsWitnessed(slice);
+}
+
+void ControlState::onImported(const requests::IdempotencyHandover &handover) {
+  const auto it = Owned.find(handover.Slice);
+  if (it == Owned.end() || it->second != handover.Epoch)
+    return;
+  // A register that is full keeps the slice from starting.
+  if (!Hooks.ImportIds(handover) || !Handovers.delivered(handover))
+    return;
+  Hooks.TellIds(handover.Slice, handover.Epoch);
+  Agent->slicesMayStart(Hooks.Now());
+}
+
+void ControlState::onIdsWitnessed() { Agent->slicesMayStart(Hooks.Now()); }
+
+void ControlState::handOverIds(std::span<const core::SliceId> slices) {
+  const ownership::FleetMap &map = Agent->map();
+  for (const core::SliceId &it : slices) {
+    const auto ref = map.refOf(it);
+    if (!ref || !needsIds(it.Service))
+      continue;
+    const ownership::SliceState *state = map.slice(*ref);
+    if (state->Owner && state->Owner != Self)
+      send(state->Owner, Hooks.ReleaseIds(it, state->Epoch));
+  }
+}
+
+void ControlState::askForIds(core::TimePoint now) {
+  for (const requests::DueHandoverAsk &it : Handovers.due(now)) {
+    if (it.Witness == Self)
+      onImported(Witness->handOver(it.Ask, now));
+    else
+      send(it.Witness, it.Ask);
+  }
+  if (now < NextRetell || Hooks.AreAllIdsWitnessed())
+    return;
+  NextRetell = now + std::chrono::nanoseconds(RetellInterval);
+  Hooks.RetellIds();
+}
+
+// Log lines.
+
+void ControlState::logPlacement(const codec::LogEntry &entry) {
+  if (const auto *record = std::get_if<ownership::OwnershipRecord>(&entry)) {
+    if (const auto *it = std::get_if<ownership::InstanceRetired>(record)) {
+      Hooks.Log->takeover(it->Id, it->Reason);
+      Handovers.onSourceLost(it->Id, Hooks.Now());
+    }
+    if (const auto *it = std::get_if<ownership::DataCentreShareSet>(record))
+      Hooks.Log->dataCentreShare(it->DataCentre, it->SharePermille);
+    return;
+  }
+  const auto *record = std::get_if<configuration::ConfigurationRecord>(&entry);
+  if (record == nullptr)
+    return;
+  if (const auto *it = std::get_if<configuration::KeyWithdrawn>(record))
+    Hooks.Log->keyWithdrawn(it->KeyId);
+}
+
+void ControlState::logLease(core::TimePoint now) {
+  const bool hasLease = Agent->leaseExpiry() > now;
+  if (HadLease && !hasLease && Agent->hasJoined())
+    Hooks.Log->leaseLost();
+  HadLease = hasLease;
 }
 
 } // namespace acaciaroad::node
--- a/Source/Node/ControlState.h
+++ b/Source/Node/ControlState.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <span>
@@ -24,7 +25,9 @@
 #include "Core/Error.h"
 #include "Node/NodeView.h"
 #include "Node/PeerDirectory.h"
+#include "Node/PlacementLog.h"
 #include "Ownership/OwnershipAgent.h"
+#include "Requests/HandoverLedger.h"
 #include "Requests/IdempotencyWitness.h"
 
 namespace acaciaroad::node {
@@ -49,10 +52,22 @@
   std::function<void(std::shared_ptr<const NodeView>)> Publish;
   /// Slices moved away; onSlicesIdle is to follow for each.
   std::function<void(std::span<const core::SliceId>)> ReleaseSlices;
+  /// Ids of at-most-once requests, as the traffic side keeps them; see
+  /// IdempotencyGate.
+  std::function<requests::IdempotencyHandover(const core::SliceId &,
+                                              core::Epoch)>
+      ReleaseIds;
+  std::function<core::Result<void>(const requests::IdempotencyHandover &)>
+      ImportIds;
+  std::function<void(const core::SliceId &, core::Epoch)> TellIds;
+  std::function<void()> RetellIds;
+  std::function<bool(const core::SliceId &)> AreIdsWitnessed;
+  std::function<bool()> AreAllIdsWitnessed;
   /// A message of this node's own traffic threads.
   std::function<void(const codec::ControlBody &)> DeliverToTraffic;
   /// An instance told how far it has folded the log.
   std::function<void(core::InstanceId, core::Offset)> OnOffset;
+  std::shared_ptr<const PlacementLog> Log;
   core::NowFunction Now;
 };
 
@@ -85,6 +100,9 @@
   void onSlicesIdle(std::span<const core::SliceId> slices);
   void beginLeave();
 
+  /// Ids that were told to witnesses again are kept by majorities now.
+  void onIdsWitnessed();
+
   /// Whether this incarnation has been retired; it never serves again.
   bool hasLeft() const { return Agent->hasLeft(); }
   bool isCurrent() const { return Current; }
@@ -102,6 +120,7 @@
 
 private:
   static constexpr std::chrono::seconds SubmitTimeout{5};
+  static constexpr std::chrono::milliseconds RetellInterval{100};
 
   struct PendingSubmit {
     codec::LogEntry Entry;
@@ -131,6 +150,7 @@
   void handle(core::InstanceId from, const accounts::CreditAsk &message);
   void handle(core::InstanceId from, const accounts::CreditGrant &message);
   void handle(core::InstanceId from, const accounts::CreditReturn &message);
+  void handle(core::InstanceId from, const accounts::CreditHandover &message);
   void handle(core::InstanceId from, const requests::IdempotencyTell &message);
   void handle(core::InstanceId from, const requests::IdempotencyAck &message);
   void handle(core::InstanceId from,
@@ -149,6 +169,17 @@
                      core::TimePoint now);
   bool mayGrant(std::string_view account, core::TimePoint now) const;
   void releaseSlices();
+  void handOverCredit(std::span<const core::SliceId> slices);
+  void handOverIds(std::span<const core::SliceId> slices);
+
+  void onSliceTouched(ownership::SliceRef ref, core::TimePoint now);
+  bool mayStart(const core::SliceId &slice) const;
+  bool needsIds(std::string_view service) const;
+  requests::HandoverSource sourceOf(core::InstanceId id) const;
+  void onImported(const requests::IdempotencyHandover &handover);
+  void askForIds(core::TimePoint now);
+  void logPlacement(const codec::LogEntry &entry);
+  void logLease(core::TimePoint now);
 
   const ControlStateHooks Hooks;
   std::unique_ptr<configuration::Catalogue> Configuration;
@@ -162,6 +193,13 @@
   /// Questions about offsets that are not folded yet.
   std::deque<OffsetAsk> OffsetAsks;
   std::set<core::SliceId> Releasing;
+  /// Epochs at which this instance owns slices, as far as ids are concerned.
+  std::map<core::SliceId, core::Epoch> Owned;
+  requests::HandoverLedger Handovers{core::InstanceId{}};
+  /// Credit that former owners handed over, until the account is owned.
+  std::map<std::string, accounts::CreditHandover, std::less<>> CreditIn;
+  core::TimePoint NextRetell{};
+  bool HadLease = false;
   bool Changed = true;
   bool Current = false;
   bool WantsJoin = false;
--- a/Source/Node/IdempotencyGate.cpp
+++ b/Source/Node/IdempotencyGate.cpp
@@ -31,11 +31,18 @@
     : Hooks(std::move(hooks)), Decisions(std::move(decisions)) {}
 
 void IdempotencyGate::setWitnesses(requests::WitnessSets witnesses) {
-  const std::lock_guard lock(Mutex);
+  std::unique_lock lock(Mutex);
   if (witnesses == Witnesses)
     return;
   Witnesses = witnesses;
   Decisions.setWitnesses(std::move(witnesses));
+  std::vector<requests::IdempotencyTell> messages;
+  for (const auto &[slice, epoch] : Decisions.slices())
+    for (requests::IdempotencyTell &it : retellLocked(slice, epoch))
+      messages.push_back(std::move(it));
+  const std::vector<core::InstanceId> to = this->witnesses();
+  lock.unlock();
+  tellEach(messages, to);
 }
 
 std::vector<core::InstanceId> IdempotencyGate::witnesses() const {
@@ -96,14 +103,17 @@
                     "witnesses do not keep the idempotency key");
 }
 
-void IdempotencyGate::acked(const requests::IdempotencyAck &ack) {
+bool IdempotencyGate::acked(const requests::IdempotencyAck &ack) {
   const std::lock_guard lock(Mutex);
   const QuorumState state = Decisions.acked(ack);
   const auto it = Waiters.find(ack.Id);
-  if (it == Waiters.end() || state == QuorumState::Open)
-    return;
-  it->second->State = state;
-  it->second->Wakeup.notify_one();
+  if (it != Waiters.end() && state != QuorumState::Open) {
+    it->second->State = state;
+    it->second->Wakeup.notify_one();
+  }
+  return std::erase_if(Retelling, [this](const core::SliceId &slice) {
+           return Decisions.isWitnessed(slice);
+         }) > 0;
 }
 
 void IdempotencyGate::completed(const IdempotencyId &id,
@@ -140,13 +150,52 @@
   return Decisions.release(slice, epoch, Hooks.Now());
 }
 
+std::vector<requests::IdempotencyTell>
+IdempotencyGate::retellLocked(const core::SliceId &slice, core::Epoch epoch) {
+  auto messages = Decisions.tells(slice, epoch, Hooks.Now());
+  if (!Decisions.isWitnessed(slice))
+    Retelling.insert(slice);
+  return messages;
+}
+
+void IdempotencyGate::tellEach(
+    const std::vector<requests::IdempotencyTell> &messages,
+    const std::vector<core::InstanceId> &to) const {
+  for (const requests::IdempotencyTell &it : messages)
+    tell(it, to);
+}
+
 void IdempotencyGate::tellAll(const core::SliceId &slice, core::Epoch epoch) {
   std::unique_lock lock(Mutex);
-  const auto messages = Decisions.tells(slice, epoch, Hooks.Now());
+  const auto messages = retellLocked(slice, epoch);
   const std::vector<core::InstanceId> to = witnesses();
   lock.unlock();
-  for (const requests::IdempotencyTell &it : messages)
-    tell(it, to);
+  tellEach(messages, to);
+}
+
+bool IdempotencyGate::isWitnessed(const core::SliceId &slice) {
+  const std::lock_guard lock(Mutex);
+  return Decisions.isWitnessed(slice);
+}
+
+bool IdempotencyGate::areAllWitnessed() {
+  const std::lock_guard lock(Mutex);
+  return std::all_of(Retelling.begin(), Retelling.end(),
+                     [this](const core::SliceId &slice) {
+                       return Decisions.isWitnessed(slice);
+                     });
+}
+
+void IdempotencyGate::retell() {
+  std::unique_lock lock(Mutex);
+  std::vector<requests::IdempotencyTell> messages;
+  for (const core::SliceId &slice : Retelling)
+    for (requests::IdempotencyTell &it :
+         Decisions.unansweredTells(slice, Hooks.Now()))
+      messages.push_back(std::move(it));
+  const std::vector<core::InstanceId> to = witnesses();
+  lock.unlock();
+  tellEach(messages, to);
 }
 
 } // namespace acaciaroad::node
--- a/Source/Node/IdempotencyGate.h
+++ b/Source/Node/IdempotencyGate.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -53,7 +54,8 @@
   core::Result<IdempotencyTicket>
   begin(const requests::IdempotentRequest &request, core::TimePoint deadline);
 
-  void acked(const requests::IdempotencyAck &ack);
+  /// Returns whether a slice whose ids were told again is witnessed now.
+  bool acked(const requests::IdempotencyAck &ack);
 
   /// The order ran, with this answer; empty for one too large to be kept.
   void completed(const requests::IdempotencyId &id, std::string_view answer);
@@ -71,6 +73,13 @@
   /// requests::IdempotencyRegister::tells.
   void tellAll(const core::SliceId &slice, core::Epoch epoch);
 
+  /// Whether majorities of the witnesses know all ids of a slice, or of all.
+  bool isWitnessed(const core::SliceId &slice);
+  bool areAllWitnessed();
+
+  /// Repeats what witnesses have not answered.
+  void retell();
+
 private:
   /// One request that waits, on the stack of its thread.
   struct Waiter {
@@ -81,6 +90,10 @@
   IdempotencyGate(requests::IdempotencyRegister decisions,
                   IdempotencyGateHooks hooks);
   std::vector<core::InstanceId> witnesses() const;
+  std::vector<requests::IdempotencyTell>
+  retellLocked(const core::SliceId &slice, core::Epoch epoch);
+  void tellEach(const std::vector<requests::IdempotencyTell> &messages,
+                const std::vector<core::InstanceId> &to) const;
   void tell(const requests::IdempotencyTell &message,
             std::span<const core::InstanceId> to) const;
   core::Result<void> await(const requests::IdempotencyId &id, Waiter &waiter,
@@ -92,6 +105,8 @@
   requests::IdempotencyRegister Decisions;
   requests::WitnessSets Witnesses;
   std::map<requests::IdempotencyId, Waiter *> Waiters;
+  /// Slices whose ids were told again and are not witnessed yet.
+  std::set<core::SliceId> Retelling;
 };
 
 } // namespace acaciaroad::node
--- a/Source/Node/NodeControl.cpp
+++ b/Source/Node/NodeControl.cpp
@@ -36,6 +36,21 @@
   hooks.ReleaseSlices = [this](std::span<const core::SliceId> slices) {
     releaseSlices(slices);
   };
+  hooks.ReleaseIds = [this](const core::SliceId &slice, core::Epoch epoch) {
+    return Idempotency->release(slice, epoch);
+  };
+  hooks.ImportIds = [this](const requests::IdempotencyHandover &handover) {
+    return Idempotency->import(handover);
+  };
+  hooks.TellIds = [this](const core::SliceId &slice, core::Epoch epoch) {
+    Idempotency->tellAll(slice, epoch);
+  };
+  hooks.RetellIds = [this] { Idempotency->retell(); };
+  hooks.AreIdsWitnessed = [this](const core::SliceId &slice) {
+    return Idempotency->isWitnessed(slice);
+  };
+  hooks.AreAllIdsWitnessed = [this] { return Idempotency->areAllWitnessed(); };
+  hooks.Log = std::make_shared<PlacementLog>(Logger);
   hooks.DeliverToTraffic = [this](const codec::ControlBody &body) {
     deliverToTraffic(body);
   };
@@ -86,7 +101,7 @@
   std::vector<core::SliceIndex> served;
   std::vector<core::SliceId> idle;
   for (const core::SliceId &it : slices) {
-    Logger->write(Level::Info, "own_stop", {{"slice", core::toString(it)}});
+
     if (upstream && it.Service == upstream->Service)
       served.push_back(it.Index);
     else
@@ -100,10 +115,9 @@
 void Node::deliverToTraffic(const codec::ControlBody &body) {
   if (const auto *grant = std::get_if<accounts::CreditGrant>(&body))
     Credit->granted(*grant);
-  if (const auto *ack = std::get_if<requests::IdempotencyAck>(&body))
-    Idempotency->acked(*ack);
-  if (const auto *ids = std::get_if<requests::IdempotencyHandover>(&body))
-    (void)Idempotency->import(*ids);
+  const auto *ack = std::get_if<requests::IdempotencyAck>(&body);
+  if (ack != nullptr && Idempotency->acked(*ack))
+    Control->post([this] { State->onIdsWitnessed(); });
 }
 
 // Peers.
--- a/Source/Ownership/OwnershipAgent.cpp
+++ b/Source/Ownership/OwnershipAgent.cpp
@@ -103,8 +103,11 @@
   for (const InstanceId it : Map.touchedInstances())
     onInstanceTouched(it, now);
   if (State != Phase::Retired)
-    for (const SliceRef it : Map.touchedSlices())
+    for (const SliceRef it : Map.touchedSlices()) {
       Slices.onTouched(it, Map);
+      if (Hooks.SliceTouched)
+        Hooks.SliceTouched(it, now);
+    }
   markChanged();
   startSlices(now);
   reviewWitnesses(now);
@@ -206,7 +209,7 @@
   Holder.onPromise(from, core::fromNanoseconds(promise.AskedAt), now);
   noteReadTo(promise.ReadTo, now);
   publishLease();
-  if (Holder.canPropose(now))
+  if (mayPropose(now))
     proposeWitnesses(now);
 }
 
@@ -309,10 +312,14 @@
   for (const InstanceId it : Holder.onRenew(now))
     Hooks.Send(it, LeaseAsk{it, core::toNanoseconds(now), JoinedAt, since});
   publishLease();
-  if (Holder.canPropose(now))
+  if (mayPropose(now))
     proposeWitnesses(now);
 }
 
+bool OwnershipAgent::mayPropose(TimePoint now) const {
+  return Holder.canPropose(now) && (!Hooks.MayPropose || Hooks.MayPropose());
+}
+
 void OwnershipAgent::publishLease() {
   const TimePoint expiry = leaseExpiry();
   Holder.onPublished(expiry);
@@ -430,7 +437,7 @@
     return;
   Lapses.setHolders(Slices.awaited(Map));
   const auto isLapsed = [&](InstanceId id) { return Lapses.isLapsed(id, now); };
-  if (!Slices.start(Map, isLapsed))
+  if (!Slices.start(Map, isLapsed, Hooks.MayStart))
     return;
   markChanged();
   appendDue(now);
--- a/Source/Ownership/OwnershipAgent.h
+++ b/Source/Ownership/OwnershipAgent.h
@@ -57,6 +57,14 @@
   std::function<void(const OwnershipRecord &)> Append;
   /// view() is out of date.
   std::function<void()> Changed;
+  /// A record changed the owner or the predecessors of a slice. Optional.
+  std::function<void(SliceRef, core::TimePoint now)> SliceTouched;
+  /// Whether this instance knows all that it needs to serve a slice whose
+  /// former owners have ended. Optional; slicesMayStart() is to follow a no.
+  std::function<bool(const core::SliceId &)> MayStart;
+  /// Whether all that the witnesses keep for this instance is known to the
+  /// candidates too. Optional.
+  std::function<bool()> MayPropose;
 };
 
 /// The aggregate that a node's control thread hosts. It takes no clock reading
@@ -98,6 +106,9 @@
   /// Returns the lost slices that wait for their requests.
   std::vector<core::SliceId> drainingSlices() const;
 
+  /// Tells that MayStart may answer otherwise now.
+  void slicesMayStart(core::TimePoint now) { startSlices(now); }
+
   /// Gives all slices away, then retires.
   void beginLeave(core::TimePoint now);
   /// Returns whether the log has retired this instance, by its own wish or
@@ -147,6 +158,7 @@
   void followHolder(core::InstanceId id, core::TimePoint now);
 
   void renew(core::TimePoint now);
+  bool mayPropose(core::TimePoint now) const;
   void publishLease();
   void noteReadTo(core::Offset offset, core::TimePoint now);
   bool isBehindLog(core::TimePoint now) const;
--- a/Source/Ownership/SliceLedger.cpp
+++ b/Source/Ownership/SliceLedger.cpp
@@ -88,7 +88,8 @@
     it->second.MayRun = false;
 }
 
-bool SliceLedger::start(const FleetMap &map, const LapsedFunction &isLapsed) {
+bool SliceLedger::start(const FleetMap &map, const LapsedFunction &isLapsed,
+                        const MayStartFunction &mayStart) {
   bool hasStarted = false;
   for (auto it = Waiting.begin(); it != Waiting.end();) {
     const SliceRef ref = *it;
@@ -99,7 +100,7 @@
           return Releases.contains({ref, p}) ||
                  (!map.holdsLease(p.Id) && isLapsed(p.Id));
         });
-    if (!isClear) {
+    if (!isClear || (mayStart && !mayStart(map.idOf(ref)))) {
       ++it;
       continue;
     }
--- a/Source/Ownership/SliceLedger.h
+++ b/Source/Ownership/SliceLedger.h
@@ -47,8 +47,13 @@
   /// Notes that no request of \p ref runs any more.
   void onIdle(SliceRef ref);
 
+  /// Tells whether a slice may start that waits for no predecessor any more.
+  using MayStartFunction = std::function<bool(const core::SliceId &)>;
+
   /// Starts the slices that need to wait no longer. Returns whether any has.
-  bool start(const FleetMap &map, const LapsedFunction &isLapsed);
+  /// An empty \p mayStart allows all.
+  bool start(const FleetMap &map, const LapsedFunction &isLapsed,
+             const MayStartFunction &mayStart);
 
   /// Returns the lost instances that slices wait for.
   std::set<core::InstanceId> awaited(const FleetMap &map) const;
--- a/Source/Requests/IdempotencyRegister.cpp
+++ b/Source/Requests/IdempotencyRegister.cpp
@@ -170,6 +170,13 @@
   });
 }
 
+std::map<core::SliceId, core::Epoch> IdempotencyRegister::slices() const {
+  std::map<core::SliceId, core::Epoch> out;
+  for (const Entry &it : ByAge)
+    out[it.Slice] = it.Epoch;
+  return out;
+}
+
 IdempotencyHandover IdempotencyRegister::release(const core::SliceId &slice,
                                                  core::Epoch epoch,
                                                  core::TimePoint now) {
--- a/Source/Requests/IdempotencyRegister.h
+++ b/Source/Requests/IdempotencyRegister.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -111,6 +112,9 @@
   /// Returns whether a majority of witnesses keeps every id of a slice.
   bool isWitnessed(const core::SliceId &slice) const;
 
+  /// Returns the slices that have ids, with the epoch of each.
+  std::map<core::SliceId, core::Epoch> slices() const;
+
   /// Gives up a slice by a planned move and returns its ids for the new owner.
   IdempotencyHandover release(const core::SliceId &slice, core::Epoch epoch,
                               core::TimePoint now);
