Wait for a running cancel hook when it is replaced; keep the length of HEAD

A hook that refers to the stack of the owner's thread could still run on the transport thread after setOnCancelled(nullptr); the call now waits for it. An answer to HEAD that was begun with length 0 replaced the upstream's Content-Length by 0. Tests cause both.

--- a/Source/Http/Exchange.cpp
+++ b/Source/Http/Exchange.cpp
@@ -136,8 +136,10 @@
                           std::optional<std::uint64_t> length) {
   std::vector<Header> kept(headers.begin(), headers.end());
   stripHopByHop(kept);
+  // To HEAD, the upstream's length is that of the body it left out.
   const bool statesLength =
-      AnswerFraming == Framing::Sized || (Head.Method == "HEAD" && length);
+      AnswerFraming == Framing::Sized ||
+      (Head.Method == "HEAD" && length && !findHeader(kept, "Content-Length"));
   auto out = std::back_inserter(Pending);
   fmt::format_to(out, "HTTP/1.1 {} \r\n", status);
   for (const Header &it : kept) {
--- a/Source/Wire/ForwardCall.cpp
+++ b/Source/Wire/ForwardCall.cpp
@@ -296,10 +296,25 @@
 }
 
 void ForwardCall::setOnCancelled(std::function<void()> hook) {
-  Lock lock(Mutex);
-  OnCancelled = std::move(hook);
-  if (Cancelled)
-    settle(lock);
+  {
+    const std::lock_guard hooks(HookMutex);
+    const std::lock_guard lock(Mutex);
+    OnCancelled = std::move(hook);
+  }
+  runCancelled();
+}
+
+void ForwardCall::runCancelled() {
+  // Held while the hook runs, so that who replaces it knows it is over.
+  const std::lock_guard hooks(HookMutex);
+  std::function<void()> hook;
+  {
+    const std::lock_guard lock(Mutex);
+    if (Cancelled)
+      hook = std::exchange(OnCancelled, nullptr);
+  }
+  if (hook)
+    hook();
 }
 
 void ForwardCall::setOnClosed(std::function<void()> hook) {
@@ -408,18 +423,16 @@
 }
 
 void ForwardCall::settle(Lock &lock) {
-  std::function<void()> cancelled;
   const std::function<void()> event = OnEvent;
+  const bool cancelled = Cancelled;
   // Under the lock, so that whoever sees the end of the call finds it removed.
   if (Closed && !std::exchange(CloseReported, true) && OnClosed)
     std::exchange(OnClosed, nullptr)();
-  if (Cancelled)
-    cancelled = std::exchange(OnCancelled, nullptr);
   // Woken under the lock, a reader would wait again for the lock.
   lock.unlock();
   Changed.notify_all();
   if (cancelled)
-    cancelled();
+    runCancelled();
   if (event)
     event();
 }
--- a/Source/Wire/ForwardCall.h
+++ b/Source/Wire/ForwardCall.h
@@ -114,7 +114,8 @@
   void cancel();
 
   /// Owner: \p hook runs once, on the transport thread, when the opener gives
-  /// up or is lost; at once if that has happened.
+  /// up or is lost; at once if that has happened. The hook that it replaces is
+  /// not running any more when it returns. Not callable from the hook.
   void setOnCancelled(std::function<void()> hook);
 
   /// \p hook runs on the transport thread after each change.
@@ -155,10 +156,13 @@
   std::size_t copyOut(std::span<std::byte> out);
   void grantCredit(Lock &lock);
   void settle(Lock &lock);
+  void runCancelled();
 
   ForwardCallSetup Setup;
   const std::uint64_t RequestCheck;
 
+  /// Held while OnCancelled runs; taken before Mutex.
+  std::mutex HookMutex;
   mutable std::mutex Mutex;
   std::condition_variable Changed;
   // Outgoing body.
--- a/Tests/Http/CallerServerTest.cpp
+++ b/Tests/Http/CallerServerTest.cpp
@@ -211,6 +211,23 @@
      }},
 };
 
+/// Answers without a body, and the lengths that they may state.
+struct BodilessRow {
+  const char *Method;
+  int Status;
+  std::vector<Header> Headers;
+  std::optional<std::uint64_t> Length;
+  const char *Expected;
+};
+
+const BodilessRow BodilessRows[] = {
+    {"HEAD", 200, {{"Content-Length", "7"}}, 0, "Content-Length: 7\r\n"},
+    {"HEAD", 200, {{"Content-Length", "7"}}, {}, "Content-Length: 7\r\n"},
+    {"HEAD", 200, {}, 5, "Content-Length: 5\r\n"},
+    {"GET", 204, {}, 0, ""},
+    {"GET", 304, {{"Content-Length", "7"}}, {}, "Content-Length: 7\r\n"},
+};
+
 const unsigned FuzzSeeds[] = {1, 2, 3, 4};
 
 /// A request that is mostly well-formed, in a way that depends on \p random
@@ -299,6 +316,25 @@
   cr_assert(answer.ends_with("\"request_id\":\"r-1\"}"));
 }
 
+ACACIA_TABLE_TEST(CallerServerTest, bodilessAnswersKeepTheirLength,
+                  BodilessRows) {
+  const auto server = start([&](const std::shared_ptr<Exchange> &it) {
+    (void)it->begin(row.Status, row.Headers, row.Length);
+    (void)it->write(bytesOf("dropped"));
+    (void)it->end();
+  });
+  const std::string answer = exchangeWith(
+      *server,
+      row.Method + std::string(" / HTTP/1.1\r\nHost: x\r\nConnection: "
+                               "close\r\n\r\n"),
+      false);
+  cr_assert(answer.find(row.Expected) != answer.npos, "%s", answer.c_str());
+  cr_assert_eq(answer.find("Content-Length") != answer.npos,
+               *row.Expected != 0);
+  cr_assert_eq(answer.find("Content-Length"), answer.rfind("Content-Length"));
+  cr_assert(answer.ends_with("\r\n\r\n"));
+}
+
 ACACIA_TABLE_TEST(CallerServerTest, corruptRequestsNeverCrash, FuzzSeeds) {
   constexpr int Requests = 300;
   const auto server = start(echo);
--- a/Tests/Wire/ForwardTest.cpp
+++ b/Tests/Wire/ForwardTest.cpp
@@ -332,6 +332,32 @@
   cr_assert(held->read(buf, soon()).error().Kind == Kind::BodyIncomplete);
 }
 
+Test(ForwardTest, replacedHookIsOver) {
+  std::promise<void> entered;
+  std::promise<void> release;
+  std::atomic<bool> isOver{false};
+  Holder kept;
+  const auto owner = start([&](std::shared_ptr<ForwardCall> call) {
+    call->setOnCancelled([&] {
+      entered.set_value();
+      release.get_future().wait();
+      isOver = true;
+    });
+    kept.keep(std::move(call));
+  });
+  const auto entry = start(nullptr);
+  const auto call = entry->open(owner->address(), headOf("r-1"), {}, false);
+  const auto held = kept.first();
+  (*call)->cancel();
+  entered.get_future().wait();
+  auto replaced = std::async(std::launch::async, [&] {
+    held->setOnCancelled(nullptr);
+    return isOver.load();
+  });
+  release.set_value();
+  cr_assert(replaced.get());
+}
+
 Test(ForwardTest, fullPoolRefusesAsNotRun) {
   std::promise<void> release;
   const auto gate = release.get_future().share();
