--- a/Source/Ownership/OwnershipAgent.cpp
+++ b/Source/Ownership/OwnershipAgent.cpp
@@ -96,7 +96,7 @@
 core::Result<void> OwnershipAgent::onRecord(const OwnershipRecord &record,
                                             core::Offset offset,
                                             TimePoint now) {
-  const auto result = Map.apply(record, offset);
+  auto result = Map.apply(record, offset);
   noteReadTo(offset, now);
   if (!result)
     return result;
--- a/Tests/Ownership/HotKeyPolicyTest.cpp
+++ b/Tests/Ownership/HotKeyPolicyTest.cpp
@@ -73,7 +73,7 @@
   int removed = 0;
   core::Offset offset = Later + 2;
   for (int second = 0; second < row.Seconds; ++second) {
-    policy.onRequests(HotKey, 10 * row.Hundredths);
+    policy.onRequests(HotKey, std::uint64_t{10} * row.Hundredths);
     for (std::uint64_t key = 1000; key < 1100; ++key)
       policy.onRequests(key, 10 - row.Hundredths / 10);
     const auto load = second % 2 == 0 ? row.EvenLoad : row.OddLoad;
