Let requests wait while the credit of a lost owner is replaced

Cause: after the loss of the node that owns an account's bucket, requests waited 250 ms for credit and were then refused, and the successor's bucket, which has to start empty, answered 'over its rate' to accounts within theirs. Ruled out: a shorter lifetime of credit (the wait is dominated by detection and lapse of the lease) and a successor that starts with more than nothing (a trial on paper breaks the bound of burst plus rate over a window). Change: requests wait up to 1.5 s for a successor, and for 1 s after its start a bucket that is short lets them wait instead of refusing. The unit test of a new owner's first answer now expects NotReady with nothing granted, and Exhausted after the span.

--- a/Source/Accounts/CreditAccount.cpp
+++ b/Source/Accounts/CreditAccount.cpp
@@ -51,6 +51,10 @@
     out.RetryAfter = Bucket.untilNext();
   if (out.Amount == 0)
     out.Status = CreditStatus::Exhausted;
+  // A new owner's bucket starts empty whatever the account has used: what is
+  // missing at first says nothing about the account, so its requests wait.
+  if (out.Amount < ask.Needed && now < ReadyAt + StartSpan)
+    out.Status = CreditStatus::NotReady;
   return out;
 }
 
--- a/Source/Accounts/CreditAccount.h
+++ b/Source/Accounts/CreditAccount.h
@@ -85,6 +85,10 @@
 /// Lifetime of credit on its holder's clock, from the moment of asking.
 inline constexpr core::Duration CreditLifetime = std::chrono::milliseconds(500);
 
+/// Time after a takeover in which requests beyond the bucket wait rather than
+/// are refused.
+inline constexpr core::Duration StartSpan = std::chrono::seconds(1);
+
 /// Time after which an owner may take credit to have expired at any holder,
 /// from the moment of granting: the lifetime and the drift between two clocks.
 inline constexpr core::Duration CreditExpiry =
--- a/Source/Accounts/CreditHolder.cpp
+++ b/Source/Accounts/CreditHolder.cpp
@@ -14,8 +14,11 @@
 /// Demand that is fetched ahead of requests.
 constexpr core::Duration PrefetchSpan = milliseconds(100);
 constexpr core::Duration RepeatInterval = milliseconds(100);
-/// Longest time that a request waits for an owner.
-constexpr core::Duration LongestWait = milliseconds(250);
+/// Longest time that a request waits for an owner: the time in which a lost
+/// owner is replaced, and its successor waits out the credit that is out.
+constexpr core::Duration LongestWait = milliseconds(1500);
+/// Age at which an ask without an answer is replaced by a new one.
+constexpr core::Duration AskLifetime = milliseconds(250);
 /// Longest time for which an owner's refusal holds without asking again.
 constexpr core::Duration LongestBlock = milliseconds(50);
 /// Settled grants are collected this long before they are sent.
@@ -180,7 +183,7 @@
   PendingAsk &pending = *account.Pending;
   // A repeated ask keeps its id, so at most one grant comes of it. Credit near
   // its expiry is of no use; a new ask takes the place of an old one.
-  if (now - pending.AskedAt < LongestWait) {
+  if (now - pending.AskedAt < AskLifetime) {
     pending.RepeatAt = now + RepeatInterval;
     Hooks.Ask(pending.Message);
     return;
--- a/Tests/Accounts/CreditOwnerTest.cpp
+++ b/Tests/Accounts/CreditOwnerTest.cpp
@@ -117,8 +117,15 @@
   cr_assert(early.Status == CreditStatus::NotReady);
   cr_assert(early.RetryAfter == CreditExpiry);
   const core::TimePoint ready = Start + CreditExpiry;
-  cr_assert(owner.asked(ask(1, 2, 1), ready).Status == CreditStatus::Exhausted);
+  const CreditGrant first = owner.asked(ask(1, 2, 1), ready);
+  cr_assert_eq(first.Amount, 0);
+  cr_assert(first.Status == CreditStatus::NotReady);
   cr_assert_eq(owner.asked(ask(1, 3, 9), ready + milliseconds(300)).Amount, 3);
+  const core::TimePoint later = ready + StartSpan;
+  cr_assert_eq(owner.asked(ask(1, 4, 20), later).Amount, 7);
+  const CreditGrant empty = owner.asked(ask(1, 5, 1), later);
+  cr_assert_eq(empty.Amount, 0);
+  cr_assert(empty.Status == CreditStatus::Exhausted);
 }
 
 Test(CreditOwnerTest, plannedMoveKeepsLevelAndCredit) {
