--- a/Tests/Ownership/SliceLedgerTest.cpp
+++ b/Tests/Ownership/SliceLedgerTest.cpp
@@ -68,7 +68,8 @@
     ledger.onTouched(log.ref(), log.Map);
   log.release(First, log.epoch() - 1);
   if (row.Starts)
-    cr_assert(ledger.start(log.Map, [](InstanceId) { return false; }));
+    cr_assert(ledger.start(
+        log.Map, [](InstanceId) { return false; }, nullptr));
   const core::Epoch held = log.epoch();
   log.add(SliceMoved{{Service, 0}, held, First});
   ledger.onTouched(log.ref(), log.Map);
