--- a/Source/Programs/Load/Lane.cpp
+++ b/Source/Programs/Load/Lane.cpp
@@ -7,8 +7,10 @@
 namespace acaciaroad::load {
 
 Lane::Lane(const Experiment &experiment, std::size_t target,
-           core::TimePoint start, EndHandler onEnd)
-    : Plan(experiment), Target(target), Start(start), OnEnd(std::move(onEnd)) {
+           core::TimePoint start, EndHandler onEnd,
+           AnswerHandler onAnswer)
+    : Plan(experiment), Target(target), Start(start), OnEnd(std::move(onEnd)),
+      OnAnswer(std::move(onAnswer)) {
   for (std::uint32_t n = 0; n < Plan.ConnectionsPerTarget; ++n)
     Threads.emplace_back([this] { run(); });
 }
@@ -35,7 +37,7 @@
 }
 
 void Lane::run() {
-  Sender sender(Plan, Plan.Targets[Target]);
+  Sender sender(Plan, Plan.Targets[Target], OnAnswer);
   std::unique_lock lock(Mutex);
   for (;;) {
     Wakeup.wait(lock, [this] { return Stopping || !Queue.empty(); });
--- a/Source/Programs/Load/Lane.h
+++ b/Source/Programs/Load/Lane.h
@@ -28,7 +28,7 @@
   /// \p start is the time that intended times count from. \p experiment must
   /// outlive the lane.
   Lane(const Experiment &experiment, std::size_t target, core::TimePoint start,
-       EndHandler onEnd);
+       EndHandler onEnd, AnswerHandler onAnswer = {});
 
   /// Stops.
   ~Lane();
@@ -48,6 +48,7 @@
   const std::size_t Target;
   const core::TimePoint Start;
   const EndHandler OnEnd;
+  const AnswerHandler OnAnswer;
   std::mutex Mutex;
   std::condition_variable Wakeup;
   std::deque<Shot> Queue;
--- a/Source/Programs/Load/Main.cpp
+++ b/Source/Programs/Load/Main.cpp
@@ -4,12 +4,14 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
+#include "Logging/Logger.h"
 #include "Programs/Load/ExperimentFile.h"
 #include "Programs/Load/LatencyPlot.h"
 #include "Programs/Load/ReportJson.h"
@@ -17,6 +19,7 @@
 #include "Programs/Load/Runner.h"
 
 DEFINE_string(json, "", "file for the results as JSON");
+DEFINE_string(log, "", "file for a JSON line about each answer");
 DEFINE_string(svg, "", "file for the plot of latency over time");
 
 namespace {
@@ -25,7 +28,8 @@
 
 constexpr const char *Usage =
     "sends the requests of an experiment\n"
-    "acacia-load [--json FILE] [--svg FILE] EXPERIMENT.toml [NAME=VALUE...]\n"
+    "acacia-load [--json FILE] [--svg FILE] [--log FILE] EXPERIMENT.toml "
+    "[NAME=VALUE...]\n"
     "Each ${NAME} in the file is replaced by its VALUE.";
 
 core::Result<std::string> readFile(const std::string &path) {
@@ -66,6 +70,29 @@
   return load::parseExperiment(*expanded, path);
 }
 
+/// Returns a handler that writes `caller_answer` lines to \p path; an empty one
+/// if the path is empty.
+core::Result<load::AnswerHandler> answerLog(const std::string &path) {
+  if (path.empty())
+    return load::AnswerHandler();
+  const auto file = std::make_shared<std::ofstream>(path);
+  if (!*file)
+    return core::fail(core::ErrorKind::InvalidArgument, "cannot write " + path);
+  logging::LoggerOptions options;
+  options.Instance = "load";
+  options.Sink = [file](std::string_view line) { *file << line; };
+  const auto logger = logging::Logger::create(std::move(options));
+  if (!logger)
+    return tl::unexpected(logger.error());
+  return [logger = *logger](const load::AnswerIds &it) {
+    logger->write(logging::Level::Info, "caller_answer",
+                  {{"request_id", it.RequestId},
+                   {"echoed_id", it.EchoedId},
+                   {"status", it.Status},
+                   {"boot_ns", core::toNanoseconds(core::BootClock::now())}});
+  };
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -78,7 +105,12 @@
     fmt::print(stderr, "acacia-load: {}\n", experiment.error().Detail);
     return 1;
   }
-  const load::RunResult result = load::Runner(*experiment).run();
+  const auto onAnswer = answerLog(FLAGS_log);
+  if (!onAnswer) {
+    fmt::print(stderr, "acacia-load: {}\n", onAnswer.error().Detail);
+    return 1;
+  }
+  const load::RunResult result = load::Runner(*experiment, *onAnswer).run();
   const load::Report report = load::analyse(*experiment, result.Samples);
   fmt::print("{}", load::renderTable(report));
   const bool isJsonWritten = writeFile(
--- a/Source/Programs/Load/Runner.cpp
+++ b/Source/Programs/Load/Runner.cpp
@@ -18,7 +18,7 @@
   const core::TimePoint start = core::BootClock::now() + StartDelay;
   for (std::size_t n = 0; n < Plan.Targets.size(); ++n)
     Lanes.push_back(std::make_unique<Lane>(
-        Plan, n, start, [this](const Sample &it) { onEnd(it); }));
+        Plan, n, start, [this](const Sample &it) { onEnd(it); }, OnAnswer));
   ActionThread actions(Plan, start);
   sendAll(start);
   RunResult out;
--- a/Source/Programs/Load/Runner.h
+++ b/Source/Programs/Load/Runner.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 #include "Programs/Load/ActionThread.h"
@@ -26,7 +27,8 @@
 class Runner {
 public:
   /// \p experiment must outlive the runner.
-  explicit Runner(const Experiment &experiment) : Plan(experiment) {}
+  explicit Runner(const Experiment &experiment, AnswerHandler onAnswer = {})
+      : Plan(experiment), OnAnswer(std::move(onAnswer)) {}
 
   /// Blocks until the last request has ended.
   RunResult run();
@@ -37,6 +39,7 @@
   bool failOver(const Sample &sample);
 
   const Experiment &Plan;
+  const AnswerHandler OnAnswer;
   std::vector<std::unique_ptr<Lane>> Lanes;
   std::mutex Mutex;
   std::condition_variable Finished;
--- a/Source/Programs/Load/Sample.h
+++ b/Source/Programs/Load/Sample.h
@@ -5,6 +5,8 @@
 #define ACACIAROAD_LOAD_SAMPLE_H
 
 #include <cstdint>
+#include <functional>
+#include <string_view>
 
 #include "Core/Clock.h"
 #include "Core/ErrorKind.h"
@@ -42,6 +44,19 @@
   core::ErrorKind Kind = core::ErrorKind::Internal;
 };
 
+/// The ids that an answer carried; either may be empty.
+struct AnswerIds {
+  /// Of the answer's header, as the entry node wrote it.
+  std::string_view RequestId;
+  /// Of the answer's body, as the upstream wrote it.
+  std::string_view EchoedId;
+  /// HTTP.
+  int Status = 0;
+};
+
+/// Receives the ids of each answer, on the thread that got it.
+using AnswerHandler = std::function<void(const AnswerIds &)>;
+
 /// One request and its end.
 struct Sample {
   Shot Request;
--- a/Source/Programs/Load/Sender.cpp
+++ b/Source/Programs/Load/Sender.cpp
@@ -1,6 +1,7 @@
 #include "Programs/Load/Sender.h"
 
 #include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -66,8 +67,10 @@
 
 } // namespace
 
-Sender::Sender(const Experiment &experiment, const core::Endpoint &target)
-    : Plan(experiment), Http(target.Host, target.Port) {
+Sender::Sender(const Experiment &experiment, const core::Endpoint &target,
+               AnswerHandler onAnswer)
+    : Plan(experiment), Http(target.Host, target.Port),
+      OnAnswer(std::move(onAnswer)) {
   Http.set_keep_alive(true);
   Http.set_tcp_nodelay(true);
   Http.set_connection_timeout(Plan.Timeout);
@@ -80,11 +83,24 @@
   const core::TimePoint start = core::BootClock::now();
   const httplib::Result answer = Http.send(request);
   const bool isLate = core::BootClock::now() - start >= Plan.Timeout;
+  if (answer && OnAnswer)
+    tellAnswer(*answer);
   if (!answer && isLate)
     return {Outcome::Timeout};
   return judge(request, answer, Plan.Classes[Plan.Flows[shot.Flow].Class]);
 }
 
+void Sender::tellAnswer(const httplib::Response &response) const {
+  const std::string id = response.get_header_value("X-Request-Id");
+  std::string echoed;
+  if (response.status == StatusOk) {
+    const Json echo = Json::parse(response.body, nullptr, false);
+    if (echo.is_object())
+      echoed = echo.value("request_id", "");
+  }
+  OnAnswer({id, echoed, response.status});
+}
+
 httplib::Request Sender::requestFor(const Shot &shot) const {
   const Flow &flow = Plan.Flows[shot.Flow];
   const WorkClass &workClass = Plan.Classes[flow.Class];
--- a/Source/Programs/Load/Sender.h
+++ b/Source/Programs/Load/Sender.h
@@ -17,7 +17,9 @@
 /// twice.
 class Sender {
 public:
-  Sender(const Experiment &experiment, const core::Endpoint &target);
+  /// \p onAnswer may be empty.
+  Sender(const Experiment &experiment, const core::Endpoint &target,
+         AnswerHandler onAnswer = {});
 
   /// Blocks until the answer or the timeout.
   Ending send(const Shot &shot);
@@ -27,8 +29,11 @@
   Ending judge(const httplib::Request &request, const httplib::Result &answer,
                const WorkClass &workClass) const;
 
+  void tellAnswer(const httplib::Response &response) const;
+
   const Experiment &Plan;
   httplib::Client Http;
+  const AnswerHandler OnAnswer;
 };
 
 } // namespace acaciaroad::load
--- a/Source/Programs/StandinUpstream/Main.cpp
+++ b/Source/Programs/StandinUpstream/Main.cpp
@@ -26,7 +26,7 @@
 
 using namespace acaciaroad;
 
-standinupstream::UpstreamOptions optionsFromFlags() {
+core::Result<standinupstream::UpstreamOptions> optionsFromFlags() {
   standinupstream::UpstreamOptions out;
   out.Listen = FLAGS_listen;
   out.Service = FLAGS_service;
@@ -39,6 +39,13 @@
   out.ChecksGrants = FLAGS_checks_grants;
   out.HonoursDeadlines = FLAGS_honours_deadlines;
   out.Seed = FLAGS_seed;
+  logging::LoggerOptions log;
+  log.Instance = FLAGS_name;
+  const auto logger = logging::Logger::create(std::move(log));
+  if (!logger)
+    return tl::unexpected(logger.error());
+  out.Hooks =
+      standinupstream::hooksFor(standinupstream::OrderLog(*logger));
   return out;
 }
 
@@ -53,8 +60,10 @@
   gflags::SetUsageMessage("stand-in for an upstream");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   standin::blockTerminationSignals();
-  const auto server =
-      standinupstream::UpstreamServer::create(optionsFromFlags());
+  const auto options = optionsFromFlags();
+  if (!options)
+    return failWith(options.error());
+  const auto server = standinupstream::UpstreamServer::create(*options);
   if (!server)
     return failWith(server.error());
   fmt::print(stderr, "{{\"event\":\"listening\",\"port\":{}}}\n",
--- a/Source/Programs/StandinUpstream/OrderBook.cpp
+++ b/Source/Programs/StandinUpstream/OrderBook.cpp
@@ -12,7 +12,7 @@
   const core::TimePoint now = core::BootClock::now();
   if (Running.size() < ColdStart.capacity(now)) {
     Running.insert(order);
-    start(*order);
+    start(*order, now);
   } else if (ColdStart.isCold(now)) {
     fallOver(*order, now);
   } else {
@@ -54,6 +54,11 @@
   return order.State;
 }
 
+OrderLoad OrderBook::loadOf(const Order &order) const {
+  const std::lock_guard lock(Mutex);
+  return order.Load;
+}
+
 void OrderBook::turnCold() {
   const std::lock_guard lock(Mutex);
   ColdStart.restart(core::BootClock::now());
@@ -98,21 +103,24 @@
   }
 }
 
-void OrderBook::start(Order &order) {
+void OrderBook::start(Order &order, core::TimePoint now) {
   order.State = OrderState::Running;
+  order.Load = {static_cast<std::uint32_t>(Running.size()),
+                ColdStart.capacity(now), ColdStart.isCold(now)};
   Counts.RunningPeak =
       std::max(Counts.RunningPeak, static_cast<std::uint32_t>(Running.size()));
 }
 
 void OrderBook::startWaiting() {
-  const std::uint32_t capacity = ColdStart.capacity(core::BootClock::now());
+  const core::TimePoint now = core::BootClock::now();
+  const std::uint32_t capacity = ColdStart.capacity(now);
   while (!Waiting.empty() && Running.size() < capacity) {
     const std::shared_ptr<Order> next = Waiting.front();
     Waiting.pop_front();
     if (next->State != OrderState::Waiting)
       continue;
     Running.insert(next);
-    start(*next);
+    start(*next, now);
     next->Waiter->signal();
   }
 }
@@ -120,6 +128,8 @@
 void OrderBook::fallOver(Order &cause, core::TimePoint now) {
   ++Counts.ColdOverloads;
   cause.State = OrderState::Failed;
+  cause.Load = {static_cast<std::uint32_t>(Running.size() + 1),
+                ColdStart.capacity(now), true};
   for (const auto &it : Running) {
     it->State = OrderState::Failed;
     it->Waiter->signal();
--- a/Source/Programs/StandinUpstream/OrderBook.h
+++ b/Source/Programs/StandinUpstream/OrderBook.h
@@ -29,11 +29,21 @@
   Failed,
 };
 
+/// What the upstream bore when an order began.
+struct OrderLoad {
+  /// Orders that ran, this one included.
+  std::uint32_t InFlight = 0;
+  /// Orders that could run at once.
+  std::uint32_t Bearable = 0;
+  bool IsCold = false;
+};
+
 /// One order between its arrival and its end. The state is guarded by the book.
 struct Order {
   std::string RequestId;
   std::shared_ptr<OrderWait> Waiter;
   OrderState State = OrderState::Waiting;
+  OrderLoad Load;
 };
 
 /// Load and its peaks.
@@ -61,6 +71,8 @@
   bool cancel(std::string_view requestId);
 
   OrderState stateOf(const Order &order) const;
+  /// What was borne when \p order began, or when it was one too many.
+  OrderLoad loadOf(const Order &order) const;
   void turnCold();
   bool isCold() const;
   double slowdown() const;
@@ -73,7 +85,7 @@
   void awaitQuiet(core::Duration quiet, core::TimePoint limit);
 
 private:
-  void start(Order &order);
+  void start(Order &order, core::TimePoint now);
   void startWaiting();
   void fallOver(Order &cause, core::TimePoint now);
   OrderCounts countsLocked() const;
--- a/Source/Programs/StandinUpstream/UpstreamServer.cpp
+++ b/Source/Programs/StandinUpstream/UpstreamServer.cpp
@@ -21,6 +21,9 @@
 /// All paths but those of the stand-in itself.
 constexpr const char *OrderPath = R"(^(?!/acacia/).*$)";
 
+/// No answer: the connection was dropped.
+constexpr int StatusDropped = 0;
+constexpr int StatusOk = 200;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusConflict = 409;
 constexpr int StatusServerError = 500;
@@ -64,6 +67,20 @@
 
 } // namespace
 
+OrderHooks hooksFor(const OrderLog &log) {
+  OrderHooks out;
+  out.OnOrder = [log](const OrderHeaders &headers, const OrderLoad &load) {
+    log.order(headers, load);
+  };
+  out.OnRefuse = [log](const OrderHeaders &headers, Refusal refusal) {
+    log.refuse(headers, refusal);
+  };
+  out.OnEnd = [log](const OrderHeaders &headers, int status) {
+    log.end(headers, status);
+  };
+  return out;
+}
+
 core::Result<std::unique_ptr<UpstreamServer>>
 UpstreamServer::create(const UpstreamOptions &options) {
   if (options.Slots == 0 || options.Connections == 0)
@@ -166,12 +183,12 @@
         return true;
       });
   if (!isWhole) {
-    refuse(response, Refusal::Incomplete);
+    refuse(headers, response, Refusal::Incomplete);
     standin::StandinServer::dropConnection();
     return;
   }
   if (const auto refusal = refusalOf(headers); refusal || isShed()) {
-    refuse(response, refusal.value_or(Refusal::Shedding));
+    refuse(headers, response, refusal.value_or(Refusal::Shedding));
     return;
   }
   runOrder(request, response, headers, digest);
@@ -181,7 +198,7 @@
                               const OrderHeaders &headers, BodyDigest &digest) {
   auto waiter = OrderWait::create(standin::StandinServer::currentSocket());
   if (!waiter) {
-    refuse(response, Refusal::Shedding);
+    refuse(headers, response, Refusal::Shedding);
     return;
   }
   const auto order = std::make_shared<Order>();
@@ -197,10 +214,10 @@
   // A grant may have been replaced, or may have expired, in the queue.
   if (const auto refusal = refusalOf(headers)) {
     Book.leave(order, false);
-    refuse(response, *refusal);
+    refuse(headers, response, *refusal);
     return;
   }
-  recordStart(headers);
+  recordStart(*order, headers);
   const Ending ending = work(*order);
   awaitThaw();
   Book.leave(order, ending == Ending::Completed);
@@ -225,7 +242,10 @@
          Random() % PermilleRange < Faults.ShedPermille;
 }
 
-void UpstreamServer::refuse(Response &response, Refusal refusal) {
+void UpstreamServer::refuse(const OrderHeaders &headers, Response &response,
+                            Refusal refusal) {
+  if (Options.Hooks.OnRefuse)
+    Options.Hooks.OnRefuse(headers, refusal);
   response.status =
       refusal == Refusal::StaleGrant ? StatusConflict : StatusUnavailable;
   response.set_header("X-Acacia-Not-Run", std::string(toString(refusal)));
@@ -233,7 +253,9 @@
   ++Stats.Refused[refusal];
 }
 
-void UpstreamServer::recordStart(const OrderHeaders &headers) {
+void UpstreamServer::recordStart(const Order &order,
+                                 const OrderHeaders &headers) {
+  tellOrder(order, headers);
   const std::lock_guard lock(Mutex);
   ++Stats.Started;
   if (headers.Slice)
@@ -242,6 +264,17 @@
     ++Stats.StartsByKey[headers.IdempotencyKey];
 }
 
+void UpstreamServer::tellOrder(const Order &order,
+                               const OrderHeaders &headers) const {
+  if (Options.Hooks.OnOrder)
+    Options.Hooks.OnOrder(headers, Book.loadOf(order));
+}
+
+void UpstreamServer::tellEnd(const OrderHeaders &headers, int status) const {
+  if (Options.Hooks.OnEnd)
+    Options.Hooks.OnEnd(headers, status);
+}
+
 bool UpstreamServer::awaitTurn(const Order &order, const OrderHeaders &headers,
                                Response &response) {
   const bool hasDeadline = Options.HonoursDeadlines && headers.Deadline;
@@ -252,11 +285,13 @@
     case OrderState::Running:
       return true;
     case OrderState::Failed:
+      tellOrder(order, headers);
+      tellEnd(headers, StatusDropped);
       countFailure();
       standin::StandinServer::dropConnection();
       return false;
     case OrderState::Cancelled:
-      refuse(response, Refusal::Cancelled);
+      refuse(headers, response, Refusal::Cancelled);
       return false;
     case OrderState::Waiting:
       break;
@@ -264,7 +299,7 @@
     const Wake wake = order.Waiter->wait(until);
     if (wake == Wake::Signal)
       continue;
-    refuse(response,
+    refuse(headers, response,
            wake == Wake::Closed ? Refusal::Cancelled : Refusal::Deadline);
     return false;
   }
@@ -297,10 +332,12 @@
   switch (ending) {
   case Ending::Failed:
     ++Stats.Failed;
+    tellEnd(headers, StatusDropped);
     standin::StandinServer::dropConnection();
     return;
   case Ending::Cancelled:
     ++Stats.CancelledRunning;
+    tellEnd(headers, StatusServerError);
     response.status = StatusServerError;
     return;
   case Ending::Completed:
@@ -309,9 +346,11 @@
   ++Stats.Served;
   if (Faults.LoseAnswers) {
     ++Stats.LostAnswers;
+    tellEnd(headers, StatusDropped);
     standin::StandinServer::dropConnection();
     return;
   }
+  tellEnd(headers, StatusOk);
   response.set_header("X-Request-Id", headers.RequestId);
   if (const std::uint64_t bytes = requestedBytes(request); bytes != 0) {
     streamPattern(response, bytes);
--- a/Source/Programs/StandinUpstream/UpstreamServer.h
+++ b/Source/Programs/StandinUpstream/UpstreamServer.h
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -19,11 +20,23 @@
 #include "Programs/StandinUpstream/LoadHistory.h"
 #include "Programs/StandinUpstream/OrderBook.h"
 #include "Programs/StandinUpstream/OrderHeaders.h"
+#include "Programs/StandinUpstream/OrderLog.h"
 #include "Programs/StandinUpstream/UpstreamFaults.h"
 #include "Programs/StandinUpstream/UpstreamStats.h"
 
 namespace acaciaroad::standinupstream {
 
+/// Told of each step of an order, on the order's thread.
+struct OrderHooks {
+  std::function<void(const OrderHeaders &, const OrderLoad &)> OnOrder;
+  std::function<void(const OrderHeaders &, Refusal)> OnRefuse;
+  /// With the HTTP status; 0 for a dropped connection.
+  std::function<void(const OrderHeaders &, int)> OnEnd;
+};
+
+/// Returns hooks that write one line for each step.
+OrderHooks hooksFor(const OrderLog &log);
+
 /// How an upstream behaves.
 struct UpstreamOptions {
   /// "ip:port"; port 0 lets the system choose.
@@ -40,6 +53,8 @@
   bool HonoursDeadlines = true;
   /// Of service times and shedding.
   std::uint64_t Seed = 1;
+  /// Any may be empty.
+  OrderHooks Hooks;
 };
 
 /// Serves orders on every path but those below `/acacia/`.
@@ -88,8 +103,11 @@
 
   std::optional<Refusal> refusalOf(const OrderHeaders &headers);
   bool isShed();
-  void refuse(httplib::Response &response, Refusal refusal);
-  void recordStart(const OrderHeaders &headers);
+  void refuse(const OrderHeaders &headers, httplib::Response &response,
+              Refusal refusal);
+  void recordStart(const Order &order, const OrderHeaders &headers);
+  void tellOrder(const Order &order, const OrderHeaders &headers) const;
+  void tellEnd(const OrderHeaders &headers, int status) const;
   bool awaitTurn(const Order &order, const OrderHeaders &headers,
                  httplib::Response &response);
   void countFailure();
