Replay: judge real runs; not_run needs evidence of upstreams

- not_run is not judged without lines of upstreams, and any upstream_order counts as run.
The former exception for a request that an upstream also refused hid a first attempt that had run; its test row is replaced by a stricter one.
- sole_owner takes the first order of an epoch for a start, so that it judges runs whose nodes write no own_start.
- runs_once finds account and class through the node's line of the request.
- withdrawn_key counts only requests with a withdrawn key; before, it was held by traces without a withdrawal.
- own_answer compares the path sent with the path in the answer: the answer's X-Request-Id header comes from the upstream too.
- admit has key_id, node_start has data_centre.

--- a/Source/Node/DecisionLog.cpp
+++ b/Source/Node/DecisionLog.cpp
@@ -69,11 +69,12 @@
                  {"detail", error.Detail}});
 }
 
-void DecisionLog::admit(std::string_view requestId,
-                        std::string_view account) const {
+void DecisionLog::admit(std::string_view requestId, std::string_view account,
+                        std::string_view keyId) const {
   Logger->write(Level::Info, "admit",
                 {{"request_id", requestId},
                  {"account", account},
+                 {"key_id", keyId},
                  {"boot_ns", core::toNanoseconds(core::BootClock::now())}});
 }
 
--- a/Source/Node/DecisionLog.h
+++ b/Source/Node/DecisionLog.h
@@ -41,7 +41,8 @@
               std::string_view workClass, const core::Error &error) const;
 
   /// A request of a client account was admitted under its rate.
-  void admit(std::string_view requestId, std::string_view account) const;
+  void admit(std::string_view requestId, std::string_view account,
+             std::string_view keyId) const;
 
   logging::Logger &logger() const { return *Logger; }
 
--- a/Source/Node/EntryService.cpp
+++ b/Source/Node/EntryService.cpp
@@ -37,7 +37,7 @@
     Parts.OnEnded(summary);
     return;
   }
-  Parts.Decisions->admit(requestId, accepted->Head.Account);
+  Parts.Decisions->admit(requestId, accepted->Head.Account, accepted->KeyId);
   RequestRun run(Parts, caller, std::move(*accepted), start);
   const auto status = run.run();
   summary.Latency = Parts.Now() - start;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -296,9 +296,11 @@
 }
 
 ExitReason Node::run() {
-  Logger->write(
-      Level::Info, "node_start",
-      {{"instance_id", core::toString(Self)}, {"peers", Peers->address()}});
+  Logger->write(Level::Info, "node_start",
+                {{"data_centre", Settings.Node.DataCentre},
+                 {"instance_id", core::toString(Self)},
+                 {"peers", Peers->address()},
+                 {"boot_ns", core::toNanoseconds(core::BootClock::now())}});
   awaitStart();
   if (auto started = startCallers(); !started)
     Logger->write(Level::Error, "callers_failed",
--- a/Source/Node/RequestIntake.cpp
+++ b/Source/Node/RequestIntake.cpp
@@ -97,6 +97,8 @@
     return tl::unexpected(found.error());
   AcceptedRequest out;
   out.Class = **found;
+  const std::string_view bearer = bearerOf(request.Headers);
+  out.KeyId = bearer.substr(0, bearer.find('.'));
   if (request.Body == wire::BodyMode::Sized &&
       request.BodyLength > out.Class.BodyLimitBytes)
     return core::fail(core::ErrorKind::BodyTooLarge);
--- a/Source/Node/RequestIntake.h
+++ b/Source/Node/RequestIntake.h
@@ -32,6 +32,8 @@
   configuration::WorkClass Class;
   /// Without the caller's key and without a deadline.
   wire::ForwardHead Head;
+  /// Public part of the caller's key.
+  std::string KeyId;
   /// Whether one owner has to serve it.
   bool IsKeyed = false;
 };
--- a/Source/Programs/Load/Lane.cpp
+++ b/Source/Programs/Load/Lane.cpp
@@ -7,8 +7,7 @@
 namespace acaciaroad::load {
 
 Lane::Lane(const Experiment &experiment, std::size_t target,
-           core::TimePoint start, EndHandler onEnd,
-           AnswerHandler onAnswer)
+           core::TimePoint start, EndHandler onEnd, AnswerHandler onAnswer)
     : Plan(experiment), Target(target), Start(start), OnEnd(std::move(onEnd)),
       OnAnswer(std::move(onAnswer)) {
   for (std::uint32_t n = 0; n < Plan.ConnectionsPerTarget; ++n)
--- a/Source/Programs/Load/Main.cpp
+++ b/Source/Programs/Load/Main.cpp
@@ -84,10 +84,11 @@
   const auto logger = logging::Logger::create(std::move(options));
   if (!logger)
     return tl::unexpected(logger.error());
-  return [logger = *logger](const load::AnswerIds &it) {
+  return [logger = *logger](const load::AnswerEcho &it) {
     logger->write(logging::Level::Info, "caller_answer",
                   {{"request_id", it.RequestId},
-                   {"echoed_id", it.EchoedId},
+                   {"sent_path", it.SentPath},
+                   {"echoed_path", it.EchoedPath},
                    {"status", it.Status},
                    {"boot_ns", core::toNanoseconds(core::BootClock::now())}});
   };
--- a/Source/Programs/Load/Sample.h
+++ b/Source/Programs/Load/Sample.h
@@ -44,18 +44,20 @@
   core::ErrorKind Kind = core::ErrorKind::Internal;
 };
 
-/// The ids that an answer carried; either may be empty.
-struct AnswerIds {
-  /// Of the answer's header, as the entry node wrote it.
+/// What tells whether an answer is that to its request.
+struct AnswerEcho {
+  /// Of the answer's header; empty without one.
   std::string_view RequestId;
-  /// Of the answer's body, as the upstream wrote it.
-  std::string_view EchoedId;
+  /// Path of the request, with its number.
+  std::string_view SentPath;
+  /// Path that the upstream wrote into its answer; empty without one.
+  std::string_view EchoedPath;
   /// HTTP.
   int Status = 0;
 };
 
-/// Receives the ids of each answer, on the thread that got it.
-using AnswerHandler = std::function<void(const AnswerIds &)>;
+/// Receives the echo of each answer, on the thread that got it.
+using AnswerHandler = std::function<void(const AnswerEcho &)>;
 
 /// One request and its end.
 struct Sample {
--- a/Source/Programs/Load/Sender.cpp
+++ b/Source/Programs/Load/Sender.cpp
@@ -84,21 +84,22 @@
   const httplib::Result answer = Http.send(request);
   const bool isLate = core::BootClock::now() - start >= Plan.Timeout;
   if (answer && OnAnswer)
-    tellAnswer(*answer);
+    tellAnswer(request, *answer);
   if (!answer && isLate)
     return {Outcome::Timeout};
   return judge(request, answer, Plan.Classes[Plan.Flows[shot.Flow].Class]);
 }
 
-void Sender::tellAnswer(const httplib::Response &response) const {
+void Sender::tellAnswer(const httplib::Request &request,
+                        const httplib::Response &response) const {
   const std::string id = response.get_header_value("X-Request-Id");
   std::string echoed;
   if (response.status == StatusOk) {
     const Json echo = Json::parse(response.body, nullptr, false);
     if (echo.is_object())
-      echoed = echo.value("request_id", "");
+      echoed = echo.value("path", "");
   }
-  OnAnswer({id, echoed, response.status});
+  OnAnswer({id, request.path, echoed, response.status});
 }
 
 httplib::Request Sender::requestFor(const Shot &shot) const {
--- a/Source/Programs/Load/Sender.h
+++ b/Source/Programs/Load/Sender.h
@@ -29,7 +29,8 @@
   Ending judge(const httplib::Request &request, const httplib::Result &answer,
                const WorkClass &workClass) const;
 
-  void tellAnswer(const httplib::Response &response) const;
+  void tellAnswer(const httplib::Request &request,
+                  const httplib::Response &response) const;
 
   const Experiment &Plan;
   httplib::Client Http;
--- a/Source/Programs/Replay/Judges.cpp
+++ b/Source/Programs/Replay/Judges.cpp
@@ -28,6 +28,34 @@
                      event.Event);
 }
 
+/// Whom and what an order is for.
+struct Origin {
+  std::string Account;
+  std::string Class;
+};
+
+/// Origins by request id, from the lines of nodes; upstreams know neither.
+using Origins = std::map<std::string, Origin>;
+
+Origins originsOf(Events events) {
+  Origins out;
+  for (const TraceEvent &it : events)
+    if (!it.RequestId.empty() && !it.Class.empty())
+      out.try_emplace(it.RequestId, Origin{it.Account, it.Class});
+  return out;
+}
+
+Origin originOf(const TraceEvent &order, const Origins &origins) {
+  if (!order.Class.empty())
+    return {order.Account, order.Class};
+  const auto it = origins.find(order.RequestId);
+  return it == origins.end() ? Origin{} : it->second;
+}
+
+bool isUpstreamEvidence(const TraceEvent &event) {
+  return event.Event == "upstream_order" || event.Event == "upstream_refuse";
+}
+
 bool isOwnership(const TraceEvent &event) {
   return event.Event == "own_start" || event.Event == "own_stop" ||
          event.Event == "order";
@@ -47,6 +75,11 @@
       start = {it.Instance, it.Epoch, it.Time};
       continue;
     }
+    // An order shows its owner too, where no start was recorded.
+    if (it.Event == "order" && it.Epoch > start.Epoch) {
+      start = {it.Instance, it.Epoch, it.Time};
+      continue;
+    }
     const bool isOther =
         !start.Instance.empty() && start.Instance != it.Instance;
     // An owner that was succeeded in good order has a lower epoch and does
@@ -100,15 +133,18 @@
 
 Verdict RunsOnceJudge::judge(Events events) const {
   Verdict verdict("runs_once");
+  const auto origins = originsOf(events);
   std::set<std::pair<std::string, std::string>> seen;
   for (const TraceEvent &it : events) {
-    if (it.Event != "upstream_order" || it.IdempotencyKey.empty() ||
-        Classes.count(it.Class) == 0)
+    if (it.Event != "upstream_order" || it.IdempotencyKey.empty())
+      continue;
+    const Origin origin = originOf(it, origins);
+    if (Classes.count(origin.Class) == 0)
       continue;
     verdict.examine();
-    if (!seen.emplace(it.Account, it.IdempotencyKey).second)
+    if (!seen.emplace(origin.Account, it.IdempotencyKey).second)
       verdict.addFinding(fmt::format("{}: {}/{} runs again", describe(it),
-                                     it.Account, it.IdempotencyKey));
+                                     origin.Account, it.IdempotencyKey));
   }
   return verdict;
 }
@@ -141,11 +177,11 @@
   for (const TraceEvent &it : events) {
     if (it.Event == "key_withdrawn")
       withdrawn.try_emplace(it.KeyId, it.Time);
-    if (it.Event != "admit" || it.KeyId.empty())
+    const auto key = withdrawn.find(it.KeyId);
+    if (it.Event != "admit" || key == withdrawn.end())
       continue;
     verdict.examine();
-    const auto key = withdrawn.find(it.KeyId);
-    if (key != withdrawn.end() && it.Time > key->second + Within.count())
+    if (it.Time > key->second + Within.count())
       verdict.addFinding(fmt::format("{}: key {} withdrawn at {} ns",
                                      describe(it), it.KeyId, key->second));
   }
@@ -155,12 +191,12 @@
 Verdict OwnAnswerJudge::judge(Events events) const {
   Verdict verdict("own_answer");
   for (const TraceEvent &it : events) {
-    if (it.Event != "caller_answer" || it.EchoedId.empty())
+    if (it.Event != "caller_answer" || it.EchoedPath.empty())
       continue;
     verdict.examine();
-    if (it.EchoedId != it.RequestId)
+    if (it.EchoedPath != it.SentPath)
       verdict.addFinding(fmt::format("{}: request {} got the answer to {}",
-                                     describe(it), it.RequestId, it.EchoedId));
+                                     describe(it), it.SentPath, it.EchoedPath));
   }
   return verdict;
 }
@@ -169,20 +205,19 @@
   Verdict verdict("not_run");
   // A late order may be recorded after the refusal.
   std::set<std::string> started;
-  std::set<std::string> refusedByUpstream;
+  bool hasEvidence = false;
   for (const TraceEvent &it : events) {
     if (it.Event == "upstream_order")
       started.insert(it.RequestId);
-    if (it.Event == "upstream_refuse")
-      refusedByUpstream.insert(it.RequestId);
+    hasEvidence = hasEvidence || isUpstreamEvidence(it);
   }
+  if (!hasEvidence)
+    return verdict;
   for (const TraceEvent &it : events) {
     if (it.Event != "refuse" || it.Ran != "no" || it.RequestId.empty())
       continue;
     verdict.examine();
-    const bool hasRun = started.count(it.RequestId) != 0 &&
-                        refusedByUpstream.count(it.RequestId) == 0;
-    if (hasRun)
+    if (started.count(it.RequestId) != 0)
       verdict.addFinding(
           fmt::format("{}: request {} has run", describe(it), it.RequestId));
   }
--- a/Source/Programs/Replay/Judges.h
+++ b/Source/Programs/Replay/Judges.h
@@ -18,7 +18,8 @@
 
 using Events = std::span<const TraceEvent>;
 
-/// A slice has one owner at a time: once an owner has started (`own_start`), no
+/// A slice has one owner at a time: once an owner has started (`own_start`, or
+/// the first `order` of its epoch), no
 /// other instance sends an `order` for the slice or ends an earlier ownership
 /// (`own_stop`) later than the tolerance.
 struct SoleOwnerJudge {
@@ -41,7 +42,8 @@
 };
 
 /// An order of one of the classes runs at most once for each client account
-/// and idempotency key (`upstream_order`).
+/// and idempotency key (`upstream_order`). Lines of nodes about the same
+/// request tell account and class where the upstream does not.
 struct RunsOnceJudge {
   std::set<std::string> Classes;
   Verdict judge(Events events) const;
@@ -74,8 +76,8 @@
   Verdict judge(Events events) const;
 };
 
-/// A request that was refused with `ran` "no" was never run by an upstream;
-/// one that the upstream refused itself (`upstream_refuse`) was not run.
+/// A request that was refused with `ran` "no" has no `upstream_order`, whatever
+/// else an upstream refused of it. Not judged without lines of upstreams.
 struct NotRunJudge {
   Verdict judge(Events events) const;
 };
--- a/Source/Programs/Replay/TraceEvent.cpp
+++ b/Source/Programs/Replay/TraceEvent.cpp
@@ -57,7 +57,8 @@
   out.IdempotencyKey = textOf(line, "idempotency_key");
   out.Slice = textOf(line, "slice");
   out.Ran = textOf(line, "ran");
-  out.EchoedId = textOf(line, "echoed_id");
+  out.SentPath = textOf(line, "sent_path");
+  out.EchoedPath = textOf(line, "echoed_path");
   out.Epoch = numberOf(line, "epoch");
   out.InFlight = numberOf(line, "in_flight");
   out.Bearable = numberOf(line, "bearable");
--- a/Source/Programs/Replay/TraceEvent.h
+++ b/Source/Programs/Replay/TraceEvent.h
@@ -36,8 +36,9 @@
   std::string IdempotencyKey;
   std::string Slice;
   std::string Ran;
-  /// Request that the answer belongs to, as the upstream wrote it into it.
-  std::string EchoedId;
+  /// What the caller sent, and what the upstream wrote into its answer.
+  std::string SentPath;
+  std::string EchoedPath;
   std::uint64_t Epoch = 0;
   std::uint64_t InFlight = 0;
   /// Orders that an upstream in its cold start can bear.
--- a/Source/Programs/StandinUpstream/Main.cpp
+++ b/Source/Programs/StandinUpstream/Main.cpp
@@ -44,8 +44,7 @@
   const auto logger = logging::Logger::create(std::move(log));
   if (!logger)
     return tl::unexpected(logger.error());
-  out.Hooks =
-      standinupstream::hooksFor(standinupstream::OrderLog(*logger));
+  out.Hooks = standinupstream::hooksFor(standinupstream::OrderLog(*logger));
   return out;
 }
 
--- a/Tests/Programs/Replay/JudgesTest.cpp
+++ b/Tests/Programs/Replay/JudgesTest.cpp
@@ -43,6 +43,8 @@
     R"("event":"own_stop","instance":"a","slice":"q/1","epoch":1)";
 const char *const OrderA =
     R"("event":"order","instance":"a","slice":"q/1","epoch":1)";
+const char *const OrderB =
+    R"("event":"order","instance":"b","slice":"q/1","epoch":2)";
 const char *const NodeA =
     R"("event":"node_start","instance":"a","data_centre":"dc1")";
 const char *const ShareOut =
@@ -55,6 +57,10 @@
 const char *const BookOther =
     R"("event":"upstream_order","class":"book","account":"y",)"
     R"("idempotency_key":"k1","request_id":"r2")";
+const char *const BareOrder =
+    R"("event":"upstream_order","idempotency_key":"k1","request_id":"r1")";
+const char *const Joined =
+    R"("event":"order","class":"book","account":"x","request_id":"r1")";
 const char *const Admit = R"("event":"admit","account":"x","key_id":"k1")";
 const char *const Withdrawn = R"("event":"key_withdrawn","key_id":"k1")";
 const char *const RefusedNo =
@@ -87,6 +93,15 @@
      Sole,
      {{0, StartA}, {10, StartB}, {15, StopA}},
      Outcome::Held},
+    {"sole owner: orders alone, in order of epochs",
+     Sole,
+     {{0, OrderA}, {30, OrderB}},
+     Outcome::Held},
+    {"sole owner: orders alone, former owner goes on",
+     Sole,
+     {{0, OrderA}, {10, OrderB}, {30, OrderA}},
+     Outcome::Broken,
+     1},
     {"sole owner: nothing to judge", Sole, {{0, Admit}}, Outcome::NotJudged},
     {"cold start: bearable",
      Cold,
@@ -124,6 +139,15 @@
      Once,
      {{0, Book}, {1, BookOther}},
      Outcome::Held},
+    {"runs once: class and account are those of the node's line",
+     Once,
+     {{0, Joined}, {1, BareOrder}, {2, BareOrder}},
+     Outcome::Broken,
+     1},
+    {"runs once: no line tells the class",
+     Once,
+     {{0, BareOrder}, {1, BareOrder}},
+     Outcome::NotJudged},
     {"runs once: repeated", Once, {{0, Book}, {1, Book}}, Outcome::Broken, 1},
     {"account rate: burst and refill",
      Rate,
@@ -148,16 +172,21 @@
      {{0, Admit}, {1000, Withdrawn}, {6001, Admit}},
      Outcome::Broken,
      1},
+    {"withdrawn key: no withdrawal", Key, {{0, Admit}}, Outcome::NotJudged},
     {"own answer",
      Own,
-     {{0, R"("event":"caller_answer","request_id":"r1","echoed_id":"r1")"}},
+     {{0, R"("event":"caller_answer","sent_path":"/r1","echoed_path":"/r1")"}},
      Outcome::Held},
     {"own answer: crossed",
      Own,
-     {{0, R"("event":"caller_answer","request_id":"r1","echoed_id":"r2")"}},
+     {{0, R"("event":"caller_answer","sent_path":"/r1","echoed_path":"/r2")"}},
      Outcome::Broken,
      1},
-    {"not run: true", NotRun, {{0, RefusedNo}}, Outcome::Held},
+    {"not run: true", NotRun, {{0, BookOther}, {1, RefusedNo}}, Outcome::Held},
+    {"not run: no evidence of upstreams",
+     NotRun,
+     {{0, RefusedNo}},
+     Outcome::NotJudged},
     {"not run: ran before",
      NotRun,
      {{0, Book}, {1, RefusedNo}},
@@ -170,8 +199,13 @@
      1},
     {"not run: refused by the upstream",
      NotRun,
-     {{0, Book}, {1, UpstreamRefused}, {2, RefusedNo}},
+     {{1, UpstreamRefused}, {2, RefusedNo}},
      Outcome::Held},
+    {"not run: ran, and a second attempt was refused",
+     NotRun,
+     {{0, Book}, {1, UpstreamRefused}, {2, RefusedNo}},
+     Outcome::Broken,
+     1},
     {"not run: unknown is not claimed",
      NotRun,
      {{0, Book}, {1, RefusedUnknown}},
