--- a/Tests/Processes/deployment.py
+++ b/Tests/Processes/deployment.py
@@ -20,6 +20,8 @@
     "recording": {"key": "none", "execution": "idempotent"},
 }
 ACCOUNTS = {"large": (200, 400), "small": (20, 40)}
+OUTCOMES = os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                        "outcomes.toml")
 READY_TIMEOUT_S = 40
 # The load report takes an account's bucket for full at the start; a new one
 # is empty and needs burst / rate.
@@ -120,6 +122,7 @@
             "key_small": self.keys["small"], **variables}
         child = subprocess.Popen(
             [os.path.join(fleet.BINARIES, "acacia-load"), "--json", out,
+             "--log", os.path.join(self.fleet.folder, name + ".log"),
              os.path.join(ROOT, "bench", experiment + ".toml"),
              *("%s=%s" % it for it in values.items())],
             stdout=subprocess.PIPE, text=True)
@@ -133,6 +136,45 @@
         return self.fleet.stop()
 
 
+class Replay:
+    """Verdicts of acacia-replay over all logs of a deployment."""
+
+    BROKEN = 1
+    NOT_JUDGED = 3
+    # Every load sends what these rules are about.
+    REQUIRED = ("sole_owner", "runs_once", "account_rate", "own_answer")
+
+    def __init__(self, folder):
+        self.logs = sorted(
+            os.path.join(folder, it) for it in os.listdir(folder)
+            if it.endswith(".log"))
+
+    def check(self):
+        """Prints the verdicts and returns what was violated, as texts."""
+        done = subprocess.run(
+            [os.path.join(fleet.BINARIES, "acacia-replay"), "--outcomes",
+             OUTCOMES, *self.logs], capture_output=True, text=True)
+        print(done.stdout, end="")
+        if done.returncode not in (0, self.BROKEN, self.NOT_JUDGED):
+            return ["acacia-replay: %d: %s" % (done.returncode, done.stderr)]
+        found = []
+        if done.returncode == self.BROKEN:
+            found.append("acacia-replay: a stated outcome is broken")
+        for line in done.stdout.splitlines():
+            if line.startswith(self.REQUIRED) and "not judged" in line:
+                found.append("acacia-replay: " + line)
+        return found + self.dropped_lines()
+
+    def dropped_lines(self):
+        """Dropped lines are missing evidence."""
+        found = []
+        for path in self.logs:
+            with open(path, errors="replace") as it:
+                if '"log_lines_dropped"' in it.read():
+                    found.append("log lines dropped: " + path)
+        return found
+
+
 class Load:
     """A running acacia-load."""
 
--- a/Tests/Processes/fault_test.py
+++ b/Tests/Processes/fault_test.py
@@ -123,6 +123,7 @@
         found.append(str(error))
     finally:
         it.stop()
+        found += deployment.Replay(it.fleet.folder).check()
         if found:
             print("logs: " + it.fleet.folder)
     return found
