--- a/Source/Node/DecisionLog.cpp
+++ b/Source/Node/DecisionLog.cpp
@@ -4,7 +4,6 @@
 
 namespace acaciaroad::node {
 
-using logging::Field;
 using logging::Level;
 
 void DecisionLog::route(const wire::ForwardHead &head, core::InstanceId to,
