--- a/Source/Programs/Load/Sample.h
+++ b/Source/Programs/Load/Sample.h
@@ -5,6 +5,8 @@
 #define ACACIAROAD_LOAD_SAMPLE_H
 
 #include <cstdint>
+#include <functional>
+#include <string_view>
 
 #include "Core/Clock.h"
 #include "Core/ErrorKind.h"
@@ -42,6 +44,21 @@
   core::ErrorKind Kind = core::ErrorKind::Internal;
 };
 
+/// What tells whether an answer is that to its request.
+struct AnswerEcho {
+  /// Of the answer's header; empty without one.
+  std::string_view RequestId;
+  /// Path of the request, with its number.
+  std::string_view SentPath;
+  /// Path that the upstream wrote into its answer; empty without one.
+  std::string_view EchoedPath;
+  /// HTTP.
+  int Status = 0;
+};
+
+/// Receives the echo of each answer, on the thread that got it.
+using AnswerHandler = std::function<void(const AnswerEcho &)>;
+
 /// One request and its end.
 struct Sample {
   Shot Request;
