HandoverLedger: let a slice start when its witnessless former owner is lost

Cause: a live former owner without witnesses that was retired before it told its ids stayed incomplete for ever, since only gained() knew that nobody can tell the ids of such an owner. The slice never started, and the ledger woke every 100 ms to ask nobody. onSourceLost() now applies the same rule and returns the slices that it completes, which the control thread starts.

HandoverLedgerTest has a row for it: it failed before (23 of 24 cases passed) and passes now.

--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -434,6 +434,15 @@
   Agent->slicesMayStart(Hooks.Now());
 }
 
+void ControlState::onSourceLost(core::InstanceId owner) {
+  const core::TimePoint now = Hooks.Now();
+  const auto completed = Handovers.onSourceLost(owner, now);
+  for (const core::SliceId &it : completed)
+    Hooks.TellIds(it, Owned.at(it));
+  if (!completed.empty())
+    Agent->slicesMayStart(now);
+}
+
 void ControlState::onIdsWitnessed() { Agent->slicesMayStart(Hooks.Now()); }
 
 void ControlState::handOverIds(std::span<const core::SliceId> slices) {
@@ -467,7 +476,7 @@
   if (const auto *record = std::get_if<ownership::OwnershipRecord>(&entry)) {
     if (const auto *it = std::get_if<ownership::InstanceRetired>(record)) {
       Hooks.Log->takeover(it->Id, it->Reason);
-      Handovers.onSourceLost(it->Id, Hooks.Now());
+      onSourceLost(it->Id);
     }
     if (const auto *it = std::get_if<ownership::DataCentreShareSet>(record))
       Hooks.Log->dataCentreShare(it->DataCentre, it->SharePermille);
--- a/Source/Node/ControlState.h
+++ b/Source/Node/ControlState.h
@@ -177,6 +177,7 @@
   bool needsIds(std::string_view service) const;
   requests::HandoverSource sourceOf(core::InstanceId id) const;
   void onImported(const requests::IdempotencyHandover &handover);
+  void onSourceLost(core::InstanceId owner);
   void askForIds(core::TimePoint now);
   void logPlacement(const codec::LogEntry &entry);
   void logLease(core::TimePoint now);
--- a/Source/Requests/HandoverLedger.cpp
+++ b/Source/Requests/HandoverLedger.cpp
@@ -10,8 +10,18 @@
 /// Returns how many of \p count witnesses every majority must meet.
 std::size_t blockingOf(std::size_t count) { return count - count / 2; }
 
+/// Whether nobody can tell the ids: a lost owner without witnesses.
+bool isMute(const HandoverSource &source) {
+  return source.IsLost && source.Witnesses.empty();
+}
+
 } // namespace
 
+bool HandoverLedger::Gain::isComplete() const {
+  return std::all_of(Sources.begin(), Sources.end(),
+                     [](const Source &it) { return it.IsComplete; });
+}
+
 void HandoverLedger::gained(const core::SliceId &slice, core::Epoch epoch,
                             std::vector<HandoverSource> sources,
                             core::TimePoint now) {
@@ -20,17 +30,12 @@
   for (HandoverSource &it : sources) {
     Source source;
     source.From = std::move(it);
-    // Nobody can tell the ids of a lost owner without witnesses.
-    const bool isMute = source.From.IsLost && source.From.Witnesses.empty();
-    source.IsComplete = isMute || source.From.Owner == Self;
+    source.IsComplete = isMute(source.From) || source.From.Owner == Self;
     if (source.From.IsLost)
       source.AskAt = now;
     gain.Sources.push_back(std::move(source));
   }
-  const bool isComplete =
-      std::all_of(gain.Sources.begin(), gain.Sources.end(),
-                  [](const Source &it) { return it.IsComplete; });
-  if (isComplete)
+  if (gain.isComplete())
     Gains.erase(slice);
   else
     Gains.insert_or_assign(slice, std::move(gain));
@@ -38,13 +43,22 @@
 
 void HandoverLedger::lost(const core::SliceId &slice) { Gains.erase(slice); }
 
-void HandoverLedger::onSourceLost(core::InstanceId owner, core::TimePoint now) {
-  for (auto &[slice, gain] : Gains)
+std::vector<core::SliceId> HandoverLedger::onSourceLost(core::InstanceId owner,
+                                                        core::TimePoint now) {
+  std::vector<core::SliceId> completed;
+  for (auto &[slice, gain] : Gains) {
     for (Source &it : gain.Sources)
       if (it.From.Owner == owner && !it.IsComplete) {
         it.From.IsLost = true;
+        it.IsComplete = isMute(it.From);
         it.AskAt = std::min(it.AskAt, now);
       }
+    if (gain.isComplete())
+      completed.push_back(slice);
+  }
+  for (const core::SliceId &it : completed)
+    Gains.erase(it);
+  return completed;
 }
 
 void HandoverLedger::onRemaining(const core::SliceId &slice,
@@ -78,13 +92,10 @@
   const auto gain = Gains.find(handover.Slice);
   if (gain == Gains.end() || handover.Epoch != gain->second.Epoch)
     return false;
-  auto &sources = gain->second.Sources;
-  for (Source &it : sources)
+  for (Source &it : gain->second.Sources)
     if (!it.IsComplete)
       note(it, handover.From);
-  const bool isComplete =
-      std::all_of(sources.begin(), sources.end(),
-                  [](const Source &it) { return it.IsComplete; });
+  const bool isComplete = gain->second.isComplete();
   if (isComplete)
     Gains.erase(gain);
   return isComplete;
--- a/Source/Requests/HandoverLedger.h
+++ b/Source/Requests/HandoverLedger.h
@@ -52,8 +52,10 @@
   /// Another instance owns the slice.
   void lost(const core::SliceId &slice);
 
-  /// A former owner was retired.
-  void onSourceLost(core::InstanceId owner, core::TimePoint now);
+  /// A former owner was retired. Returns the slices that are complete now and
+  /// were not before, since nobody can tell its ids.
+  std::vector<core::SliceId> onSourceLost(core::InstanceId owner,
+                                          core::TimePoint now);
 
   /// Former owners that are not among \p remaining have ended their service of
   /// \p slice; what they told may have been lost on the way.
@@ -84,6 +86,8 @@
   struct Gain {
     core::Epoch Epoch = 0;
     std::vector<Source> Sources;
+
+    bool isComplete() const;
   };
 
   static bool note(Source &source, core::InstanceId from);
--- /dev/null
+++ b/Tests/Requests/HandoverLedgerTest.cpp
@@ -0,0 +1,225 @@
+#include "Requests/HandoverLedger.h"
+
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::requests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::SliceId Slice{"quotas", 3};
+const core::SliceId OtherSlice{"quotas", 4};
+constexpr core::Epoch GainedEpoch = 7;
+constexpr core::InstanceId Self{1};
+constexpr core::InstanceId Former{2};
+constexpr core::InstanceId Earlier{3};
+constexpr core::InstanceId Stranger{9};
+
+std::vector<core::InstanceId> witnesses(std::uint64_t count) {
+  std::vector<core::InstanceId> out;
+  for (std::uint64_t n = 0; n < count; ++n)
+    out.push_back({11 + n});
+  return out;
+}
+
+HandoverSource live(core::InstanceId owner, std::uint64_t witnessCount = 3) {
+  return {owner, witnesses(witnessCount), false};
+}
+
+HandoverSource gone(core::InstanceId owner, std::uint64_t witnessCount = 3) {
+  return {owner, witnesses(witnessCount), true};
+}
+
+core::TimePoint at(core::Duration time) { return core::TimePoint(time); }
+
+/// One thing that happens to the ledger, and what it then tells.
+struct Step {
+  core::Duration Time;
+  std::function<void(HandoverLedger &, core::TimePoint)> Happens;
+  bool IsComplete;
+  /// Witnesses asked by due() after the step, in order.
+  std::vector<std::uint64_t> Asked;
+};
+
+auto tellOf(core::InstanceId from, core::Epoch epoch = GainedEpoch,
+            core::SliceId slice = Slice) {
+  return [=](HandoverLedger &it, core::TimePoint) {
+    it.delivered({from, slice, epoch, {}});
+  };
+}
+
+auto remaining(std::vector<core::InstanceId> owners) {
+  return [=](HandoverLedger &it, core::TimePoint now) {
+    it.onRemaining(Slice, owners, now);
+  };
+}
+
+void retireFormer(HandoverLedger &it, core::TimePoint now) {
+  it.onSourceLost(Former, now);
+}
+
+void loseSlice(HandoverLedger &it, core::TimePoint /*now*/) { it.lost(Slice); }
+
+void wait(HandoverLedger & /*it*/, core::TimePoint /*now*/) {}
+
+struct LedgerRow {
+  const char *Name;
+  std::vector<HandoverSource> Sources;
+  bool StartsComplete;
+  std::vector<Step> Steps;
+};
+
+const LedgerRow LedgerRows[] = {
+    {"no former owner", {}, true, {{0ms, wait, true, {}}}},
+    {"self as former owner", {live(Self)}, true, {{0ms, wait, true, {}}}},
+    {"self and a live one",
+     {live(Self), live(Former)},
+     false,
+     {{0ms, wait, false, {}}, {5ms, tellOf(Former), true, {}}}},
+    {"live one tells itself",
+     {live(Former)},
+     false,
+     {{1s, wait, false, {}}, {1s, tellOf(Former), true, {}}}},
+    {"stranger tells",
+     {live(Former)},
+     false,
+     {{0ms, tellOf(Stranger), false, {}}}},
+    {"stale epoch",
+     {live(Former)},
+     false,
+     {{0ms, tellOf(Former, GainedEpoch - 1), false, {}},
+      {0ms, tellOf(Former, GainedEpoch + 1), false, {}},
+      {0ms, tellOf(Former), true, {}}}},
+    {"another slice",
+     {live(Former)},
+     false,
+     {{0ms, tellOf(Former, GainedEpoch, OtherSlice), false, {}}}},
+    {"lost one, two of three witnesses",
+     {gone(Former)},
+     false,
+     {{0ms, wait, false, {11, 12, 13}},
+      {1ms, tellOf({12}), false, {}},
+      {2ms, tellOf({12}), false, {}},
+      {3ms, tellOf({11}), true, {}}}},
+    {"lost one, one of one witness",
+     {gone(Former, 1)},
+     false,
+     {{0ms, wait, false, {11}}, {1ms, tellOf({11}), true, {}}}},
+    {"lost one, one of two witnesses meets every majority",
+     {gone(Former, 2)},
+     false,
+     {{0ms, wait, false, {11, 12}}, {1ms, tellOf({12}), true, {}}}},
+    {"lost one, three of five witnesses",
+     {gone(Former, 5)},
+     false,
+     {{0ms, tellOf({11}), false, {12, 13, 14, 15}},
+      {1ms, tellOf({15}), false, {}},
+      {2ms, tellOf({13}), true, {}}}},
+    {"lost one without witnesses", {gone(Former, 0)}, true, {}},
+    {"repeated asks leave out who told",
+     {gone(Former)},
+     false,
+     {{0ms, wait, false, {11, 12, 13}},
+      {99ms, tellOf({11}), false, {}},
+      {100ms, wait, false, {12, 13}},
+      {199ms, wait, false, {}},
+      {200ms, wait, false, {12, 13}}}},
+    {"live one is not asked for before its service ended",
+     {live(Former)},
+     false,
+     {{0ms, remaining({Former}), false, {}}, {10s, wait, false, {}}}},
+    {"lost direct message",
+     {live(Former)},
+     false,
+     {{10ms, remaining({}), false, {}},
+      {309ms, wait, false, {}},
+      {310ms, wait, false, {11, 12, 13}},
+      {409ms, wait, false, {}},
+      {410ms, wait, false, {11, 12, 13}}}},
+    {"patience counts from the first end of service",
+     {live(Former)},
+     false,
+     {{0ms, remaining({}), false, {}},
+      {200ms, remaining({}), false, {}},
+      {300ms, wait, false, {11, 12, 13}}}},
+    {"direct message within patience",
+     {live(Former)},
+     false,
+     {{0ms, remaining({}), false, {}},
+      {299ms, tellOf(Former), true, {}},
+      {300ms, wait, true, {}}}},
+    {"direct message after the asks",
+     {live(Former)},
+     false,
+     {{0ms, remaining({}), false, {}},
+      {300ms, wait, false, {11, 12, 13}},
+      {301ms, tellOf(Former), true, {}},
+      {400ms, wait, true, {}}}},
+    {"live one is retired",
+     {live(Former)},
+     false,
+     {{5ms, retireFormer, false, {11, 12, 13}},
+      {6ms, tellOf({11}), false, {}},
+      {7ms, tellOf({13}), true, {}}}},
+    {"live one without witnesses is retired",
+     {live(Former, 0)},
+     false,
+     {{5ms, retireFormer, true, {}}}},
+    {"one that told is retired",
+     {live(Former), live(Earlier)},
+     false,
+     {{0ms, tellOf(Former), false, {}},
+      {5ms, retireFormer, false, {}},
+      {6ms, tellOf(Earlier), true, {}}}},
+    {"every source is needed",
+     {live(Former), gone(Earlier)},
+     false,
+     {{0ms, tellOf(Former), false, {11, 12, 13}},
+      {1ms, tellOf({11}), false, {}},
+      {2ms, tellOf({12}), true, {}}}},
+    {"complete source is not asked for again",
+     {gone(Former), {Earlier, {{21}, {22}, {23}}, false}},
+     false,
+     {{0ms, wait, false, {11, 12, 13}},
+      {1ms, tellOf({11}), false, {}},
+      {2ms, tellOf({12}), false, {}},
+      {100ms, wait, false, {}}}},
+    {"slice lost",
+     {gone(Former)},
+     false,
+     {{0ms, loseSlice, true, {}}, {1ms, tellOf({11}), true, {}}}},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(HandoverLedgerTest, collects, LedgerRows) {
+  HandoverLedger ledger(Self);
+  ledger.gained(Slice, GainedEpoch, row.Sources, at(0ms));
+  cr_assert_eq(ledger.isComplete(Slice), row.StartsComplete, "%s", row.Name);
+  for (const Step &it : row.Steps) {
+    const core::TimePoint now = at(it.Time);
+    it.Happens(ledger, now);
+    std::vector<std::uint64_t> asked;
+    for (const DueHandoverAsk &ask : ledger.due(now)) {
+      cr_assert(ask.Ask == (IdempotencyHandoverAsk{Self, Slice, GainedEpoch}));
+      asked.push_back(ask.Witness.Value);
+    }
+    const auto step = static_cast<int>(&it - row.Steps.data());
+    cr_assert(asked == it.Asked, "%s, step %d", row.Name, step);
+    cr_assert_eq(ledger.isComplete(Slice), it.IsComplete, "%s, step %d",
+                 row.Name, step);
+    const auto next = ledger.nextDeadline();
+    cr_assert(!next || (*next > now && !it.IsComplete), "%s, step %d", row.Name,
+              step);
+  }
+}
+
+// Only the message that completes a slice reports it.
+Test(HandoverLedgerTest, completionIsReportedOnce) {
+  HandoverLedger ledger(Self);
+  ledger.gained(Slice, GainedEpoch, {gone(Former)}, at(0ms));
+  cr_assert(!ledger.delivered({{11}, Slice, GainedEpoch, {}}));
+  cr_assert(ledger.delivered({{12}, Slice, GainedEpoch, {}}));
+  cr_assert(!ledger.delivered({{13}, Slice, GainedEpoch, {}}));
+}
