--- a/bench/BenchControl.cpp
+++ b/bench/BenchControl.cpp
@@ -105,9 +105,13 @@
   administration::TotalsRecord out{
       Self, 1000, 1'900'000'000'000, std::chrono::seconds(60), {}};
   for (std::size_t n = 0; n < lines; ++n) {
-    administration::TotalsLine line{
-        fmt::format("account-{}", n), "leases", 5000, {}, {}, 5'000'000,
-        5'000'000};
+    administration::TotalsLine line{fmt::format("account-{}", n),
+                                    "leases",
+                                    5000,
+                                    {},
+                                    {},
+                                    5'000'000,
+                                    5'000'000};
     for (std::uint32_t b = 0; b < Buckets; ++b)
       line.Latency.push_back({40 + b, 250});
     out.Lines.push_back(std::move(line));
