--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -161,8 +161,14 @@
 void ControlState::beginLeave() { Agent->beginLeave(Hooks.Now()); }
 
 void ControlState::onSlicesIdle(std::span<const core::SliceId> slices) {
-  for (const core::SliceId &it : slices)
+  for (const core::SliceId &it : slices) {
     Releasing.erase(it);
+    const auto stopped = Stopping.find(it);
+    if (stopped == Stopping.end())
+      continue;
+    Hooks.Log->ownStop(it, stopped->second);
+    Stopping.erase(stopped);
+  }
   handOverIds(slices);
   Agent->onSlicesIdle(slices, Hooks.Now());
 }
@@ -308,6 +314,7 @@
   view->Ownership = Agent->view();
   view->NextOffset = NextOffset;
   Hooks.Publish(std::move(view));
+  logGrants();
   releaseSlices();
   reviewAccounts();
 }
@@ -489,6 +496,22 @@
     Hooks.Log->keyWithdrawn(it->KeyId);
 }
 
+void ControlState::logGrants() {
+  const ownership::FleetMap &map = Agent->map();
+  const ownership::GrantTable &now = Agent->view()->grants();
+  for (const auto &[ref, epoch] : Served)
+    if (!now.contains(ref))
+      Stopping.insert_or_assign(map.idOf(ref), epoch);
+  for (const auto &[ref, epoch] : now) {
+    const auto it = Served.find(ref);
+    if (it != Served.end() && it->second == epoch)
+      continue;
+    Hooks.Log->ownStart(map.idOf(ref), epoch);
+    Stopping.erase(map.idOf(ref));
+  }
+  Served = now;
+}
+
 void ControlState::logLease(core::TimePoint now) {
   const bool hasLease = Agent->leaseExpiry() > now;
   if (HadLease && !hasLease && Agent->hasJoined())
--- a/Source/Node/ControlState.h
+++ b/Source/Node/ControlState.h
@@ -181,6 +181,7 @@
   void askForIds(core::TimePoint now);
   void logPlacement(const codec::LogEntry &entry);
   void logLease(core::TimePoint now);
+  void logGrants();
 
   const ControlStateHooks Hooks;
   std::unique_ptr<configuration::Catalogue> Configuration;
@@ -200,6 +201,10 @@
   /// Credit that former owners handed over, until the account is owned.
   std::map<std::string, accounts::CreditHandover, std::less<>> CreditIn;
   core::TimePoint NextRetell{};
+  /// Slices that were served at the last publication, and those given up whose
+  /// requests still run.
+  ownership::GrantTable Served;
+  std::map<core::SliceId, core::Epoch> Stopping;
   bool HadLease = false;
   bool Changed = true;
   bool Current = false;
--- a/Source/Node/NodeAdministration.cpp
+++ b/Source/Node/NodeAdministration.cpp
@@ -99,7 +99,7 @@
 Node::announced(const upstream::UpstreamAnnouncement &announcement) {
   using Verdict = core::Result<void>;
   const core::TimePoint now = core::BootClock::now();
-  const Verdict verdict =
+  Verdict verdict =
       askControl<Verdict>(*Control, [this, announcement, now]() -> Verdict {
         if (auto taken = Monitor.announced(announcement, now); !taken)
           return taken;
--- a/Source/Node/TrafficState.cpp
+++ b/Source/Node/TrafficState.cpp
@@ -25,14 +25,13 @@
   if (!budget)
     return tl::unexpected(budget.error());
   return std::shared_ptr<ClassTraffic>(
-      new ClassTraffic(value, *policy, std::move(*budget)));
+      new ClassTraffic(value, *policy, *budget));
 }
 
 ClassTraffic::ClassTraffic(configuration::WorkClass value,
                            requests::RequestPolicy policy,
                            requests::RetryBudget budget)
-    : Class(std::move(value)), Policy(policy), Budget(std::move(budget)),
-      Hedges(policy) {}
+    : Class(std::move(value)), Policy(policy), Budget(budget), Hedges(policy) {}
 
 void ClassTraffic::requested(core::TimePoint now) {
   const std::lock_guard lock(Mutex);
--- a/Source/Ownership/OwnershipView.h
+++ b/Source/Ownership/OwnershipView.h
@@ -45,6 +45,8 @@
 
   core::InstanceId self() const { return Self; }
   const FleetView &fleet() const { return Fleet; }
+  /// The slices that this instance has started.
+  const GrantTable &grants() const { return *Grants; }
 
   /// Returns the owner of \p keyHash. Errors: NoOwner.
   core::Result<SliceOwner> ownerOf(std::string_view service,
--- a/Source/Programs/Node/Main.cpp
+++ b/Source/Programs/Node/Main.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 #include "Node/Node.h"
 #include "Settings/SettingsFile.h"
@@ -43,9 +44,9 @@
     });
   }
 
-  /// Ends the thread if no signal came.
+  /// Ends the thread. If no signal came, the process sends one to itself.
   void join() {
-    pthread_kill(Waiter.native_handle(), SIGTERM);
+    kill(getpid(), SIGTERM);
     Waiter.join();
   }
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -28,11 +28,36 @@
 CREDIT_WAIT_S = 6
 
 
+class PortPool:
+    """Hands out ports below the range from which the system takes those of
+    outgoing connections, so that nobody takes one before its program binds
+    it."""
+
+    FIRST = 10000
+    COUNT = 20000
+
+    def __init__(self):
+        self.next = os.getpid() * 101 % self.COUNT
+
+    def take(self):
+        for _ in range(self.COUNT):
+            port = self.FIRST + self.next
+            self.next = (self.next + 1) % self.COUNT
+            with socket.socket() as it:
+                try:
+                    it.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
+        raise RuntimeError("no free port")
+
+
+PORTS = PortPool()
+
+
 def free_port():
-    """Returns a TCP port that was free a moment ago."""
-    with socket.socket() as it:
-        it.bind(("127.0.0.1", 0))
-        return it.getsockname()[1]
+    """Returns a TCP port that is not in use."""
+    return PORTS.take()
 
 
 def http_json(method, url, body=None, token=OPERATOR_TOKEN, timeout=5):
