Node: review accounts only when they moved, and keep the services with ids

Cause: each published view listed all accounts, and each touched slice copied the list of classes; docs/CAPACITY.md puts the first alone at 4.1% of a core with 64,000 accounts at the size designed for. Accounts are now reviewed after a change of configuration or of the started slices of _accounts, and the services with at-most-once classes are a set kept with the catalogue.

--- a/Source/Node/ControlState.cpp
+++ b/Source/Node/ControlState.cpp
@@ -57,6 +57,8 @@
   if (auto restored = Agent->restore(fleet); !restored)
     return restored;
   Configuration = std::make_unique<Catalogue>(**configuration);
+  noteClasses();
+  AccountsMoved = true;
   NextOffset = catalogue.NextOffset;
   return {};
 }
@@ -92,6 +94,8 @@
   if (!verdict)
     return verdict;
   Changed = true;
+  AccountsMoved = true;
+  noteClasses();
   logPlacement(entry.Entry);
   return verdict;
 }
@@ -316,15 +320,27 @@
   Hooks.Publish(std::move(view));
   logGrants();
   releaseSlices();
-  reviewAccounts();
+  reviewAccountsIfMoved();
 }
 
-void ControlState::reviewAccounts() {
+void ControlState::reviewAccountsIfMoved() {
+  if (!std::exchange(AccountsMoved, false))
+    return;
   const core::TimePoint now = Hooks.Now();
   for (const configuration::AccountItem &it : Configuration->accounts())
     reviewAccount(it.Value, now);
 }
 
+bool ControlState::ownsAccount(std::string_view account) const {
+  const ownership::FleetMap &map = Agent->map();
+  const auto owner =
+      map.ownerOf(ownership::AccountsService, core::hashOf(account));
+  if (!owner || owner->Instance != Self)
+    return false;
+  const auto ref = map.refOf(owner->Slice);
+  return ref && Agent->view()->grants().contains(*ref);
+}
+
 bool ControlState::mayGrant(std::string_view account,
                             core::TimePoint now) const {
   return Agent->view()
@@ -335,7 +351,7 @@
 void ControlState::reviewAccount(const ClientAccount &account,
                                  core::TimePoint now) {
   const accounts::AccountRate rate{account.RatePerSecond, account.Burst};
-  if (!mayGrant(account.Name, now)) {
+  if (!ownsAccount(account.Name)) {
     Credit.disown(account.Name);
     return;
   }
@@ -382,12 +398,14 @@
 // Ids of at-most-once requests.
 
 bool ControlState::needsIds(std::string_view service) const {
-  const auto classes = Configuration->classes();
-  return std::any_of(
-      classes.begin(), classes.end(), [&](const configuration::ClassItem &it) {
-        return it.Value.Service == service &&
-               it.Value.Runs == configuration::Execution::AtMostOnce;
-      });
+  return OnceServices.contains(service);
+}
+
+void ControlState::noteClasses() {
+  OnceServices.clear();
+  for (const configuration::ClassItem &it : Configuration->classes())
+    if (it.Value.Runs == configuration::Execution::AtMostOnce)
+      OnceServices.insert(it.Value.Service);
 }
 
 requests::HandoverSource ControlState::sourceOf(core::InstanceId id) const {
@@ -499,15 +517,21 @@
 void ControlState::logGrants() {
   const ownership::FleetMap &map = Agent->map();
   const ownership::GrantTable &now = Agent->view()->grants();
-  for (const auto &[ref, epoch] : Served)
-    if (!now.contains(ref))
-      Stopping.insert_or_assign(map.idOf(ref), epoch);
+  for (const auto &[ref, epoch] : Served) {
+    if (now.contains(ref))
+      continue;
+    const core::SliceId slice = map.idOf(ref);
+    AccountsMoved |= slice.Service == ownership::AccountsService;
+    Stopping.insert_or_assign(slice, epoch);
+  }
   for (const auto &[ref, epoch] : now) {
     const auto it = Served.find(ref);
     if (it != Served.end() && it->second == epoch)
       continue;
-    Hooks.Log->ownStart(map.idOf(ref), epoch);
-    Stopping.erase(map.idOf(ref));
+    const core::SliceId slice = map.idOf(ref);
+    AccountsMoved |= slice.Service == ownership::AccountsService;
+    Hooks.Log->ownStart(slice, epoch);
+    Stopping.erase(slice);
   }
   Served = now;
 }
--- a/Source/Node/ControlState.h
+++ b/Source/Node/ControlState.h
@@ -164,9 +164,12 @@
 
   void answerOffsetQueries();
   void publishIfChanged();
-  void reviewAccounts();
+  void reviewAccountsIfMoved();
   void reviewAccount(const configuration::ClientAccount &account,
                      core::TimePoint now);
+  /// Whether this instance has started the account's slice; the lease is
+  /// checked at each grant.
+  bool ownsAccount(std::string_view account) const;
   bool mayGrant(std::string_view account, core::TimePoint now) const;
   void releaseSlices();
   void handOverCredit(std::span<const core::SliceId> slices);
@@ -175,6 +178,7 @@
   void onSliceTouched(ownership::SliceRef ref, core::TimePoint now);
   bool mayStart(const core::SliceId &slice) const;
   bool needsIds(std::string_view service) const;
+  void noteClasses();
   requests::HandoverSource sourceOf(core::InstanceId id) const;
   void onImported(const requests::IdempotencyHandover &handover);
   void onSourceLost(core::InstanceId owner);
@@ -205,6 +209,10 @@
   /// requests still run.
   ownership::GrantTable Served;
   std::map<core::SliceId, core::Epoch> Stopping;
+  /// Services with a class that runs at most once.
+  std::set<std::string, std::less<>> OnceServices;
+  /// Accounts were changed, or slices of accounts started or ended.
+  bool AccountsMoved = false;
   bool HadLease = false;
   bool Changed = true;
   bool Current = false;
