--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -328,6 +328,7 @@
     Callers->stop();
   Peers->stop();
   Credit->stop();
+  flushTotals();
 }
 
 } // namespace acaciaroad::node
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -69,6 +69,8 @@
 private:
   /// Longest wait for the fleet to accept that this instance leaves.
   static constexpr std::chrono::seconds LeaveTimeout{20};
+  /// Longest wait for the log to take the last totals.
+  static constexpr std::chrono::seconds FlushTimeout{5};
 
   explicit Node(const settings::NodeSettings &settings);
 
@@ -95,6 +97,10 @@
   void sendToAccountOwner(const std::string &account, codec::ControlBody body);
   void sendToInstance(core::InstanceId to, codec::ControlBody body);
   void cutTotals(core::TimePoint now);
+  /// Appends the totals since the last record.
+  void appendTotals(platform::AppendHandler onDone);
+  /// Appends the totals of the running interval and waits for the outcome.
+  void flushTotals();
   core::Result<core::Offset> submit(const codec::LogEntry &entry);
 
   administration::AdministrationHooks administrationHooks();
--- a/Source/Node/NodeControl.cpp
+++ b/Source/Node/NodeControl.cpp
@@ -217,13 +217,33 @@
 
 void Node::cutTotals(core::TimePoint now) {
   NextTotals = now + Settings.TotalsInterval;
+  appendTotals([](const core::Result<core::Offset> &) {});
+}
+
+void Node::appendTotals(platform::AppendHandler onDone) {
   const auto record = Totals.cut(core::unixMilliseconds());
-  if (!record)
+  if (!record) {
+    onDone(core::Offset{0});
     return;
+  }
   const std::string bytes = codec::encode(codec::LogEntry(*record));
-  (void)Writer->submit(Settings.Log.Stream + ".totals",
-                       std::as_bytes(std::span(bytes)),
-                       [](const core::Result<core::Offset> &) {});
+  const auto submitted = Writer->submit(
+      Settings.Log.Stream + ".totals", std::as_bytes(std::span(bytes)), onDone);
+  if (!submitted)
+    onDone(tl::unexpected(submitted.error()));
+}
+
+void Node::flushTotals() {
+  const auto done = std::make_shared<std::promise<bool>>();
+  auto isDone = done->get_future();
+  appendTotals([done](const core::Result<core::Offset> &outcome) {
+    done->set_value(outcome.has_value());
+  });
+  const bool isAppended =
+      isDone.wait_for(FlushTimeout) == std::future_status::ready &&
+      isDone.get();
+  if (!isAppended)
+    Logger->write(Level::Warning, "totals_lost", {});
 }
 
 } // namespace acaciaroad::node
--- a/Tests/Processes/operator_test.py
+++ b/Tests/Processes/operator_test.py
@@ -156,9 +156,25 @@
         first, second, code, starts_of(it, "moved"))]
 
 
+def totals_over_restart(it):
+    """What a node has counted survives its stop."""
+    for n in range(5):
+        it.call("/questionnaire/t%d" % n, 0)
+    it.fleet.instances[0].node.signal(signal.SIGTERM)
+    code = it.fleet.instances[0].node.wait(20)
+    day = time.strftime("%Y-%m-%d", time.gmtime())
+    _, answer = it.admin("GET", "/v1/totals?day=" + day, node=1)
+    served = sum(line["served"] for line in answer["rows"]
+                 if line["class"] == "questionnaire")
+    if code == 0 and served >= 5:
+        return []
+    return ["exit code %s, served %d" % (code, served)]
+
+
 ROWS = [withdrawn_key, data_centre_out_and_in, racing_operators,
         repeated_booking, repeated_after_lost_owner,
-        repeated_after_stopped_owner]
+        repeated_after_stopped_owner,
+        totals_over_restart]
 
 
 def run_row(row):
