--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -98,7 +98,7 @@
   void sendToInstance(core::InstanceId to, codec::ControlBody body);
   void cutTotals(core::TimePoint now);
   /// Appends the totals since the last record.
-  void appendTotals(platform::AppendHandler onDone);
+  void appendTotals(const platform::AppendHandler &onDone);
   /// Appends the totals of the running interval and waits for the outcome.
   void flushTotals();
   core::Result<core::Offset> submit(const codec::LogEntry &entry);
--- a/Source/Node/NodeControl.cpp
+++ b/Source/Node/NodeControl.cpp
@@ -220,7 +220,7 @@
   appendTotals([](const core::Result<core::Offset> &) {});
 }
 
-void Node::appendTotals(platform::AppendHandler onDone) {
+void Node::appendTotals(const platform::AppendHandler &onDone) {
   const auto record = Totals.cut(core::unixMilliseconds());
   if (!record) {
     onDone(core::Offset{0});
