--- a/Tests/Processes/deployment.py
+++ b/Tests/Processes/deployment.py
@@ -165,6 +165,13 @@
                 found.append("acacia-replay: " + line)
         return found + self.dropped_lines()
 
+    def verdicts(self):
+        """Returns one line for each rule."""
+        done = subprocess.run(
+            [os.path.join(fleet.BINARIES, "acacia-replay"), "--outcomes",
+             OUTCOMES, *self.logs], capture_output=True, text=True)
+        return done.stdout.splitlines()
+
     def dropped_lines(self):
         """Dropped lines are missing evidence."""
         found = []
--- a/Tests/Processes/operator_test.py
+++ b/Tests/Processes/operator_test.py
@@ -13,6 +13,8 @@
 # "Within seconds", as the users state it.
 SECONDS = 5
 LOST_OWNER_WAIT_S = 3
+# Exit code of a node whose incarnation was retired.
+RETIRED = 75
 
 
 def interview(it, node, key, path="/interview/quota-7", body=b"answers"):
@@ -156,6 +158,34 @@
         first, second, code, starts_of(it, "moved"))]
 
 
+def leaving_upstream(it):
+    """An upstream that stops finishes its work; the others take its keys and
+    its node leaves."""
+    load = it.start_load(name="leave")
+    time.sleep(SECONDS)
+    leaving = it.fleet.instances[0]
+    leaving.upstream.signal(signal.SIGTERM)
+    codes = (leaving.upstream.wait(20), leaving.node.wait(20))
+    result = load.result()
+    found = []
+    if codes != (0, RETIRED):
+        found.append("exit codes of upstream and node: %s, %s" % codes)
+    if result["all"]["served_share"] < 0.99 or result["all"]["crossed"]:
+        found.append("served %.4f" % result["all"]["served_share"])
+    return found
+
+
+def noisy_account(it):
+    """An account at several times its rate is held to it, and costs the other
+    nothing; run_row judges the rate from the logs."""
+    result = it.start_load("noisy-account", name="noisy").result()
+    shares = {a["name"]: a["served_share"] for a in result["accounts"]}
+    kinds = set(result["all"]["refused_by_kind"])
+    if shares["small"] >= 0.99 and kinds <= {"rate_exceeded"}:
+        return []
+    return ["served %s, refused as %s" % (shares, kinds)]
+
+
 def totals_over_restart(it):
     """What a node has counted survives its stop."""
     for n in range(5):
@@ -174,7 +204,8 @@
 ROWS = [withdrawn_key, data_centre_out_and_in, racing_operators,
         repeated_booking, repeated_after_lost_owner,
         repeated_after_stopped_owner,
-        totals_over_restart]
+        totals_over_restart, leaving_upstream,
+        noisy_account]
 
 
 def run_row(row):
@@ -186,6 +217,10 @@
         found = [str(error)]
     finally:
         it.stop()
+    if row is noisy_account:
+        found += [line for line in
+                  deployment.Replay(it.fleet.folder).verdicts()
+                  if line.startswith("account_rate") and "held" not in line]
     print("%s %s" % ("FAIL" if found else "PASS", row.__name__))
     for line in found:
         print("  " + line)
