Node: take no part with a gap in the log

Cause: a node that starts after records it needs are past retention skipped them and folded the rest; its view of ownership would differ from that of the others. Nodes still write no checkpoints, so the log has to keep all records of the fleet.

--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -213,6 +213,8 @@
   follow.OnBatch = [this](const platform::LogBatch &batch) { onBatch(batch); };
   follow.OnTrimmed = [this](core::Offset first) {
     Logger->write(Level::Error, "log_trimmed", {{"first", first}});
+    HasLogGap = true;
+    requestStop();
   };
   follow.OnReachable = [this](bool isReachable) {
     IsLogReachable = isReachable;
@@ -302,6 +304,8 @@
                  {"peers", Peers->address()},
                  {"boot_ns", core::toNanoseconds(core::BootClock::now())}});
   awaitStart();
+  if (HasLogGap)
+    return ExitReason::LogGap;
   if (auto started = startCallers(); !started)
     Logger->write(Level::Error, "callers_failed",
                   {{"detail", started.error().Detail}});
@@ -313,6 +317,8 @@
   }
   leave();
   Logger->write(Level::Info, "node_stop", {});
+  if (HasLogGap)
+    return ExitReason::LogGap;
   return isStopWanted ? ExitReason::Stopped : ExitReason::Retired;
 }
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -45,6 +45,9 @@
   Stopped,
   /// The fleet has retired this incarnation; the process has to start anew.
   Retired,
+  /// Records that this node needs are past the log's retention, so that it
+  /// cannot know who owns what.
+  LogGap,
 };
 
 /// The process's root object.
@@ -138,6 +141,7 @@
   std::shared_ptr<platform::LogWriter> Writer;
   std::shared_ptr<platform::LogFollower> Follower;
   std::atomic<bool> IsLogReachable{false};
+  std::atomic<bool> HasLogGap{false};
   std::atomic<std::uint64_t> CorruptEntries{0};
   std::atomic<std::uint64_t> CorruptMessages{0};
 
--- a/Source/Node/NodeControl.cpp
+++ b/Source/Node/NodeControl.cpp
@@ -170,6 +170,9 @@
 // Log.
 
 void Node::onBatch(const platform::LogBatch &batch) {
+  // A fold with a gap would differ from that of other readers.
+  if (HasLogGap)
+    return;
   std::vector<PlacedEntry> entries;
   for (const platform::LogRecord &it : batch.Records) {
     auto entry = codec::decode(std::as_bytes(std::span(it.Payload)));
--- a/Source/Programs/Node/Main.cpp
+++ b/Source/Programs/Node/Main.cpp
@@ -65,7 +65,15 @@
   signals.forwardTo(**node);
   const auto reason = (*node)->run();
   signals.join();
-  return reason == acaciaroad::node::ExitReason::Stopped ? 0 : ExitRetired;
+  switch (reason) {
+  case acaciaroad::node::ExitReason::Stopped:
+    return 0;
+  case acaciaroad::node::ExitReason::Retired:
+    return ExitRetired;
+  case acaciaroad::node::ExitReason::LogGap:
+    break;
+  }
+  return ExitFailure;
 }
 
 } // namespace
--- a/Tests/Processes/operator_test.py
+++ b/Tests/Processes/operator_test.py
@@ -15,6 +15,9 @@
 LOST_OWNER_WAIT_S = 3
 # Exit code of a node whose incarnation was retired.
 RETIRED = 75
+FAILED = 1
+# Records that the log keeps in one row.
+SHORT_RETENTION = 100
 
 
 def interview(it, node, key, path="/interview/quota-7", body=b"answers"):
@@ -201,15 +204,34 @@
     return ["exit code %s, served %d" % (code, served)]
 
 
+def records_past_retention(it):
+    """A node that cannot read all records does not take part."""
+    late = it.fleet.instances[0]
+    late.node.signal(signal.SIGTERM)
+    late.node.wait(20)
+    for n in range(SHORT_RETENTION):
+        it.admin("PUT", "/v1/accounts/filler-%d" % n, {
+            "basis": 0, "rate_per_second": 1, "burst": 1}, node=1)
+    late.start_node()
+    code = late.node.wait(20)
+    live = [i["name"] for i in it.fleet.status(1)["instances"]
+            if i["state"] == "live"]
+    if code == FAILED and late.name not in live:
+        return []
+    return ["exit code %s, live %s" % (code, live)]
+
+
 ROWS = [withdrawn_key, data_centre_out_and_in, racing_operators,
         repeated_booking, repeated_after_lost_owner,
         repeated_after_stopped_owner,
         totals_over_restart, leaving_upstream,
-        noisy_account]
+        noisy_account, records_past_retention]
 
 
 def run_row(row):
-    it = deployment.Deployment()
+    flags = ("--retention_records", str(SHORT_RETENTION))
+    is_short = row is records_past_retention
+    it = deployment.Deployment(log_flags=flags if is_short else ())
     try:
         it.start()
         found = row(it)
