--- a/Tests/Requests/HandoverLedgerTest.cpp
+++ b/Tests/Requests/HandoverLedgerTest.cpp
@@ -43,13 +43,13 @@
 };
 
 auto tellOf(core::InstanceId from, core::Epoch epoch = GainedEpoch,
-            core::SliceId slice = Slice) {
+            const core::SliceId &slice = Slice) {
   return [=](HandoverLedger &it, core::TimePoint) {
     it.delivered({from, slice, epoch, {}});
   };
 }
 
-auto remaining(std::vector<core::InstanceId> owners) {
+auto remaining(const std::vector<core::InstanceId> &owners) {
   return [=](HandoverLedger &it, core::TimePoint now) {
     it.onRemaining(Slice, owners, now);
   };
