--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -35,6 +35,10 @@
       Totals(Self, core::unixMilliseconds()) {}
 
 core::Result<void> Node::start() {
+  // Serving plain HTTP in spite of the setting would send keys in the clear.
+  if (!Settings.Callers.CertificateFile.empty())
+    return core::fail(core::ErrorKind::InvalidSettings,
+                      "callers.certificate_file: TLS is not supported yet");
   using Step = core::Result<void> (Node::*)();
   constexpr std::array<Step, 5> Steps{&Node::startLogger, &Node::startGates,
                                       &Node::startPeers, &Node::startControl,
