Node: use the header lookup of Http; process tests: start acacia-replay in one place

RequestIntake had its own findHeader and case-insensitive comparison beside those of Http/HeadCheck, and Replay.check and Replay.verdicts started the program each.

--- a/Source/Node/RequestIntake.cpp
+++ b/Source/Node/RequestIntake.cpp
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <array>
 
-#include <strings.h>
-
 #include "Core/Identifiers.h"
+#include "Http/HeadCheck.h"
 
 namespace acaciaroad::node {
 
@@ -29,23 +28,18 @@
 /// Headers by which the node gives orders; a caller may not set them.
 constexpr std::string_view OrderHeaderPrefix = "X-Acacia-";
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool isStripped(std::string_view name) {
-  if (equalsIgnoringCase(name.substr(0, OrderHeaderPrefix.size()),
-                         OrderHeaderPrefix))
+  if (http::isSame(name.substr(0, OrderHeaderPrefix.size()), OrderHeaderPrefix))
     return true;
   return std::any_of(
       StrippedHeaders.begin(), StrippedHeaders.end(),
-      [&](std::string_view it) { return equalsIgnoringCase(it, name); });
+      [&](std::string_view it) { return http::isSame(it, name); });
 }
 
 std::string_view bearerOf(std::span<const wire::Header> headers) {
-  const auto value = findHeader(headers, AuthorizationHeader);
+  const auto value = http::findHeader(headers, AuthorizationHeader);
   if (!value || value->size() <= BearerPrefix.size() ||
-      !equalsIgnoringCase(value->substr(0, BearerPrefix.size()), BearerPrefix))
+      !http::isSame(value->substr(0, BearerPrefix.size()), BearerPrefix))
     return {};
   return value->substr(BearerPrefix.size());
 }
@@ -55,7 +49,7 @@
                std::span<const wire::Header> headers) {
   if (workClass.Runs != Execution::AtMostOnce)
     return std::string();
-  const auto value = findHeader(headers, IdempotencyHeader);
+  const auto value = http::findHeader(headers, IdempotencyHeader);
   if (!value || value->empty())
     return core::fail(core::ErrorKind::IdempotencyKeyMissing);
   if (value->size() > MaxIdempotencyKeyBytes)
@@ -75,17 +69,6 @@
 
 } // namespace
 
-std::optional<std::string_view>
-findHeader(std::span<const wire::Header> headers, std::string_view name) {
-  const auto it = std::find_if(headers.begin(), headers.end(),
-                               [&](const wire::Header &header) {
-                                 return equalsIgnoringCase(header.Name, name);
-                               });
-  if (it == headers.end())
-    return std::nullopt;
-  return it->Value;
-}
-
 core::Result<AcceptedRequest>
 acceptRequest(const configuration::Catalogue &catalogue,
               const CallerRequest &request, std::string_view requestId) {
@@ -103,8 +86,9 @@
       request.BodyLength > out.Class.BodyLimitBytes)
     return core::fail(core::ErrorKind::BodyTooLarge);
   const auto key = configuration::routingKey(
-      out.Class, request.Target,
-      [&](std::string_view name) { return findHeader(request.Headers, name); });
+      out.Class, request.Target, [&](std::string_view name) {
+        return http::findHeader(request.Headers, name);
+      });
   if (!key)
     return tl::unexpected(key.error());
   auto idempotency = idempotencyKey(out.Class, request.Headers);
--- a/Source/Node/RequestIntake.h
+++ b/Source/Node/RequestIntake.h
@@ -6,7 +6,6 @@
 #define ACACIAROAD_NODE_REQUESTINTAKE_H
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,10 +37,6 @@
   bool IsKeyed = false;
 };
 
-/// Returns the value of the header called \p name, in any case of letters.
-std::optional<std::string_view>
-findHeader(std::span<const wire::Header> headers, std::string_view name);
-
 /// Checks a request against the configuration. Errors: those of
 /// configuration::Catalogue::authenticate, findClass and routingKey;
 /// BodyTooLarge; IdempotencyKeyMissing; MalformedRequest for an unusable
--- a/Tests/Processes/deployment.py
+++ b/Tests/Processes/deployment.py
@@ -149,11 +149,14 @@
             os.path.join(folder, it) for it in os.listdir(folder)
             if it.endswith(".log"))
 
-    def check(self):
-        """Prints the verdicts and returns what was violated, as texts."""
-        done = subprocess.run(
+    def run(self):
+        return subprocess.run(
             [os.path.join(fleet.BINARIES, "acacia-replay"), "--outcomes",
              OUTCOMES, *self.logs], capture_output=True, text=True)
+
+    def check(self):
+        """Prints the verdicts and returns what was violated, as texts."""
+        done = self.run()
         print(done.stdout, end="")
         if done.returncode not in (0, self.BROKEN, self.NOT_JUDGED):
             return ["acacia-replay: %d: %s" % (done.returncode, done.stderr)]
@@ -167,10 +170,7 @@
 
     def verdicts(self):
         """Returns one line for each rule."""
-        done = subprocess.run(
-            [os.path.join(fleet.BINARIES, "acacia-replay"), "--outcomes",
-             OUTCOMES, *self.logs], capture_output=True, text=True)
-        return done.stdout.splitlines()
+        return self.run().stdout.splitlines()
 
     def dropped_lines(self):
         """Dropped lines are missing evidence."""
