--- /dev/null
+++ b/Source/Codec/FleetRecords.h
@@ -0,0 +1,40 @@
+/// \file
+/// Keys and values of the records of the fleet's log.
+
+#ifndef ACACIAROAD_CODEC_FLEETRECORDS_H
+#define ACACIAROAD_CODEC_FLEETRECORDS_H
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/Error.h"
+#include "Holdings/HoldingTypes.h"
+
+namespace acaciaroad::codec {
+
+/// What a record of the fleet's log is about.
+struct FleetKey {
+  enum class Kind { Unknown, Node, Holdings };
+  Kind What = Kind::Unknown;
+  /// Name of the node or of the service.
+  std::string Name;
+};
+
+std::string nodeKey(std::string_view node);
+std::string holdingsKey(std::string_view service);
+FleetKey parseFleetKey(std::string_view key);
+
+std::string encodeNode(const holdings::NodeRecord &record);
+/// Fails with CorruptMessage.
+core::Result<holdings::NodeRecord> decodeNode(std::string_view value);
+
+std::string encodeHoldings(std::span<const holdings::Holding> rows);
+/// Fails with CorruptMessage, also for rows that overlap or are out of order.
+core::Result<std::vector<holdings::Holding>>
+decodeHoldings(std::string_view value);
+
+} // namespace acaciaroad::codec
+
+#endif
--- /dev/null
+++ b/Source/Feed/KeyedFeed.h
@@ -0,0 +1,75 @@
+/// \file
+/// Follows a keyed log.
+
+#ifndef ACACIAROAD_FEED_KEYEDFEED_H
+#define ACACIAROAD_FEED_KEYEDFEED_H
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Feed/FeedTypes.h"
+
+namespace acaciaroad::feed {
+
+struct FeedHooks {
+  /// The newest record of every key; others no longer exist.
+  std::function<void(std::vector<KeyedRecord>, core::Offset end)> OnSnapshot;
+  /// Further records, perhaps none. All up to \p end was known to the log at
+  /// some moment after \p asked.
+  std::function<void(std::vector<KeyedRecord>, core::Offset end,
+                     core::TimePoint asked)>
+      OnRecords;
+  /// The log can be read again, or cannot be read.
+  std::function<void(bool, std::string_view detail)> OnReachable;
+};
+
+struct FeedPace {
+  /// How long the log may hold a read that finds nothing new.
+  core::Duration Wait{};
+  /// Between the end of a read and the next one.
+  core::Duration Pause{};
+};
+
+/// Starts from the newest record of each key and reads on from there; starts
+/// anew when the log has dropped what comes next. Lives on one event loop.
+class KeyedFeed {
+public:
+  KeyedFeed(boost::asio::io_context &loop, KeyedLog log, FeedPace pace,
+            FeedHooks hooks);
+
+  void start();
+
+  /// Reads at once, or right after the read that is under way.
+  void readNow();
+
+private:
+  void restart();
+  void readPage();
+  void onPage(core::Result<NewestPage> page);
+  void readTail();
+  void onTail(core::Result<Tail> tail, core::TimePoint asked);
+  void onFailure(const core::Error &error);
+  void schedule(core::Duration pause);
+  void next();
+
+  KeyedLog Log;
+  FeedPace Pace;
+  FeedHooks Hooks;
+  boost::asio::steady_timer Timer;
+  std::vector<KeyedRecord> Snapshot;
+  core::Offset SnapshotEnd = 0;
+  core::Offset Position = 0;
+  bool IsFollowing = false;
+  bool IsReading = false;
+  bool IsUrgent = false;
+  bool IsReachable = false;
+  int Failures = 0;
+};
+
+} // namespace acaciaroad::feed
+
+#endif
--- /dev/null
+++ b/Source/Holdings/FleetLedger.cpp
@@ -0,0 +1,48 @@
+#include "Holdings/FleetLedger.h"
+
+#include <utility>
+
+namespace acaciaroad::holdings {
+
+void FleetLedger::applyNode(const NodeRecord &record, core::TimePoint readAt) {
+  Members[record.Name] = {record, readAt};
+}
+
+void FleetLedger::removeNode(std::string_view name) {
+  if (const auto it = Members.find(name); it != Members.end())
+    Members.erase(it);
+}
+
+void FleetLedger::applyHoldings(std::string_view service,
+                                std::vector<Holding> rows) {
+  Holdings[std::string(service)] = std::move(rows);
+}
+
+const Member *FleetLedger::findMember(std::string_view name) const {
+  const auto it = Members.find(name);
+  return it == Members.end() ? nullptr : &it->second;
+}
+
+std::span<const Holding>
+FleetLedger::holdingsOf(std::string_view service) const {
+  const auto it = Holdings.find(service);
+  if (it == Holdings.end())
+    return {};
+  return it->second;
+}
+
+bool FleetLedger::isEligible(const Member &member, core::TimePoint now) const {
+  return member.Record.State == UpstreamState::Ready &&
+         !member.isLapsed(now) && !isOut(member.Record.DataCentre);
+}
+
+std::vector<const Member *> FleetLedger::eligible(std::string_view service,
+                                                  core::TimePoint now) const {
+  std::vector<const Member *> out;
+  for (const auto &[name, it] : Members)
+    if (it.Record.Service == service && isEligible(it, now))
+      out.push_back(&it);
+  return out;
+}
+
+} // namespace acaciaroad::holdings
--- /dev/null
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -0,0 +1,489 @@
+#include "Holdings/HoldingAgent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Holdings/KeyPlacement.h"
+
+namespace acaciaroad::holdings {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A third of the lease, so that two lost renewals are borne.
+constexpr core::Duration RenewInterval = NodeLease / 3;
+
+/// Between two attempts at a record that has not been read back; several round
+/// trips of the log.
+constexpr core::Duration RecordRetry = milliseconds(400);
+
+/// An upstream that was silent for so many heartbeats takes no new work.
+constexpr int SilentHeartbeats = 3;
+
+/// Upstreams measure a grant with a clock that may run this much slow.
+constexpr int ClockDriftPercent = 2;
+
+/// Heartbeats that a grant lasts; two may be lost.
+constexpr double GrantHeartbeats = 3.2;
+
+/// A shorter grant is not worth giving: the next heartbeat comes later.
+constexpr core::Duration ShortestGrant = milliseconds(100);
+
+/// Time for all upstreams of a fleet that starts to announce themselves before
+/// the keys are first divided; more than one heartbeat.
+constexpr core::Duration FirstDivisionWait = milliseconds(2500);
+
+/// Each further node of a service waits so much longer before it gives orphaned
+/// keys a holder, so that mostly one does.
+constexpr core::Duration TurnStep = milliseconds(300);
+
+/// A change without an outcome is proposed anew after it; the log's end
+/// decides between the two.
+constexpr core::Duration PendingTimeout = milliseconds(1500);
+
+/// Between two planned moves of one node; a move's effect shows within it.
+constexpr core::Duration MoveInterval = std::chrono::seconds(2);
+
+/// A member with less than this share of a fair part counts as new.
+constexpr double NewcomerShare = 0.25;
+
+/// How long a grant of \p length may last by the clock of this node.
+core::Duration withDrift(core::Duration length) {
+  return length + length * ClockDriftPercent / 100;
+}
+
+} // namespace
+
+HoldingAgent::HoldingAgent(AgentIdentity identity, AgentTiming timing,
+                           core::TimePoint started)
+    : Identity(std::move(identity)), Timing(timing) {
+  // A former incarnation may have granted keys just before it ended.
+  HeldUntil = started + withDrift(fullGrant());
+}
+
+core::Duration HoldingAgent::fullGrant() const {
+  return std::min(std::chrono::duration_cast<core::Duration>(Timing.Heartbeat *
+                                                             GrantHeartbeats),
+                  Timing.LongestGrant);
+}
+
+bool HoldingAgent::heard(const Heartbeat &heartbeat, core::TimePoint now) {
+  const bool isSameLife = heartbeat.Life == Life;
+  if (isSameLife && HasHeard && heartbeat.Sequence <= HeartbeatSequence)
+    return false;
+  if (!isSameLife && heartbeat.Life.Born < Life.Born)
+    return false;
+  if (!isSameLife) {
+    Life = heartbeat.Life;
+    Leaving.clear();
+    Freed.clear();
+    LifeLeaves = false;
+    // Nothing of a former life is held any more; this one holds nothing, unless
+    // a former incarnation of the node granted it keys.
+    if (HasHeard)
+      HeldUntil = now;
+  }
+  HasHeard = true;
+  HeardAt = now;
+  HeartbeatSequence = heartbeat.Sequence;
+  Slots = heartbeat.Slots;
+  LifeLeaves = LifeLeaves || heartbeat.State == UpstreamState::Leaving;
+  State = LifeLeaves ? UpstreamState::Leaving : heartbeat.State;
+  noteFreed(heartbeat);
+  noteReleased(heartbeat);
+  return true;
+}
+
+void HoldingAgent::noteFreed(const Heartbeat &heartbeat) {
+  for (const FreedKeys &it : heartbeat.Freed)
+    Freed.push_back(it);
+  // Keys that are held again have a state newer than what was handed over.
+  std::erase_if(Freed, [&](const FreedKeys &it) {
+    return std::any_of(heartbeat.Holds.begin(), heartbeat.Holds.end(),
+                       [&](const HeldKeys &held) {
+                         return held.Keys.intersects(it.Keys);
+                       });
+  });
+}
+
+void HoldingAgent::noteReleased(const Heartbeat &heartbeat) {
+  for (Outgoing &it : Leaving) {
+    const bool isHeld = std::any_of(
+        heartbeat.Holds.begin(), heartbeat.Holds.end(),
+        [&](const HeldKeys &held) { return held.Keys.intersects(it.Keys); });
+    if (it.Withheld && !isHeld)
+      it.Released = true;
+  }
+}
+
+void HoldingAgent::upstreamLeaves(std::string_view id) {
+  if (Life.Id != id)
+    return;
+  LifeLeaves = true;
+  State = UpstreamState::Leaving;
+}
+
+void HoldingAgent::upstreamGone(core::TimePoint now) {
+  State = UpstreamState::Absent;
+  HeldUntil = std::min(HeldUntil, now);
+}
+
+bool HoldingAgent::isLifeOver(core::TimePoint now) const {
+  return State == UpstreamState::Absent && now >= HeldUntil;
+}
+
+bool HoldingAgent::owns(const Holding &row) const {
+  return row.Node == Identity.Name && row.Life == Life;
+}
+
+bool HoldingAgent::isRevived(const Holding &row) const {
+  return row.Node == Identity.Name && HasHeard && !(row.Life == Life) &&
+         row.Life.Born <= Life.Born;
+}
+
+bool HoldingAgent::mustLetGo(const FleetLedger &ledger) const {
+  return State != UpstreamState::Ready || ledger.isOut(Identity.DataCentre);
+}
+
+std::optional<Grant> HoldingAgent::grant(const FleetLedger &ledger,
+                                         core::TimePoint now) {
+  const core::Duration lease =
+      (AuthorityUntil - now) * 100 / (100 + ClockDriftPercent);
+  const core::Duration length = std::min(fullGrant(), lease);
+  if (length < ShortestGrant)
+    return std::nullopt;
+  std::vector<KeyRange> withheld;
+  for (Outgoing &it : Leaving) {
+    withheld.push_back(it.Keys);
+    it.Withheld = true;
+  }
+  Grant out;
+  out.Length = length;
+  for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
+    if (!owns(row))
+      continue;
+    for (const KeyRange &it : subtract(row.Keys, withheld)) {
+      out.Rows.push_back(row);
+      out.Rows.back().Keys = it;
+    }
+  }
+  HeldUntil = std::max(HeldUntil, now + withDrift(length));
+  return out;
+}
+
+NodeRecord HoldingAgent::describe() const {
+  NodeRecord out;
+  out.Name = Identity.Name;
+  out.DataCentre = Identity.DataCentre;
+  out.Service = Identity.Service;
+  out.Peer = Identity.Peer;
+  out.Incarnation = Identity.Incarnation;
+  out.Life = Life;
+  out.State = State;
+  out.Slots = Slots;
+  return out;
+}
+
+std::optional<NodeRecord> HoldingAgent::nextRecord(const FleetLedger &ledger,
+                                                   core::TimePoint now) {
+  if (State == UpstreamState::Ready &&
+      now - HeardAt > Timing.Heartbeat * SilentHeartbeats)
+    State = UpstreamState::Absent;
+  NodeRecord record = describe();
+  const Member *self = ledger.findMember(Identity.Name);
+  NodeRecord known = self ? self->Record : NodeRecord();
+  known.Sequence = 0;
+  const bool isKnown = known == record;
+  NodeRecord last = LastRecord;
+  last.Sequence = 0;
+  const bool isSent = last == record;
+  const core::Duration age = now - LastRecordAt;
+  const bool isDue = isKnown ? age >= RenewInterval
+                             : !isSent || age >= RecordRetry;
+  if (!isDue)
+    return std::nullopt;
+  record.Sequence = NextSequence++;
+  LastRecord = record;
+  LastRecordAt = now;
+  return record;
+}
+
+void HoldingAgent::recordSent(std::uint64_t sequence, core::TimePoint sent) {
+  Sent.push_back({sequence, sent});
+}
+
+void HoldingAgent::ledgerChanged(const FleetLedger &ledger,
+                                 core::TimePoint now) {
+  if (const Member *self = ledger.findMember(Identity.Name);
+      self && self->Record.Incarnation == Identity.Incarnation) {
+    const std::uint64_t read = self->Record.Sequence;
+    for (const SentRecord &it : Sent)
+      if (it.Sequence == read)
+        AuthorityUntil = std::max(AuthorityUntil, it.Sent + NodeLease);
+    std::erase_if(Sent, [&](const auto &it) { return it.Sequence <= read; });
+  }
+  if (Pending && ledger.end() > Pending->At)
+    Pending.reset();
+  // Keys that are another's now need not be let go any more.
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  std::erase_if(Leaving, [&](const Outgoing &it) {
+    return std::none_of(rows.begin(), rows.end(), [&](const Holding &row) {
+      return owns(row) && row.Keys.intersects(it.Keys);
+    });
+  });
+  planOutgoing(ledger, now);
+}
+
+void HoldingAgent::planOutgoing(const FleetLedger &ledger,
+                                core::TimePoint now) {
+  if (!HasHeard || Draining)
+    return;
+  if (mustLetGo(ledger)) {
+    const auto takers = ledger.eligible(Identity.Service, now);
+    if (takers.empty())
+      return;
+    for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
+      if (!owns(row))
+        continue;
+      std::vector<KeyRange> known;
+      for (const Outgoing &it : Leaving)
+        known.push_back(it.Keys);
+      for (const KeyRange &it : subtract(row.Keys, known))
+        Leaving.push_back({it, {}, false, false});
+    }
+    return;
+  }
+  planForNewcomer(ledger, now);
+}
+
+void HoldingAgent::planForNewcomer(const FleetLedger &ledger,
+                                   core::TimePoint now) {
+  if (!Leaving.empty() || now < NextMove)
+    return;
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  const auto takers = ledger.eligible(Identity.Service, now);
+  if (rows.empty() || takers.size() < 2)
+    return;
+  const Key fair = KeyCount / static_cast<Key>(takers.size());
+  const Key own = keysOf(rows, Identity.Name);
+  if (own <= fair)
+    return;
+  for (const Member *it : takers) {
+    const Key theirs = keysOf(rows, it->Record.Name);
+    if (it->Record.Name == Identity.Name || theirs >= fair * NewcomerShare)
+      continue;
+    Key n = std::min(own - fair, fair - theirs);
+    for (const Holding &row : rows) {
+      if (n == 0 || !owns(row))
+        continue;
+      const Key part = std::min(n, row.Keys.size());
+      Leaving.push_back({{row.Keys.To - part + 1, row.Keys.To},
+                         it->Record.Name,
+                         false,
+                         false});
+      n -= part;
+    }
+    NextMove = now + MoveInterval;
+    return;
+  }
+}
+
+std::optional<HoldingChange>
+HoldingAgent::nextChange(const FleetLedger &ledger, core::TimePoint now) {
+  if (Pending && now - Pending->Since > PendingTimeout)
+    Pending.reset();
+  if (Pending || Draining || now >= AuthorityUntil)
+    return std::nullopt;
+  if (auto out = changeOwn(ledger, now))
+    return out;
+  return changeOrphans(ledger, now);
+}
+
+std::optional<HoldingChange> HoldingAgent::propose(const FleetLedger &ledger,
+                                                   Rows rows,
+                                                   std::string_view reason,
+                                                   core::TimePoint now) {
+  normalize(rows);
+  Pending = PendingChange{ledger.end(), now, false};
+  return HoldingChange{Identity.Service, std::move(rows), ledger.end(), reason};
+}
+
+std::vector<Holding>
+HoldingAgent::releasedRows(std::span<const Holding> rows) const {
+  std::vector<Holding> out;
+  for (const Holding &row : rows) {
+    if (!owns(row))
+      continue;
+    for (const Outgoing &it : Leaving) {
+      if (!it.Released || !it.Keys.intersects(row.Keys))
+        continue;
+      Holding piece = row;
+      piece.Keys = it.Keys.intersection(row.Keys);
+      piece.Node = it.Target;
+      piece.Handover.clear();
+      std::vector<KeyRange> handed;
+      for (const FreedKeys &freed : Freed) {
+        if (!freed.Keys.intersects(piece.Keys))
+          continue;
+        Holding part = piece;
+        part.Keys = freed.Keys.intersection(piece.Keys);
+        part.Handover = freed.Handover;
+        handed.push_back(part.Keys);
+        out.push_back(std::move(part));
+      }
+      for (const KeyRange &rest : subtract(piece.Keys, handed)) {
+        out.push_back(piece);
+        out.back().Keys = rest;
+      }
+    }
+  }
+  return out;
+}
+
+std::optional<HoldingChange>
+HoldingAgent::changeOwn(const FleetLedger &ledger, core::TimePoint now) {
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  const Fence token = ledger.end() + 1;
+  // A new life of the own upstream takes over what the former one held.
+  if (State == UpstreamState::Ready && !ledger.isOut(Identity.DataCentre) &&
+      std::any_of(rows.begin(), rows.end(),
+                  [&](const Holding &it) { return isRevived(it); })) {
+    Rows out(rows.begin(), rows.end());
+    for (Holding &it : out) {
+      if (!isRevived(it))
+        continue;
+      it.Life = Life;
+      it.Token = token;
+      it.Handover.clear();
+    }
+    return propose(ledger, std::move(out), "new life of the upstream", now);
+  }
+  Rows released = releasedRows(rows);
+  const bool isOver = isLifeOver(now);
+  for (const Holding &it : rows) {
+    const bool isDead = it.Node == Identity.Name && isOver;
+    if (isDead || (isRevived(it) && mustLetGo(ledger))) {
+      released.push_back(it);
+      released.back().Node.clear();
+      released.back().Handover.clear();
+    }
+  }
+  if (released.empty())
+    return std::nullopt;
+  const auto takers = ledger.eligible(Identity.Service, now);
+  if (takers.empty())
+    return std::nullopt;
+  std::vector<KeyRange> gone;
+  for (const Holding &it : released)
+    gone.push_back(it.Keys);
+  Rows kept;
+  for (const Holding &row : rows)
+    for (const KeyRange &it : subtract(row.Keys, gone)) {
+      kept.push_back(row);
+      kept.back().Keys = it;
+    }
+  Rows out = kept;
+  Rows open;
+  for (Holding &it : released) {
+    const auto target =
+        std::find_if(takers.begin(), takers.end(), [&](const Member *member) {
+          return member->Record.Name == it.Node;
+        });
+    if (target == takers.end()) {
+      open.push_back(std::move(it));
+      continue;
+    }
+    it.Life = (*target)->Record.Life;
+    it.Token = token;
+    out.push_back(std::move(it));
+  }
+  for (Holding &it : spread(open, out, takers, token))
+    out.push_back(std::move(it));
+  return propose(ledger, std::move(out), "keys given on", now);
+}
+
+std::vector<Holding> HoldingAgent::orphans(const FleetLedger &ledger,
+                                           std::span<const Holding> rows,
+                                           core::TimePoint now) const {
+  if (rows.empty())
+    return {Holding{}};
+  Rows out;
+  for (const Holding &it : rows) {
+    const Member *owner = ledger.findMember(it.Node);
+    if (owner && !owner->isLapsed(now))
+      continue;
+    // The own node's keys are dealt with by changeOwn.
+    if (it.Node == Identity.Name)
+      continue;
+    out.push_back(it);
+    out.back().Handover.clear();
+  }
+  return out;
+}
+
+bool HoldingAgent::isMyTurn(std::span<const Member *const> takers,
+                            core::TimePoint now) {
+  if (!OrphansSince)
+    OrphansSince = now;
+  int rank = 0;
+  for (const Member *it : takers) {
+    if (it->Record.Name == Identity.Name)
+      return now - *OrphansSince >= TurnStep * rank;
+    ++rank;
+  }
+  return false;
+}
+
+std::optional<HoldingChange>
+HoldingAgent::changeOrphans(const FleetLedger &ledger, core::TimePoint now) {
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  const auto takers = ledger.eligible(Identity.Service, now);
+  if (takers.empty()) {
+    FirstTakerSince.reset();
+    return std::nullopt;
+  }
+  if (!FirstTakerSince)
+    FirstTakerSince = now;
+  if (rows.empty() && now - *FirstTakerSince < FirstDivisionWait)
+    return std::nullopt;
+  const Rows open = orphans(ledger, rows, now);
+  if (open.empty()) {
+    OrphansSince.reset();
+    return std::nullopt;
+  }
+  if (!isMyTurn(takers, now))
+    return std::nullopt;
+  std::vector<KeyRange> gone;
+  for (const Holding &it : open)
+    gone.push_back(it.Keys);
+  Rows out;
+  for (const Holding &row : rows)
+    for (const KeyRange &it : subtract(row.Keys, gone)) {
+      out.push_back(row);
+      out.back().Keys = it;
+    }
+  for (Holding &it : spread(open, out, takers, ledger.end() + 1))
+    out.push_back(std::move(it));
+  return propose(ledger, std::move(out),
+                 rows.empty() ? "first division" : "holder lost", now);
+}
+
+void HoldingAgent::changeEnded(ChangeEnd end, core::TimePoint now) {
+  if (!Pending)
+    return;
+  if (end == ChangeEnd::Refused)
+    Pending.reset();
+  else
+    Pending->Since = now;
+}
+
+bool HoldingAgent::awaitsChange(const FleetLedger &ledger) const {
+  if (!HasHeard || State != UpstreamState::Ready)
+    return false;
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  return std::any_of(rows.begin(), rows.end(),
+                     [&](const Holding &it) { return isRevived(it); });
+}
+
+} // namespace acaciaroad::holdings
--- /dev/null
+++ b/Source/Net/ClientConnection.cpp
@@ -0,0 +1,227 @@
+#include "Net/ClientConnection.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace acaciaroad::net {
+
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+namespace {
+
+/// Foreign answers that are passed over before a connection is given up.
+constexpr int MostSkipped = 2;
+
+/// Share of the server's stated keep-alive time that is used, in percent; the
+/// rest is room for the way.
+constexpr int KeepAliveShare = 70;
+
+/// Returns the seconds of "timeout=N", if any.
+std::optional<int> keepAliveSeconds(std::string_view value) {
+  constexpr std::string_view Name = "timeout=";
+  const auto at = value.find(Name);
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  value.remove_prefix(at + Name.size());
+  int out = 0;
+  const auto [it, ec] =
+      std::from_chars(value.data(), value.data() + value.size(), out);
+  if (ec != std::errc())
+    return std::nullopt;
+  return out;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(std::shared_ptr<HttpClient> client)
+    : Client(std::move(client)), Socket(Client->Loop),
+      ConnectTimer(Client->Loop), IdleLimit(Client->Options.IdleLimit) {
+  ++Client->Open;
+}
+
+ClientConnection::~ClientConnection() { --Client->Open; }
+
+void ClientConnection::start(HttpRequest request, CallHandler handler) {
+  Request.emplace(std::move(request));
+  Request->keep_alive(true);
+  Request->prepare_payload();
+  Handler = std::move(handler);
+  Skipped = 0;
+  IsFinished = false;
+  if (Connected)
+    write();
+  else
+    connect();
+}
+
+void ClientConnection::cancel() {
+  Handler = nullptr;
+  close();
+}
+
+void ClientConnection::close() {
+  Connected = false;
+  Reusable = false;
+  ConnectTimer.cancel();
+  error_code ignored; // Nothing is left to do on a failed close.
+  Socket.close(ignored);
+}
+
+bool ClientConnection::isUsable(core::TimePoint now) {
+  if (!Connected || !Reusable || now - IdleSince >= IdleLimit ||
+      Buffer.size() > 0)
+    return false;
+  char buf = 0;
+  const auto n =
+      ::recv(Socket.native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && errno == EAGAIN;
+}
+
+void ClientConnection::connect() {
+  ++Client->Connects;
+  ConnectTimer.expires_after(Client->Options.ConnectTimeout);
+  ConnectTimer.async_wait([self = shared_from_this()](error_code ec) {
+    if (ec)
+      return;
+    self->ConnectLate = true;
+    error_code ignored; // The connect operation reports the failure.
+    self->Socket.close(ignored);
+  });
+  Socket.async_connect(
+      toSocketAddress(Client->Server),
+      [self = shared_from_this()](error_code ec) { self->onConnected(ec); });
+}
+
+void ClientConnection::onConnected(error_code ec) {
+  ConnectTimer.cancel();
+  if (ConnectLate)
+    ec = boost::asio::error::timed_out;
+  if (ec) {
+    fail(CallEnd::NotSent, ec);
+    return;
+  }
+  if (!Handler)
+    return;
+  Connected = true;
+  setSocketOptions();
+  write();
+}
+
+void ClientConnection::setSocketOptions() {
+  error_code ignored; // Without it, requests only go out later.
+  Socket.set_option(tcp::no_delay(true), ignored);
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Client->Options.SendTimeout);
+  const auto value = static_cast<unsigned>(ms.count());
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value,
+               sizeof(value));
+}
+
+void ClientConnection::write() {
+  IsWriting = true;
+  http::async_write(Socket, *Request,
+                    [self = shared_from_this()](error_code ec, std::size_t) {
+                      self->onWritten(ec);
+                    });
+  read();
+}
+
+void ClientConnection::onWritten(error_code ec) {
+  IsWriting = false;
+  if (ec)
+    Reusable = false;
+  if (!IsFinished)
+    return;
+  // The answer came before the whole body was sent.
+  Request.reset();
+  park();
+}
+
+void ClientConnection::park() {
+  if (Reusable)
+    Client->release(shared_from_this());
+  else
+    close();
+}
+
+void ClientConnection::read() {
+  Parser.emplace();
+  Parser->body_limit(Client->Options.BodyBytes);
+  if (Request->method() == http::verb::head)
+    Parser->skip(true);
+  http::async_read(Socket, Buffer, *Parser,
+                   [self = shared_from_this()](error_code ec, std::size_t) {
+                     self->onRead(ec);
+                   });
+}
+
+void ClientConnection::onRead(error_code ec) {
+  if (!Handler)
+    return;
+  if (ec) {
+    fail(CallEnd::Broken, ec);
+    return;
+  }
+  const auto &response = Parser->get();
+  const bool isInterim = response.result_int() < 200;
+  const bool isForeign = !isInterim && Client->Options.Belongs &&
+                         !Client->Options.Belongs(*Request, response);
+  if (!isInterim && !isForeign) {
+    finish();
+    return;
+  }
+  Reusable = Reusable && isInterim;
+  if (++Skipped > MostSkipped || Parser->need_eof())
+    fail(CallEnd::Broken, boost::asio::error::invalid_argument);
+  else
+    read();
+}
+
+void ClientConnection::noteKeepAlive() {
+  Reusable = Reusable && Parser->keep_alive() && Buffer.size() == 0;
+  IdleLimit = Client->Options.IdleLimit;
+  const auto stated = keepAliveSeconds(
+      toView(Parser->get()[http::field::keep_alive]));
+  if (stated)
+    IdleLimit = std::min<core::Duration>(
+        IdleLimit, std::chrono::seconds(*stated) * KeepAliveShare / 100);
+  IdleSince = core::BootClock::now();
+}
+
+void ClientConnection::finish() {
+  noteKeepAlive();
+  CallResult out;
+  out.End = CallEnd::Answered;
+  out.Response = Parser->release();
+  Parser.reset();
+  IsFinished = true;
+  const auto handler = std::exchange(Handler, nullptr);
+  if (!IsWriting) {
+    Request.reset();
+    park();
+  }
+  handler(std::move(out));
+}
+
+void ClientConnection::fail(CallEnd end, error_code ec) {
+  const auto handler = std::exchange(Handler, nullptr);
+  close();
+  if (!handler)
+    return;
+  CallResult out;
+  out.End = end;
+  out.Detail = ec.message();
+  out.IsRefused = end == CallEnd::NotSent &&
+                  (ec == boost::asio::error::connection_refused ||
+                   ec == boost::asio::error::connection_reset);
+  handler(std::move(out));
+}
+
+} // namespace acaciaroad::net
--- /dev/null
+++ b/Source/Net/ClientConnection.h
@@ -0,0 +1,69 @@
+/// \file
+/// One connection of an HttpClient.
+
+#ifndef ACACIAROAD_NET_CLIENTCONNECTION_H
+#define ACACIAROAD_NET_CLIENTCONNECTION_H
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "Net/HttpClient.h"
+
+namespace acaciaroad::net {
+
+/// Sends one request at a time and keeps itself alive while it does.
+class ClientConnection : public ClientCall,
+                         public std::enable_shared_from_this<ClientConnection> {
+public:
+  explicit ClientConnection(std::shared_ptr<HttpClient> client);
+  ~ClientConnection() override;
+
+  /// Connects first if the connection is new.
+  void start(HttpRequest request, CallHandler handler);
+  void cancel() override;
+
+  /// Whether it can carry another request: open, young enough, and nothing has
+  /// come on it since the last answer.
+  bool isUsable(core::TimePoint now);
+  void close();
+
+private:
+  void connect();
+  void onConnected(boost::beast::error_code ec);
+  void write();
+  void onWritten(boost::beast::error_code ec);
+  /// Keeps the connection for another request, or closes it.
+  void park();
+  void read();
+  void onRead(boost::beast::error_code ec);
+  void finish();
+  void fail(CallEnd end, boost::beast::error_code ec);
+  void setSocketOptions();
+  void noteKeepAlive();
+
+  std::shared_ptr<HttpClient> Client;
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::steady_timer ConnectTimer;
+  boost::beast::flat_buffer Buffer;
+  std::optional<HttpRequest> Request;
+  std::optional<http::response_parser<http::string_body>> Parser;
+  CallHandler Handler;
+  core::TimePoint IdleSince{};
+  core::Duration IdleLimit{};
+  bool Connected = false;
+  bool Reusable = true;
+  bool ConnectLate = false;
+  bool IsWriting = false;
+  bool IsFinished = false;
+  int Skipped = 0;
+};
+
+} // namespace acaciaroad::net
+
+#endif
--- /dev/null
+++ b/Source/Net/HttpClient.cpp
@@ -0,0 +1,77 @@
+#include "Net/HttpClient.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "Net/ClientConnection.h"
+
+namespace acaciaroad::net {
+
+namespace {
+
+/// A call that found no room for another connection.
+class RefusedCall : public ClientCall,
+                    public std::enable_shared_from_this<RefusedCall> {
+public:
+  explicit RefusedCall(CallHandler handler) : Handler(std::move(handler)) {}
+  void cancel() override { Handler = nullptr; }
+  void run() {
+    if (const auto handler = std::exchange(Handler, nullptr))
+      handler({CallEnd::NotSent, {}, "no room for another connection", false});
+  }
+
+private:
+  CallHandler Handler;
+};
+
+} // namespace
+
+std::shared_ptr<HttpClient> HttpClient::create(boost::asio::io_context &loop,
+                                               const core::Endpoint &server,
+                                               ClientOptions options) {
+  return std::shared_ptr<HttpClient>(
+      new HttpClient(loop, server, std::move(options)));
+}
+
+HttpClient::HttpClient(boost::asio::io_context &loop, core::Endpoint server,
+                       ClientOptions options)
+    : Loop(loop), Server(std::move(server)), Options(std::move(options)) {}
+
+std::shared_ptr<ClientCall> HttpClient::send(HttpRequest request,
+                                             CallHandler handler) {
+  auto connection = takeIdle();
+  if (!connection && Open >= Options.MostConnections) {
+    auto call = std::make_shared<RefusedCall>(std::move(handler));
+    boost::asio::post(Loop, [call] { call->run(); });
+    return call;
+  }
+  if (!connection)
+    connection = std::make_shared<ClientConnection>(shared_from_this());
+  connection->start(std::move(request), std::move(handler));
+  return connection;
+}
+
+std::shared_ptr<ClientConnection> HttpClient::takeIdle() {
+  const auto now = core::BootClock::now();
+  while (!Idle.empty()) {
+    // The one that was used last is the least likely to have been closed.
+    auto out = std::move(Idle.back());
+    Idle.pop_back();
+    if (out->isUsable(now))
+      return out;
+    out->close();
+  }
+  return nullptr;
+}
+
+void HttpClient::release(std::shared_ptr<ClientConnection> connection) {
+  Idle.push_back(std::move(connection));
+}
+
+void HttpClient::dropIdle() {
+  for (const auto &it : std::exchange(Idle, {}))
+    it->close();
+}
+
+} // namespace acaciaroad::net
--- /dev/null
+++ b/Source/Net/HttpClient.h
@@ -0,0 +1,102 @@
+/// \file
+/// Kept connections to one HTTP/1.1 server, on one event loop.
+
+#ifndef ACACIAROAD_NET_HTTPCLIENT_H
+#define ACACIAROAD_NET_HTTPCLIENT_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "Net/HttpMessage.h"
+
+namespace acaciaroad::net {
+
+class ClientConnection;
+
+/// How a call ended.
+enum class CallEnd : std::uint8_t {
+  /// The whole answer came.
+  Answered,
+  /// Nothing of the request left this process.
+  NotSent,
+  /// The request was sent at least in part, and no whole answer came.
+  Broken,
+};
+
+/// What a call ended with; Response only counts with CallEnd::Answered.
+struct CallResult {
+  CallEnd End = CallEnd::NotSent;
+  HttpResponse Response;
+  std::string Detail;
+  /// The server refused or reset a new connection.
+  bool IsRefused = false;
+};
+
+struct ClientOptions {
+  core::Duration ConnectTimeout{};
+  /// Unacknowledged bytes end a connection after it (TCP_USER_TIMEOUT).
+  core::Duration SendTimeout{};
+  /// A connection that was idle for longer is not used again.
+  core::Duration IdleLimit{};
+  /// Bytes of an answer's body.
+  std::uint64_t BodyBytes = 0;
+  /// Open connections, idle ones included.
+  std::size_t MostConnections = 0;
+  /// Whether an answer belongs to the request that waits for it; one that does
+  /// not is skipped, and its connection is not used again.
+  std::function<bool(const HttpRequest &, const HttpResponse &)> Belongs;
+};
+
+using CallHandler = std::function<void(CallResult)>;
+
+/// One request under way.
+class ClientCall {
+public:
+  virtual ~ClientCall() = default;
+  /// Drops the request and its connection; the handler is not called.
+  virtual void cancel() = 0;
+};
+
+/// All members are called on the loop's thread.
+class HttpClient : public std::enable_shared_from_this<HttpClient> {
+public:
+  static std::shared_ptr<HttpClient> create(boost::asio::io_context &loop,
+                                            const core::Endpoint &server,
+                                            ClientOptions options);
+
+  /// Sends \p request on a kept connection, or on a new one. \p handler is
+  /// called once, never before this returns.
+  std::shared_ptr<ClientCall> send(HttpRequest request, CallHandler handler);
+
+  /// Closes the connections that wait for a request.
+  void dropIdle();
+
+  std::size_t connections() const { return Open; }
+  std::uint64_t connectsStarted() const { return Connects; }
+  const core::Endpoint &server() const { return Server; }
+
+private:
+  friend class ClientConnection;
+  HttpClient(boost::asio::io_context &loop, core::Endpoint server,
+             ClientOptions options);
+  std::shared_ptr<ClientConnection> takeIdle();
+  void release(std::shared_ptr<ClientConnection> connection);
+
+  boost::asio::io_context &Loop;
+  core::Endpoint Server;
+  ClientOptions Options;
+  std::vector<std::shared_ptr<ClientConnection>> Idle;
+  std::size_t Open = 0;
+  std::uint64_t Connects = 0;
+};
+
+} // namespace acaciaroad::net
+
+#endif
--- /dev/null
+++ b/Source/Net/HttpServer.cpp
@@ -0,0 +1,93 @@
+#include "Net/HttpServer.h"
+
+#include <utility>
+#include <vector>
+
+#include "Net/ServerSession.h"
+
+namespace acaciaroad::net {
+
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+namespace {
+
+/// Interval at which idle and slow connections are looked for; well under the
+/// shortest timeout that is configured, 3 s.
+constexpr core::Duration SweepInterval = std::chrono::milliseconds(500);
+
+/// Pause after a failed accept, such as one without a free descriptor.
+constexpr core::Duration AcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+core::Result<std::unique_ptr<HttpServer>>
+HttpServer::create(boost::asio::io_context &loop, const core::Endpoint &listen,
+                   ServerLimits limits, ExchangeHandler handler) {
+  std::unique_ptr<HttpServer> out(
+      new HttpServer(loop, limits, std::move(handler)));
+  const auto address = toSocketAddress(listen);
+  error_code ec;
+  out->Acceptor.open(address.protocol(), ec);
+  if (!ec)
+    out->Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    out->Acceptor.bind(address, ec);
+  if (!ec)
+    out->Acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return core::fail(core::ErrorKind::InvalidArgument,
+                      core::toString(listen) + ": " + ec.message());
+  out->accept();
+  out->sweep();
+  return out;
+}
+
+HttpServer::HttpServer(boost::asio::io_context &loop, ServerLimits limits,
+                       ExchangeHandler handler)
+    : Loop(loop), Acceptor(loop), Sweep(loop), Limits(limits),
+      Handler(std::move(handler)) {}
+
+HttpServer::~HttpServer() {
+  const std::vector<ServerSession *> sessions(Sessions.begin(), Sessions.end());
+  Sessions.clear();
+  for (ServerSession *it : sessions)
+    it->detach();
+}
+
+void HttpServer::accept() {
+  Acceptor.async_accept([this](error_code ec, tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted)
+      return;
+    if (ec) {
+      Sweep.expires_after(AcceptPause);
+      Sweep.async_wait([this](error_code e) {
+        if (!e) {
+          accept();
+          sweep();
+        }
+      });
+      return;
+    }
+    error_code ignored; // Without it, answers only come later.
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<ServerSession>(*this, std::move(socket))->start();
+    accept();
+  });
+}
+
+void HttpServer::sweep() {
+  Sweep.expires_after(SweepInterval);
+  Sweep.async_wait([this](error_code ec) {
+    if (ec)
+      return;
+    const auto now = core::BootClock::now();
+    const std::vector<ServerSession *> sessions(Sessions.begin(),
+                                                Sessions.end());
+    for (ServerSession *it : sessions)
+      it->closeIfLate(now);
+    sweep();
+  });
+}
+
+} // namespace acaciaroad::net
--- /dev/null
+++ b/Source/Net/HttpServer.h
@@ -0,0 +1,108 @@
+/// \file
+/// An HTTP/1.1 server on one event loop.
+
+#ifndef ACACIAROAD_NET_HTTPSERVER_H
+#define ACACIAROAD_NET_HTTPSERVER_H
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Net/HttpMessage.h"
+
+namespace acaciaroad::net {
+
+class ServerSession;
+
+/// Bounds on what a client may send and how long it may take.
+struct ServerLimits {
+  std::uint32_t HeaderBytes = 0;
+  std::uint64_t BodyBytes = 0;
+  core::Duration HeaderTimeout{};
+  core::Duration IdleTimeout{};
+};
+
+/// One request and the answer to it. Keeps its session alive.
+class Exchange {
+public:
+  Exchange(std::shared_ptr<ServerSession> session, HttpRequest request,
+           core::TimePoint received)
+      : Received(received), Session(std::move(session)),
+        Request(std::move(request)) {}
+
+  /// Sends the answer; later calls have no effect.
+  void respond(HttpResponse response);
+
+  /// Sets what is called once if the client leaves before the answer.
+  void setOnAbandoned(std::function<void()> hook) {
+    OnAbandoned = std::move(hook);
+  }
+
+  HttpRequest &request() { return Request; }
+  bool isAnswered() const { return Answered; }
+
+  const core::TimePoint Received;
+
+private:
+  friend class ServerSession;
+  void abandon();
+
+  std::shared_ptr<ServerSession> Session;
+  HttpRequest Request;
+  std::function<void()> OnAbandoned;
+  bool Answered = false;
+};
+
+using ExchangeHandler = std::function<void(std::shared_ptr<Exchange>)>;
+
+/// Listens on one address. All members are called on the loop's thread.
+class HttpServer {
+public:
+  /// Fails with InvalidArgument if the address cannot be bound.
+  static core::Result<std::unique_ptr<HttpServer>>
+  create(boost::asio::io_context &loop, const core::Endpoint &listen,
+         ServerLimits limits, ExchangeHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  void setLimits(const ServerLimits &limits) { Limits = limits; }
+  const ServerLimits &limits() const { return Limits; }
+
+  /// Answers from now on ask the client to close its connection.
+  void beginDrain() { Draining = true; }
+  bool isDraining() const { return Draining; }
+
+  /// Number of requests without a complete answer, and of open connections.
+  std::size_t inFlight() const { return InFlight; }
+  std::size_t connections() const { return Sessions.size(); }
+
+private:
+  friend class ServerSession;
+  HttpServer(boost::asio::io_context &loop, ServerLimits limits,
+             ExchangeHandler handler);
+  void accept();
+  void sweep();
+
+  boost::asio::io_context &Loop;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer Sweep;
+  ServerLimits Limits;
+  ExchangeHandler Handler;
+  std::unordered_set<ServerSession *> Sessions;
+  std::size_t InFlight = 0;
+  bool Draining = false;
+};
+
+} // namespace acaciaroad::net
+
+#endif
--- /dev/null
+++ b/Source/Net/ServerSession.cpp
@@ -0,0 +1,199 @@
+#include "Net/ServerSession.h"
+
+#include <utility>
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+namespace acaciaroad::net {
+
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+void Exchange::respond(HttpResponse response) {
+  if (std::exchange(Answered, true))
+    return;
+  OnAbandoned = nullptr;
+  Session->respond(std::move(response));
+}
+
+void Exchange::abandon() {
+  if (std::exchange(Answered, true))
+    return;
+  if (const auto hook = std::exchange(OnAbandoned, nullptr))
+    hook();
+}
+
+ServerSession::ServerSession(HttpServer &server, tcp::socket socket)
+    : Server(&server), Socket(std::move(socket)),
+      Since(core::BootClock::now()) {
+  Server->Sessions.insert(this);
+}
+
+ServerSession::~ServerSession() {
+  if (Server)
+    Server->Sessions.erase(this);
+}
+
+void ServerSession::detach() {
+  Server = nullptr;
+  close();
+}
+
+void ServerSession::start() { waitReadable(); }
+
+void ServerSession::enter(Phase phase) {
+  const bool wasBusy = State == Phase::Handling || State == Phase::Writing;
+  const bool isBusy = phase == Phase::Handling || phase == Phase::Writing;
+  if (Server && isBusy && !wasBusy)
+    ++Server->InFlight;
+  if (Server && wasBusy && !isBusy)
+    --Server->InFlight;
+  State = phase;
+  Since = core::BootClock::now();
+}
+
+void ServerSession::waitReadable() {
+  if (WaitPending || State == Phase::Closed)
+    return;
+  WaitPending = true;
+  Socket.async_wait(tcp::socket::wait_read,
+                    [self = shared_from_this()](error_code ec) {
+                      self->WaitPending = false;
+                      if (!ec)
+                        self->onReadable();
+                    });
+}
+
+void ServerSession::onReadable() {
+  if (State == Phase::Idle)
+    read();
+  else if (State == Phase::Handling)
+    checkAbandoned();
+}
+
+void ServerSession::checkAbandoned() {
+  char buf = 0;
+  const auto n = ::recv(Socket.native_handle(), &buf, 1,
+                        MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0)
+    return; // The next request; it is read after this one's answer.
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+    waitReadable();
+    return;
+  }
+  const auto exchange = Current.lock();
+  close();
+  if (exchange)
+    exchange->abandon();
+}
+
+void ServerSession::read() {
+  if (!Server)
+    return;
+  enter(Phase::Reading);
+  Parser.emplace();
+  Parser->header_limit(Server->Limits.HeaderBytes);
+  Parser->body_limit(Server->Limits.BodyBytes);
+  http::async_read(Socket, Buffer, *Parser,
+                   [self = shared_from_this()](error_code ec, std::size_t) {
+                     self->onRead(ec);
+                   });
+}
+
+void ServerSession::onRead(error_code ec) {
+  if (State == Phase::Closed || !Server)
+    return;
+  if (ec) {
+    refuse(ec);
+    return;
+  }
+  KeepAlive = Parser->get().keep_alive();
+  const auto exchange = std::make_shared<Exchange>(
+      shared_from_this(), Parser->release(), core::BootClock::now());
+  Parser.reset();
+  Current = exchange;
+  enter(Phase::Handling);
+  waitReadable();
+  Server->Handler(exchange);
+}
+
+void ServerSession::refuse(error_code ec) {
+  const auto &parseErrors =
+      http::make_error_code(http::error::bad_method).category();
+  if (ec.category() != parseErrors || ec == http::error::end_of_stream ||
+      ec == http::error::partial_message) {
+    close();
+    return;
+  }
+  http::status status = http::status::bad_request;
+  if (ec == http::error::header_limit)
+    status = http::status::request_header_fields_too_large;
+  else if (ec == http::error::body_limit)
+    status = http::status::payload_too_large;
+  KeepAlive = false;
+  enter(Phase::Handling);
+  respond(HttpResponse(status, 11));
+}
+
+void ServerSession::respond(HttpResponse response) {
+  if (State == Phase::Closed)
+    return;
+  const bool close = !KeepAlive || !Server || Server->Draining;
+  Response.emplace(std::move(response));
+  Response->keep_alive(!close);
+  Response->prepare_payload();
+  enter(Phase::Writing);
+  http::async_write(
+      Socket, *Response,
+      [self = shared_from_this(), close](error_code ec, std::size_t) {
+        self->onWritten(ec, close);
+      });
+}
+
+void ServerSession::onWritten(error_code ec, bool close) {
+  Response.reset();
+  if (ec || close || State == Phase::Closed) {
+    if (!ec && State != Phase::Closed) {
+      error_code ignored; // The connection ends in any case.
+      Socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    this->close();
+    return;
+  }
+  enter(Phase::Idle);
+  if (Buffer.size() > 0)
+    read();
+  else {
+    // Gives the memory of a large request back while the client is idle.
+    Buffer = {};
+    waitReadable();
+  }
+}
+
+void ServerSession::closeIfLate(core::TimePoint now) {
+  if (!Server)
+    return;
+  const auto &limits = Server->limits();
+  const bool isIdle = State == Phase::Idle && now - Since > limits.IdleTimeout;
+  const bool isSlow = State == Phase::Reading && Parser &&
+                      !Parser->is_header_done() &&
+                      now - Since > limits.HeaderTimeout;
+  const bool isStuck =
+      (State == Phase::Writing || State == Phase::Reading) &&
+      now - Since > limits.IdleTimeout + limits.HeaderTimeout;
+  if (isIdle || isSlow || isStuck)
+    close();
+}
+
+void ServerSession::close() {
+  if (State == Phase::Closed)
+    return;
+  enter(Phase::Closed);
+  error_code ignored; // Nothing is left to do on a failed close.
+  Socket.close(ignored);
+}
+
+} // namespace acaciaroad::net
--- /dev/null
+++ b/Source/Net/ServerSession.h
@@ -0,0 +1,62 @@
+/// \file
+/// One client's connection to an HttpServer.
+
+#ifndef ACACIAROAD_NET_SERVERSESSION_H
+#define ACACIAROAD_NET_SERVERSESSION_H
+
+#include <memory>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "Net/HttpServer.h"
+
+namespace acaciaroad::net {
+
+/// Reads requests one after the other and writes their answers. One readiness
+/// wait is pending at a time: between requests it tells that the next one
+/// starts, during a request that the client has left.
+class ServerSession : public std::enable_shared_from_this<ServerSession> {
+public:
+  ServerSession(HttpServer &server, boost::asio::ip::tcp::socket socket);
+  ~ServerSession();
+
+  void start();
+  void respond(HttpResponse response);
+
+  /// Closes the connection if it is idle or slow for longer than allowed.
+  void closeIfLate(core::TimePoint now);
+
+  /// The server goes away; the session outlives it without using it.
+  void detach();
+
+private:
+  enum class Phase { Idle, Reading, Handling, Writing, Closed };
+
+  void enter(Phase phase);
+  void waitReadable();
+  void onReadable();
+  void checkAbandoned();
+  void read();
+  void onRead(boost::beast::error_code ec);
+  void refuse(boost::beast::error_code ec);
+  void onWritten(boost::beast::error_code ec, bool close);
+  void close();
+
+  HttpServer *Server;
+  boost::asio::ip::tcp::socket Socket;
+  boost::beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<HttpResponse> Response;
+  std::weak_ptr<Exchange> Current;
+  Phase State = Phase::Idle;
+  core::TimePoint Since;
+  bool KeepAlive = true;
+  bool WaitPending = false;
+};
+
+} // namespace acaciaroad::net
+
+#endif
--- /dev/null
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -0,0 +1,72 @@
+/// \file
+/// acacia-sidecar: the router beside one upstream of the platform.
+
+#include <csignal>
+
+#include <fmt/core.h>
+#include <gflags/gflags.h>
+
+#include "Settings/SidecarSettings.h"
+#include "Settings/SidecarFields.h"
+#include "Settings/SettingsReference.h"
+#include "Sidecar/Sidecar.h"
+#include "platform/ConfigurationDecoder.h"
+#include "platform/Dialect.h"
+#include "platform/HeartbeatCodec.h"
+#include "platform/StoreClient.h"
+
+DEFINE_string(settings, "", "Path of the TOML settings file.");
+DEFINE_bool(check, false, "Check the settings and exit.");
+DEFINE_bool(print_settings_reference, false,
+            "Print the reference of all settings and exit.");
+
+namespace {
+
+using namespace acaciaroad;
+
+constexpr int ExitFailure = 1;
+/// The settings are not valid.
+constexpr int ExitSettings = 2;
+
+sidecar::SidecarParts makeParts() {
+  sidecar::SidecarParts out;
+  out.Dialect = adapter::makeDialect();
+  out.Codec = {adapter::parseUpstreamCall, adapter::decodeHeartbeat,
+               adapter::encodeGrant, adapter::parseOperatorKey,
+               adapter::decodeConfiguration};
+  out.MakeLogs = [](boost::asio::io_context &loop,
+                    const core::Endpoint &address) {
+    const auto store = adapter::StoreClient::create(loop, address);
+    return sidecar::ControlLogs{store->operatorLog(), store->fleetLog()};
+  };
+  out.ReadSettings = [] {
+    return settings::loadSidecarSettings(FLAGS_settings);
+  };
+  return out;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("acacia-sidecar --settings FILE");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_print_settings_reference) {
+    fmt::print("{}", settings::renderSidecarReference());
+    return 0;
+  }
+  const auto settings = settings::loadSidecarSettings(FLAGS_settings);
+  if (!settings) {
+    fmt::print(stderr, "{}\n", settings.error().Detail);
+    return ExitSettings;
+  }
+  if (FLAGS_check)
+    return 0;
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto node = sidecar::Sidecar::create(*settings, makeParts());
+  if (!node) {
+    fmt::print(stderr, "acacia-sidecar: {}\n", node.error().Detail);
+    return ExitFailure;
+  }
+  (*node)->run();
+  return 0;
+}
--- /dev/null
+++ b/Source/Proxy/EntryRun.cpp
@@ -0,0 +1,228 @@
+#include "Proxy/EntryRun.h"
+
+#include <utility>
+
+namespace acaciaroad::proxy {
+
+using core::ErrorKind;
+using requests::AttemptOutcome;
+using requests::NextStep;
+
+namespace {
+
+/// Other nodes that are asked after one has refused before its upstream saw
+/// the request; further ones mostly refuse too.
+constexpr int MostRedirects = 2;
+
+/// Requests that upstreams make while they run one: a failed one loses the work
+/// of the request that it belongs to.
+constexpr std::int32_t InnerRank = -1;
+
+} // namespace
+
+EntryRun::EntryRun(EntryService &entry, std::shared_ptr<net::Exchange> exchange,
+                   const routing::Route &route,
+                   const routing::ClientAccount *account, std::string service,
+                   requests::AttemptPlan plan, core::TimePoint deadline)
+    : Entry(entry), Exchange(std::move(exchange)), View(entry.View),
+      Route(route), Account(account), Service(std::move(service)), Plan(plan),
+      Deadline(deadline), Timer(entry.Loop) {
+  const CallerFields caller = Entry.Speech.ReadCaller(Exchange->request());
+  RequestId = caller.RequestId;
+  const routing::Service *target = View->Routes->findService(Service);
+  if (target != nullptr && target->IsKeyed)
+    Key = caller.Key;
+}
+
+void EntryRun::start() {
+  Exchange->setOnAbandoned([self = shared_from_this()] { self->abandon(); });
+  Timer.expires_after(Deadline - core::BootClock::now());
+  Timer.async_wait(
+      [self = shared_from_this()](boost::beast::error_code ec) {
+        if (!ec)
+          self->onDeadline();
+      });
+  attempt();
+}
+
+const Peer *EntryRun::choosePeer(core::TimePoint now) {
+  // The newest view: keys may have moved since the request came.
+  const auto service = Entry.View->Services.find(Service);
+  if (service == Entry.View->Services.end())
+    return nullptr;
+  if (Key) {
+    const auto *row = findHolding(service->second.Holdings, *Key);
+    return row == nullptr ? nullptr : findPeer(service->second, row->Node);
+  }
+  EntryService::ServiceState *state = Entry.stateOf(Service);
+  if (state == nullptr)
+    return nullptr;
+  const auto id = state->Choice.choose(Tried, now);
+  if (!id)
+    return nullptr;
+  for (const Peer &it : service->second.Peers)
+    if (it.Id == *id)
+      return &it;
+  return nullptr;
+}
+
+Order EntryRun::makeOrder(const Peer &peer) {
+  Order out;
+  out.Request = Exchange->request();
+  net::eraseConnectionFields(out.Request);
+  erasePeerFields(out.Request);
+  out.RequestId = RequestId;
+  out.Account = Account == nullptr ? std::string() : Account->Name;
+  out.CallerService = Entry.Identity.Service;
+  out.WorkClass = Route.Name;
+  out.Kind = Route.Kind;
+  out.Deadline = Deadline;
+  out.ExpectedUpstream = peer.Life.Id;
+  out.Key = Key;
+  if (Route.IsPublic)
+    out.Rank = InnerRank;
+  else if (Account != nullptr && Account->Priority >= 0)
+    out.Rank = Account->Priority;
+  else
+    out.Rank = static_cast<std::int32_t>(Route.Priority);
+  return out;
+}
+
+void EntryRun::attempt() {
+  const auto now = core::BootClock::now();
+  const Peer *peer = choosePeer(now);
+  if (peer == nullptr || !peer->Life.isKnown()) {
+    fail(Key ? ErrorKind::NoOwner : ErrorKind::NoUpstream);
+    return;
+  }
+  Plan.started();
+  Target = peer->Id;
+  Tried.push_back(Target);
+  SentAt = now;
+  if (auto *state = Entry.stateOf(Service))
+    state->Choice.sent(Target);
+  const std::uint64_t number = ++Attempt;
+  Entry.Log->write(logging::Level::Debug, "attempt",
+                   {{"request_id", RequestId},
+                    {"service", Service},
+                    {"node", peer->Name},
+                    {"attempt", number}});
+  auto handler = [self = shared_from_this(), number](OrderResult result) {
+    self->ended(number, std::move(result));
+  };
+  if (peer->Name == Entry.Identity.Node) {
+    const auto ticket = Entry.Own.offer(makeOrder(*peer), std::move(handler));
+    if (Attempt == number && !IsOver)
+      Ticket = ticket;
+    return;
+  }
+  Call = Entry.Peers.send(peer->Address, makeOrder(*peer), Entry.Speech,
+                          std::move(handler));
+}
+
+bool EntryRun::mayTryElsewhere(const ForwardOutcome &outcome) const {
+  const bool isUntouched = outcome.Outcome == AttemptOutcome::NotSent ||
+                           (outcome.Outcome == AttemptOutcome::RefusedNotRun &&
+                            !outcome.ReachedUpstream);
+  // A key has one holder only.
+  return isUntouched && !Key && Redirects < MostRedirects &&
+         core::BootClock::now() < Deadline;
+}
+
+void EntryRun::ended(std::uint64_t number, OrderResult result) {
+  if (IsOver || number != Attempt)
+    return;
+  Call.reset();
+  Ticket.reset();
+  const auto now = core::BootClock::now();
+  const ForwardOutcome &outcome = result.Outcome;
+  auto *state = Entry.stateOf(Service);
+  if (state == nullptr) {
+    fail(outcome.Reason);
+    return;
+  }
+  state->Choice.ended(Target, outcome.Outcome, now - SentAt, now);
+  if (outcome.Outcome == AttemptOutcome::Answered ||
+      outcome.Outcome == AttemptOutcome::RefusedNotRun)
+    state->Choice.reported(Target, outcome.Load, now);
+  RetryAfter = outcome.RetryAfter;
+  if (mayTryElsewhere(outcome)) {
+    ++Redirects;
+    Plan.withdrawn();
+    attempt();
+    return;
+  }
+  const requests::Step step =
+      Plan.ended(outcome.Outcome, outcome.Reason, state->Budget, now);
+  switch (step.What) {
+  case NextStep::Answer:
+    answer(std::move(result.Answer));
+    return;
+  case NextStep::Retry:
+    ++Entry.Counters.Retries;
+    if (Key)
+      // The budget is spent where it can help: the one holder has refused.
+      fail(outcome.Reason);
+    else
+      attempt();
+    return;
+  case NextStep::Fail:
+    fail(step.Reason);
+    return;
+  case NextStep::Wait:
+  case NextStep::Ignore:
+    return;
+  }
+}
+
+void EntryRun::answer(net::HttpResponse response) {
+  finish();
+  net::eraseConnectionFields(response);
+  ++Entry.Counters.Answered;
+  Entry.Counters.CallerLatency.add(core::BootClock::now() -
+                                   Exchange->Received);
+  Exchange->respond(std::move(response));
+}
+
+void EntryRun::fail(ErrorKind reason) {
+  finish();
+  Entry.refuse(*Exchange, reason, RetryAfter, Service);
+}
+
+void EntryRun::abandon() {
+  if (IsOver)
+    return;
+  ++Entry.Counters.Abandoned;
+  Entry.Log->write(logging::Level::Info, "caller_left",
+                   {{"request_id", RequestId}, {"service", Service}});
+  cancelAttempt();
+  finish();
+}
+
+void EntryRun::cancelAttempt() {
+  if (Call)
+    Call->cancel();
+  if (Ticket)
+    Entry.Own.abandon(*Ticket);
+  if (Call || Ticket)
+    if (auto *state = Entry.stateOf(Service))
+      state->Choice.abandoned(Target);
+}
+
+void EntryRun::onDeadline() {
+  if (IsOver)
+    return;
+  const requests::Step step = Plan.timedOut();
+  if (auto *state = Entry.stateOf(Service))
+    state->Choice.abandoned(Target);
+  fail(step.Reason);
+}
+
+void EntryRun::finish() {
+  IsOver = true;
+  Timer.cancel();
+  Call.reset();
+  Ticket.reset();
+}
+
+} // namespace acaciaroad::proxy
--- /dev/null
+++ b/Source/Proxy/EntryRun.h
@@ -0,0 +1,70 @@
+/// \file
+/// One request on its way through the entry node.
+
+#ifndef ACACIAROAD_PROXY_ENTRYRUN_H
+#define ACACIAROAD_PROXY_ENTRYRUN_H
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Proxy/EntryService.h"
+
+namespace acaciaroad::proxy {
+
+/// Sends a request to one upstream after the other until it is answered or
+/// given up. Keeps itself alive while an attempt or its timer is pending.
+class EntryRun : public std::enable_shared_from_this<EntryRun> {
+public:
+  /// \p plan was made for \p route and \p deadline.
+  EntryRun(EntryService &entry, std::shared_ptr<net::Exchange> exchange,
+           const routing::Route &route, const routing::ClientAccount *account,
+           std::string service, requests::AttemptPlan plan,
+           core::TimePoint deadline);
+
+  void start();
+
+private:
+  void attempt();
+  const Peer *choosePeer(core::TimePoint now);
+  Order makeOrder(const Peer &peer);
+  void ended(std::uint64_t number, OrderResult result);
+  bool mayTryElsewhere(const ForwardOutcome &outcome) const;
+  void answer(net::HttpResponse response);
+  void fail(core::ErrorKind reason);
+  void abandon();
+  void cancelAttempt();
+  void onDeadline();
+  void finish();
+
+  EntryService &Entry;
+  std::shared_ptr<net::Exchange> Exchange;
+  /// Keeps route and account alive.
+  std::shared_ptr<const TrafficView> View;
+  const routing::Route &Route;
+  const routing::ClientAccount *Account;
+  std::string Service;
+  requests::AttemptPlan Plan;
+  core::TimePoint Deadline;
+  boost::asio::steady_timer Timer;
+  std::string RequestId;
+  std::optional<holdings::Key> Key;
+  std::vector<core::InstanceId> Tried;
+  /// The attempt under way.
+  std::uint64_t Attempt = 0;
+  core::InstanceId Target;
+  core::TimePoint SentAt{};
+  std::shared_ptr<net::ClientCall> Call;
+  std::optional<upstream::Ticket> Ticket;
+  core::Duration RetryAfter{};
+  int Redirects = 0;
+  bool IsOver = false;
+};
+
+} // namespace acaciaroad::proxy
+
+#endif
--- /dev/null
+++ b/Source/Proxy/EntryService.cpp
@@ -0,0 +1,202 @@
+#include "Proxy/EntryService.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Proxy/EntryRun.h"
+
+namespace acaciaroad::proxy {
+
+using core::ErrorKind;
+using requests::AttemptPlan;
+
+namespace {
+
+/// Part of the fleet's allowance for retries that the nodes share out; the rest
+/// is room for requests whose windows overlap.
+constexpr double AllowanceShare = 0.5;
+
+/// Part of the permitted ratio of retries that is used.
+constexpr double RatioShare = 0.6;
+
+/// Refused callers come back after it if nothing better is known.
+constexpr core::Duration DefaultRetryAfter = std::chrono::milliseconds(100);
+
+requests::RequestPolicy policyOf(const routing::Route &route) {
+  requests::RequestPolicy out;
+  out.Runs = route.Kind == routing::WorkKind::Idempotent
+                 ? configuration::Execution::Idempotent
+                 : configuration::Execution::AtMostOnce;
+  out.Deadline = route.Timeout;
+  out.LatencyTarget = route.LatencyTarget;
+  out.MostAttempts = route.MostAttempts;
+  return out;
+}
+
+} // namespace
+
+EntryService::EntryService(boost::asio::io_context &loop,
+                           EntryIdentity identity, EntryLimits limits,
+                           Dialect dialect,
+                           std::shared_ptr<logging::Logger> logger,
+                           TrafficCounters &counters, UpstreamService &own)
+    : Loop(loop), Identity(std::move(identity)), Limits(limits),
+      Speech(std::move(dialect)), Log(std::move(logger)), Counters(counters),
+      Own(own), Peers(loop), View(std::make_shared<const TrafficView>()) {}
+
+void EntryService::setView(std::shared_ptr<const TrafficView> view) {
+  View = std::move(view);
+  const auto now = core::BootClock::now();
+  Shares.setNodes(View->Nodes, now);
+  if (View->Routes)
+    for (const routing::ClientAccount &it :
+         View->Routes->configuration().Accounts)
+      Shares.prepare(it.Name, it.Rate, now);
+  refreshCandidates(now);
+}
+
+void EntryService::refreshCandidates(core::TimePoint now) {
+  for (const auto &[name, service] : View->Services) {
+    std::vector<requests::Candidate> open;
+    for (const Peer &it : service.Peers)
+      if (it.IsOpen)
+        open.push_back({it.Id, it.DataCentre});
+    auto found = Services.find(name);
+    if (found == Services.end()) {
+      auto choice = requests::CandidateChoice::create(
+          Identity.DataCentre, [] { return core::randomId(); });
+      const double share = Limits.RetryAllowance * AllowanceShare /
+                           static_cast<double>(View->Nodes);
+      auto budget = requests::RetryBudget::create(
+          Limits.RetryRatio * RatioShare, now, {0, share, share});
+      if (!choice || !budget)
+        continue; // Not with the arguments above.
+      found = Services
+                  .emplace(name, ServiceState{{}, std::move(*choice),
+                                              std::move(*budget)})
+                  .first;
+    }
+    found->second.Choice.setCandidates(open);
+  }
+}
+
+EntryService::ServiceState *EntryService::stateOf(std::string_view service) {
+  const auto it = Services.find(service);
+  return it == Services.end() ? nullptr : &it->second;
+}
+
+bool EntryService::isFresh(core::TimePoint now) const {
+  return now - ConfirmedAt < Limits.KeyFreshness;
+}
+
+core::Result<const routing::ClientAccount *>
+EntryService::authenticate(const routing::Route &route,
+                           const CallerFields &caller,
+                           core::TimePoint now) const {
+  if (route.IsPublic || View->Routes->configuration().Accounts.empty())
+    return nullptr;
+  if (!isFresh(now))
+    return core::fail(ErrorKind::NodeIsolated,
+                      "the client accounts are not known to be current");
+  if (caller.AccountKey.empty())
+    return core::fail(ErrorKind::KeyMissing);
+  const auto *account = View->Routes->findAccount(caller.AccountKey);
+  if (account == nullptr)
+    return core::fail(ErrorKind::KeyUnknown);
+  return account;
+}
+
+void EntryService::handle(const std::shared_ptr<net::Exchange> &exchange) {
+  ++Counters.Requests;
+  const auto now = core::BootClock::now();
+  const net::HttpRequest &request = exchange->request();
+  const CallerFields caller = Speech.ReadCaller(request);
+  if (Draining) {
+    refuse(*exchange, ErrorKind::NodeStopping, DefaultRetryAfter, {});
+    return;
+  }
+  if (!View->Routes) {
+    refuse(*exchange, ErrorKind::NodeIsolated, DefaultRetryAfter,
+           "no configuration is known");
+    return;
+  }
+  const routing::Route *route = View->Routes->findRoute(
+      net::toView(request[net::http::field::host]),
+      net::toView(request.target()));
+  if (route == nullptr) {
+    const bool isKnown = isFresh(now);
+    refuse(*exchange,
+           isKnown ? ErrorKind::UnknownClass : ErrorKind::NodeIsolated,
+           DefaultRetryAfter, "no route");
+    return;
+  }
+  const auto account = authenticate(*route, caller, now);
+  if (!account) {
+    refuse(*exchange, account.error().Kind, DefaultRetryAfter,
+           account.error().Detail);
+    return;
+  }
+  const std::string service = Split.next(*route).Service;
+  const routing::Service *target = View->Routes->findService(service);
+  if (target != nullptr && target->IsKeyed && !caller.Key) {
+    refuse(*exchange, ErrorKind::RoutingKeyMissing, {}, service);
+    return;
+  }
+  if (*account != nullptr &&
+      !Shares.take((*account)->Name, (*account)->Rate, now)) {
+    refuse(*exchange, ErrorKind::RateExceeded,
+           Shares.untilNext((*account)->Name), (*account)->Name);
+    return;
+  }
+  const core::Duration patience =
+      std::min(caller.Patience.value_or(route->Timeout), route->Timeout);
+  const core::TimePoint deadline = exchange->Received + patience;
+  auto plan = AttemptPlan::create(policyOf(*route), deadline, now);
+  ServiceState *state = stateOf(service);
+  if (!plan || state == nullptr) {
+    refuse(*exchange,
+           plan ? ErrorKind::NoUpstream : ErrorKind::DeadlineTooShort,
+           DefaultRetryAfter, service);
+    return;
+  }
+  state->Budget.requested(now);
+  std::make_shared<EntryRun>(*this, exchange, *route, *account, service, *plan,
+                             deadline)
+      ->start();
+}
+
+void EntryService::refuse(net::Exchange &exchange, ErrorKind reason,
+                          core::Duration retryAfter, std::string_view detail) {
+  const core::Answer &answer = core::answerFor(reason);
+  ++Counters.Errors[static_cast<std::size_t>(reason)];
+  const CallerFields caller = Speech.ReadCaller(exchange.request());
+  const auto confirmed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      core::BootClock::now() - ConfirmedAt);
+  Log->write(
+      logging::Level::Info, "request_refused",
+      {{"request_id", caller.RequestId},
+       {"reason", answer.Name},
+       {"status", answer.HttpStatus},
+       {"ran", core::toString(answer.HasRan)},
+       {"detail", detail},
+       {"configuration",
+        View->Routes ? View->Routes->configuration().Version : 0},
+       {"configuration_age_ms", confirmed.count()}});
+  net::HttpResponse out(static_cast<net::http::status>(answer.HttpStatus), 11);
+  Speech.WriteRequestId(out, caller.RequestId);
+  if (answer.HttpStatus == 503 || answer.HttpStatus == 429) {
+    const std::chrono::duration<double> wait =
+        retryAfter.count() > 0 ? retryAfter : DefaultRetryAfter;
+    out.set(net::http::field::retry_after,
+            fmt::format("{:.3f}", wait.count()));
+  }
+  out.set(net::http::field::content_type, "application/problem+json");
+  out.body() = fmt::format(R"({{"kind":"{}","title":"{}","ran":"{}"}})",
+                           answer.Name, answer.Title,
+                           core::toString(answer.HasRan));
+  exchange.respond(std::move(out));
+}
+
+} // namespace acaciaroad::proxy
--- /dev/null
+++ b/Source/Proxy/EntryService.h
@@ -0,0 +1,105 @@
+/// \file
+/// Takes callers' requests on the instance where they begin.
+
+#ifndef ACACIAROAD_PROXY_ENTRYSERVICE_H
+#define ACACIAROAD_PROXY_ENTRYSERVICE_H
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Accounts/AccountShares.h"
+#include "Logging/Logger.h"
+#include "Net/HttpServer.h"
+#include "Proxy/PeerClients.h"
+#include "Proxy/TrafficCounters.h"
+#include "Proxy/UpstreamService.h"
+#include "Requests/AttemptPlan.h"
+#include "Requests/CandidateChoice.h"
+#include "Requests/RetryBudget.h"
+#include "Routing/TrafficSplit.h"
+
+namespace acaciaroad::proxy {
+
+class EntryRun;
+
+/// Bounds that operators set for the fleet.
+struct EntryLimits {
+  /// Keys of client accounts are honoured while a configuration that was asked
+  /// for less than this ago has them.
+  core::Duration KeyFreshness{};
+  /// Further attempts for each request.
+  double RetryRatio = 0;
+  /// Further attempts of the whole fleet that need no traffic.
+  double RetryAllowance = 0;
+};
+
+/// The instance that the node runs on.
+struct EntryIdentity {
+  std::string Node;
+  std::string DataCentre;
+  std::string Service;
+};
+
+/// Finds route, account and upstream of each request. All members are called on
+/// the traffic thread.
+class EntryService {
+public:
+  EntryService(boost::asio::io_context &loop, EntryIdentity identity,
+               EntryLimits limits, Dialect dialect,
+               std::shared_ptr<logging::Logger> logger,
+               TrafficCounters &counters, UpstreamService &own);
+
+  void setView(std::shared_ptr<const TrafficView> view);
+  void setLimits(const EntryLimits &limits) { Limits = limits; }
+
+  /// The newest configuration was asked for at \p asked.
+  void configurationConfirmed(core::TimePoint asked) { ConfirmedAt = asked; }
+
+  /// New requests are refused from now on.
+  void beginDrain() { Draining = true; }
+
+  void handle(const std::shared_ptr<net::Exchange> &exchange);
+
+private:
+  friend class EntryRun;
+
+  /// What is known of one service's peers.
+  struct ServiceState {
+    std::vector<requests::Candidate> Candidates;
+    requests::CandidateChoice Choice;
+    requests::RetryBudget Budget;
+  };
+
+  bool isFresh(core::TimePoint now) const;
+  /// Answers on behalf of this node.
+  void refuse(net::Exchange &exchange, core::ErrorKind reason,
+              core::Duration retryAfter, std::string_view detail);
+  core::Result<const routing::ClientAccount *>
+  authenticate(const routing::Route &route, const CallerFields &caller,
+               core::TimePoint now) const;
+  ServiceState *stateOf(std::string_view service);
+  void refreshCandidates(core::TimePoint now);
+
+  boost::asio::io_context &Loop;
+  EntryIdentity Identity;
+  EntryLimits Limits;
+  Dialect Speech;
+  std::shared_ptr<logging::Logger> Log;
+  TrafficCounters &Counters;
+  UpstreamService &Own;
+  PeerClients Peers;
+  std::shared_ptr<const TrafficView> View;
+  core::TimePoint ConfirmedAt{};
+  bool Draining = false;
+  accounts::AccountShares Shares;
+  routing::TrafficSplit Split;
+  std::map<std::string, ServiceState, std::less<>> Services;
+};
+
+} // namespace acaciaroad::proxy
+
+#endif
--- /dev/null
+++ b/Source/Proxy/PeerFields.cpp
@@ -0,0 +1,102 @@
+#include "Proxy/PeerFields.h"
+
+#include <array>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace acaciaroad::proxy {
+
+using net::toBeast;
+
+namespace {
+
+constexpr std::string_view ClassField = "Acacia-Class";
+constexpr std::string_view RankField = "Acacia-Rank";
+constexpr std::string_view KindField = "Acacia-Kind";
+constexpr std::string_view OutcomeField = "Acacia-Outcome";
+constexpr std::string_view LoadField = "Acacia-Load";
+constexpr std::array AllFields{ClassField, RankField, KindField, OutcomeField,
+                               LoadField};
+
+void set(net::HttpFields &fields, std::string_view name,
+         std::string_view value) {
+  fields.set(toBeast(name), toBeast(value));
+}
+
+/// Reads numbers that commas separate; missing ones stay 0.
+template <std::size_t N>
+std::array<std::int64_t, N> numbersOf(std::string_view text) {
+  std::array<std::int64_t, N> out{};
+  const char *at = text.data();
+  const char *end = at + text.size();
+  for (std::int64_t &it : out) {
+    const auto [next, ec] = std::from_chars(at, end, it);
+    if (ec != std::errc() || next == end)
+      break;
+    at = next + 1;
+  }
+  return out;
+}
+
+} // namespace
+
+void writeForward(net::HttpFields &fields, const ForwardFields &forward) {
+  set(fields, ClassField, forward.WorkClass);
+  set(fields, RankField, fmt::to_string(forward.Rank));
+  set(fields, KindField, fmt::to_string(static_cast<int>(forward.Kind)));
+}
+
+ForwardFields readForward(const net::HttpFields &fields) {
+  ForwardFields out;
+  out.WorkClass = net::fieldOf(fields, ClassField);
+  out.Rank = static_cast<std::int32_t>(
+      numbersOf<1>(net::fieldOf(fields, RankField))[0]);
+  const auto kind = numbersOf<1>(net::fieldOf(fields, KindField))[0];
+  if (kind == static_cast<int>(routing::WorkKind::Idempotent) &&
+      !net::fieldOf(fields, KindField).empty())
+    out.Kind = routing::WorkKind::Idempotent;
+  return out;
+}
+
+void writeOutcome(net::HttpFields &fields, const ForwardOutcome &outcome) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      outcome.RetryAfter);
+  set(fields, OutcomeField,
+      fmt::format("{},{},{},{}", static_cast<int>(outcome.Outcome),
+                  static_cast<int>(outcome.Reason),
+                  static_cast<int>(outcome.ReachedUpstream), ms.count()));
+  set(fields, LoadField,
+      fmt::format("{},{},{}", outcome.Load.InFlight, outcome.Load.Queued,
+                  outcome.Load.Limit));
+}
+
+ForwardOutcome readOutcome(const net::HttpFields &fields) {
+  ForwardOutcome out;
+  const std::string_view text = net::fieldOf(fields, OutcomeField);
+  if (text.empty()) {
+    out.ReachedUpstream = true;
+    return out;
+  }
+  const auto [outcome, reason, reached, ms] = numbersOf<4>(text);
+  if (outcome >= 0 &&
+      outcome <= static_cast<int>(requests::AttemptOutcome::Answered))
+    out.Outcome = static_cast<requests::AttemptOutcome>(outcome);
+  if (reason >= 0 && static_cast<std::size_t>(reason) < core::ErrorKindCount)
+    out.Reason = static_cast<core::ErrorKind>(reason);
+  out.ReachedUpstream = reached != 0;
+  out.RetryAfter = std::chrono::milliseconds(ms);
+  const auto [running, waiting, limit] =
+      numbersOf<3>(net::fieldOf(fields, LoadField));
+  out.Load = {static_cast<std::uint32_t>(running),
+              static_cast<std::uint32_t>(waiting),
+              static_cast<std::uint32_t>(limit)};
+  return out;
+}
+
+void erasePeerFields(net::HttpFields &fields) {
+  for (const std::string_view it : AllFields)
+    fields.erase(toBeast(it));
+}
+
+} // namespace acaciaroad::proxy
--- /dev/null
+++ b/Source/Proxy/PeerFields.h
@@ -0,0 +1,49 @@
+/// \file
+/// Header fields between nodes.
+
+#ifndef ACACIAROAD_PROXY_PEERFIELDS_H
+#define ACACIAROAD_PROXY_PEERFIELDS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "Core/ErrorKind.h"
+#include "Net/HttpMessage.h"
+#include "Requests/PeerLoad.h"
+#include "Requests/RequestPolicy.h"
+#include "Routing/RoutingTypes.h"
+
+namespace acaciaroad::proxy {
+
+/// What the entry node tells the node beside the upstream.
+struct ForwardFields {
+  std::string_view WorkClass;
+  std::int32_t Rank = 0;
+  routing::WorkKind Kind = routing::WorkKind::AtMostOnce;
+};
+
+void writeForward(net::HttpFields &fields, const ForwardFields &forward);
+ForwardFields readForward(const net::HttpFields &fields);
+
+/// What the node beside the upstream tells the entry node.
+struct ForwardOutcome {
+  requests::AttemptOutcome Outcome = requests::AttemptOutcome::SentNoAnswer;
+  /// Unless the upstream has answered.
+  core::ErrorKind Reason = core::ErrorKind::OutcomeUnknown;
+  /// The upstream was asked, even if it refused.
+  bool ReachedUpstream = false;
+  core::Duration RetryAfter{};
+  requests::ReportedLoad Load;
+};
+
+void writeOutcome(net::HttpFields &fields, const ForwardOutcome &outcome);
+/// An answer without the fields has an unknown outcome.
+ForwardOutcome readOutcome(const net::HttpFields &fields);
+
+/// Removes all fields that only nodes may see.
+void erasePeerFields(net::HttpFields &fields);
+
+} // namespace acaciaroad::proxy
+
+#endif
--- /dev/null
+++ b/Source/Proxy/TrafficCounters.cpp
@@ -0,0 +1,53 @@
+#include "Proxy/TrafficCounters.h"
+
+#include <iterator>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace acaciaroad::proxy {
+
+namespace {
+
+void renderLatency(std::string &out, std::string_view name,
+                   const administration::LatencyHistogram &histogram) {
+  const auto to = std::back_inserter(out);
+  fmt::format_to(to, "# TYPE {} histogram\n", name);
+  std::uint64_t total = 0;
+  for (const auto &it : histogram.counts()) {
+    total += it.Count;
+    const std::chrono::duration<double> bound =
+        administration::LatencyHistogram::upperBound(it.Bucket);
+    fmt::format_to(to, "{}_bucket{{le=\"{:.6f}\"}} {}\n", name, bound.count(),
+                   total);
+  }
+  fmt::format_to(to, "{}_bucket{{le=\"+Inf\"}} {}\n{}_count {}\n", name, total,
+                 name, total);
+}
+
+} // namespace
+
+std::string render(const TrafficCounters &counters) {
+  std::string out;
+  const auto to = std::back_inserter(out);
+  const auto counter = [&](std::string_view name, std::uint64_t value) {
+    fmt::format_to(to, "# TYPE {} counter\n{} {}\n", name, name, value);
+  };
+  counter("acacia_requests_total", counters.Requests);
+  counter("acacia_answered_total", counters.Answered);
+  counter("acacia_abandoned_total", counters.Abandoned);
+  counter("acacia_retries_total", counters.Retries);
+  counter("acacia_orders_sent_total", counters.OrdersSent);
+  counter("acacia_upstream_connects_total", counters.UpstreamConnects);
+  fmt::format_to(to, "# TYPE acacia_errors_total counter\n");
+  for (std::size_t n = 0; n < counters.Errors.size(); ++n)
+    if (counters.Errors[n] != 0)
+      fmt::format_to(to, "acacia_errors_total{{kind=\"{}\"}} {}\n",
+                     core::answerFor(static_cast<core::ErrorKind>(n)).Name,
+                     counters.Errors[n]);
+  renderLatency(out, "acacia_caller_seconds", counters.CallerLatency);
+  renderLatency(out, "acacia_upstream_seconds", counters.UpstreamLatency);
+  return out;
+}
+
+} // namespace acaciaroad::proxy
--- /dev/null
+++ b/Source/Proxy/UpstreamService.cpp
@@ -0,0 +1,307 @@
+#include "Proxy/UpstreamService.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace acaciaroad::proxy {
+
+using boost::beast::error_code;
+using core::ErrorKind;
+using requests::AttemptOutcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The upstream runs on the same instance; a connection takes about 1 ms.
+constexpr core::Duration ConnectTimeout = milliseconds(500);
+constexpr core::Duration SendTimeout = milliseconds(1500);
+
+/// Upstreams that state no keep-alive time close idle connections after 10 s.
+constexpr core::Duration IdleLimit = std::chrono::seconds(7);
+
+/// Largest body of an answer; all of it is held in memory.
+constexpr std::uint64_t LargestAnswer = 16U << 20U;
+
+/// Interval at which waiting orders and late answers are looked for.
+constexpr core::Duration TickInterval = milliseconds(20);
+
+/// An upstream answers at the deadline that it was told; an answer that is
+/// later than this does not come.
+constexpr core::Duration AnswerSlack = milliseconds(300);
+
+/// Work that ends soon is left to end when its caller has gone, which keeps
+/// the connection; the bound is half a second.
+constexpr core::Duration AbandonGrace = milliseconds(300);
+
+/// Share of a cold upstream's rate that is used, so that requests which arrive
+/// closer together than they were sent stay within it.
+constexpr double ColdRateShare = 1.0;
+
+/// Without news from an upstream whose connections broke, it counts as cold
+/// for this long; longer than two heartbeats.
+constexpr core::Duration SuspicionLength = std::chrono::seconds(4);
+
+} // namespace
+
+UpstreamService::UpstreamService(boost::asio::io_context &loop,
+                                 const core::Endpoint &upstream,
+                                 Dialect dialect,
+                                 std::shared_ptr<logging::Logger> logger,
+                                 TrafficCounters &counters, UpstreamHooks hooks)
+    : Loop(loop), Speech(std::move(dialect)), Log(std::move(logger)),
+      Counters(counters), Hooks(std::move(hooks)),
+      View(std::make_shared<const TrafficView>()), Timer(loop) {
+  net::ClientOptions options;
+  options.ConnectTimeout = ConnectTimeout;
+  options.SendTimeout = SendTimeout;
+  options.IdleLimit = IdleLimit;
+  options.BodyBytes = LargestAnswer;
+  // The bound of the service, once known, is kept by the slots.
+  options.MostConnections = 100;
+  options.Belongs = [read = Speech.ReadCaller, answer = Speech.ReadAnswer](
+                        const net::HttpRequest &request,
+                        const net::HttpResponse &response) {
+    const std::string_view id = answer(response).RequestId;
+    return id.empty() || id == read(request).RequestId;
+  };
+  Client = net::HttpClient::create(loop, upstream, std::move(options));
+}
+
+void UpstreamService::setView(std::shared_ptr<const TrafficView> view,
+                              const routing::Service *service) {
+  const bool isNewLife = !(view->Own.Life == View->Own.Life);
+  View = std::move(view);
+  const OwnUpstream &own = View->Own;
+  if (isNewLife)
+    Client->dropIdle();
+  if (SuspectSince && own.HeardAt > *SuspectSince)
+    SuspectSince.reset();
+  ColdRate = service == nullptr ? 0 : service->ColdRate;
+  Queue.setSlots(own.IsOpen ? own.Slots : 0);
+  if (!own.IsOpen)
+    for (const upstream::Dequeued &it : Queue.refuseAll(ErrorKind::NoUpstream))
+      refuse(it.Id, it.Reason);
+  applyColdRate(core::BootClock::now());
+  advance();
+}
+
+void UpstreamService::applyColdRate(core::TimePoint now) {
+  if (SuspectSince && now - *SuspectSince > SuspicionLength)
+    SuspectSince.reset();
+  const bool isCold = now < View->Own.ColdUntil || SuspectSince ||
+                      !View->Own.Life.isKnown();
+  Queue.setColdRate(
+      isCold ? static_cast<std::uint32_t>(std::floor(ColdRate * ColdRateShare))
+             : 0);
+}
+
+std::optional<ErrorKind> UpstreamService::whyNot(const Order &order,
+                                                 core::TimePoint now) const {
+  const OwnUpstream &own = View->Own;
+  if (Draining)
+    return ErrorKind::NodeStopping;
+  if (!own.IsOpen)
+    return ErrorKind::NoUpstream;
+  if (order.ExpectedUpstream != own.Life.Id)
+    return ErrorKind::OwnerChanged;
+  if (order.Key &&
+      (now >= own.GrantedUntil || !findHolding(own.Granted, *order.Key)))
+    return ErrorKind::NoOwner;
+  return std::nullopt;
+}
+
+upstream::Ticket UpstreamService::offer(Order order, OrderHandler handler) {
+  const auto now = core::BootClock::now();
+  const upstream::Ticket id = NextTicket++;
+  const auto reason = whyNot(order, now);
+  upstream::QueuedOrder queued{id, order.WorkClass, order.Rank, order.Deadline};
+  Orders.emplace(id, Running{std::move(order), std::move(handler), {}, {}, {}});
+  if (reason) {
+    refuse(id, *reason);
+    return id;
+  }
+  applyColdRate(now);
+  const upstream::Decision decision = Queue.offer(queued, now);
+  if (decision.What == upstream::Verdict::Start)
+    send(id);
+  else if (decision.What == upstream::Verdict::Refused)
+    refuse(id, decision.Reason);
+  scheduleTick();
+  return id;
+}
+
+void UpstreamService::send(upstream::Ticket id) {
+  Running &run = Orders.at(id);
+  run.SentAt = core::BootClock::now();
+  Speech.WriteOrder(run.Data.Request,
+                    {run.Data.Deadline - run.SentAt, run.Data.ExpectedUpstream,
+                     run.Data.Account, run.Data.CallerService});
+  erasePeerFields(run.Data.Request);
+  ++Counters.OrdersSent;
+  Log->write(logging::Level::Debug, "order_sent",
+             {{"request_id", run.Data.RequestId},
+              {"upstream", run.Data.ExpectedUpstream},
+              {"running", Queue.running()},
+              {"waiting", Queue.waiting()}});
+  run.Call = Client->send(std::move(run.Data.Request),
+                          [this, id](net::CallResult result) {
+                            ended(id, std::move(result));
+                          });
+  Counters.UpstreamConnects = Client->connectsStarted();
+}
+
+ForwardOutcome UpstreamService::judge(const Running &run,
+                                      const net::CallResult &result,
+                                      core::TimePoint now) {
+  ForwardOutcome out;
+  out.ReachedUpstream = true;
+  switch (result.End) {
+  case net::CallEnd::NotSent:
+    out.Outcome = AttemptOutcome::NotSent;
+    out.Reason = ErrorKind::NoUpstream;
+    out.ReachedUpstream = false;
+    suspectCold(now);
+    if (result.IsRefused)
+      Hooks.OnGone();
+    return out;
+  case net::CallEnd::Broken:
+    out.Outcome = AttemptOutcome::SentNoAnswer;
+    out.Reason = ErrorKind::AnswerIncomplete;
+    return out;
+  case net::CallEnd::Answered:
+    break;
+  }
+  const AnswerFields answer = Speech.ReadAnswer(result.Response);
+  const auto status = result.Response.result_int();
+  const bool isSuccess = status >= 200 && status < 300;
+  if (answer.IsNotRun) {
+    out.Outcome = AttemptOutcome::RefusedNotRun;
+    out.Reason = status == 421 ? ErrorKind::OwnerChanged
+                               : ErrorKind::UpstreamShedding;
+  } else if (isSuccess &&
+             (!answer.IsSigned ||
+              result.Response.count(net::http::field::content_encoding) > 0)) {
+    out.Outcome = AttemptOutcome::SentNoAnswer;
+    out.Reason = ErrorKind::AnswerIncomplete;
+  } else {
+    out.Outcome = AttemptOutcome::Answered;
+    Counters.UpstreamLatency.add(now - run.SentAt);
+  }
+  return out;
+}
+
+void UpstreamService::ended(upstream::Ticket id, net::CallResult result) {
+  const auto now = core::BootClock::now();
+  const auto it = Orders.find(id);
+  if (it == Orders.end())
+    return;
+  OrderResult out;
+  out.Outcome = judge(it->second, result, now);
+  Queue.finished(id, out.Outcome.Outcome == AttemptOutcome::Answered, now);
+  out.Outcome.Load = load();
+  out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
+  if (out.Outcome.Outcome != AttemptOutcome::Answered)
+    Log->write(logging::Level::Info, "order_failed",
+               {{"request_id", it->second.Data.RequestId},
+                {"upstream", it->second.Data.ExpectedUpstream},
+                {"reason", core::answerFor(out.Outcome.Reason).Name},
+                {"detail", result.Detail},
+                {"status", result.Response.result_int()}});
+  out.Answer = std::move(result.Response);
+  settle(id, std::move(out));
+  advance();
+}
+
+void UpstreamService::refuse(upstream::Ticket id, ErrorKind reason) {
+  const auto it = Orders.find(id);
+  if (it == Orders.end())
+    return;
+  OrderResult out;
+  out.Outcome.Outcome = AttemptOutcome::RefusedNotRun;
+  out.Outcome.Reason = reason;
+  out.Outcome.Load = load();
+  out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
+  const auto ms = std::chrono::duration_cast<milliseconds>(
+      it->second.Data.Deadline - core::BootClock::now());
+  Log->write(logging::Level::Info, "order_refused",
+             {{"request_id", it->second.Data.RequestId},
+              {"reason", core::answerFor(reason).Name},
+              {"time_left_ms", ms.count()},
+              {"running", out.Outcome.Load.InFlight},
+              {"waiting", out.Outcome.Load.Queued},
+              {"slots", out.Outcome.Load.Limit}});
+  settle(id, std::move(out));
+}
+
+void UpstreamService::settle(upstream::Ticket id, OrderResult result) {
+  const auto it = Orders.find(id);
+  const OrderHandler handler = std::move(it->second.Handler);
+  Orders.erase(it);
+  if (handler)
+    handler(std::move(result));
+}
+
+void UpstreamService::abandon(upstream::Ticket id) {
+  const auto it = Orders.find(id);
+  if (it == Orders.end())
+    return;
+  it->second.Handler = nullptr;
+  if (Queue.cancel(id)) {
+    Orders.erase(it);
+    return;
+  }
+  if (it->second.Data.Kind == routing::WorkKind::Idempotent)
+    it->second.CutAt = core::BootClock::now() + AbandonGrace;
+}
+
+requests::ReportedLoad UpstreamService::load() const {
+  const bool isOpen = View->Own.IsOpen && !Draining;
+  return {Queue.running(), Queue.waiting(), isOpen ? Queue.slots() : 0};
+}
+
+void UpstreamService::advance() {
+  for (const upstream::Dequeued &it : Queue.advance(core::BootClock::now())) {
+    if (it.What == upstream::Verdict::Start)
+      send(it.Id);
+    else
+      refuse(it.Id, it.Reason);
+  }
+}
+
+void UpstreamService::scheduleTick() {
+  if (IsTicking || Orders.empty())
+    return;
+  IsTicking = true;
+  Timer.expires_after(TickInterval);
+  Timer.async_wait([this](error_code ec) {
+    IsTicking = false;
+    if (!ec)
+      tick();
+  });
+}
+
+void UpstreamService::tick() {
+  const auto now = core::BootClock::now();
+  applyColdRate(now);
+  advance();
+  std::vector<upstream::Ticket> late;
+  for (const auto &[id, it] : Orders) {
+    const bool isCut = it.CutAt && now >= *it.CutAt;
+    if (it.Call && (isCut || now >= it.Data.Deadline + AnswerSlack))
+      late.push_back(id);
+  }
+  for (const upstream::Ticket id : late) {
+    Orders.at(id).Call->cancel();
+    ended(id, {net::CallEnd::Broken, {}, "given up by this node", false});
+  }
+  scheduleTick();
+}
+
+void UpstreamService::suspectCold(core::TimePoint now) {
+  SuspectSince = now;
+  applyColdRate(now);
+}
+
+} // namespace acaciaroad::proxy
--- /dev/null
+++ b/Source/Proxy/UpstreamService.h
@@ -0,0 +1,125 @@
+/// \file
+/// Runs orders at the upstream beside the node.
+
+#ifndef ACACIAROAD_PROXY_UPSTREAMSERVICE_H
+#define ACACIAROAD_PROXY_UPSTREAMSERVICE_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Logging/Logger.h"
+#include "Net/HttpClient.h"
+#include "Proxy/Dialect.h"
+#include "Proxy/PeerFields.h"
+#include "Proxy/TrafficCounters.h"
+#include "Proxy/TrafficView.h"
+#include "Upstream/OrderQueue.h"
+
+namespace acaciaroad::proxy {
+
+/// A request for the own upstream.
+struct Order {
+  /// In the form that the upstream gets; the time left is set when it is sent.
+  net::HttpRequest Request;
+  std::string RequestId;
+  std::string Account;
+  std::string CallerService;
+  std::string WorkClass;
+  std::int32_t Rank = 0;
+  routing::WorkKind Kind = routing::WorkKind::AtMostOnce;
+  core::TimePoint Deadline{};
+  std::string ExpectedUpstream;
+  std::optional<holdings::Key> Key;
+};
+
+/// How an order ended; Answer only counts with AttemptOutcome::Answered.
+struct OrderResult {
+  ForwardOutcome Outcome;
+  net::HttpResponse Answer;
+};
+
+using OrderHandler = std::function<void(OrderResult)>;
+
+/// What it tells the control thread.
+struct UpstreamHooks {
+  /// Nothing listens at the upstream's address.
+  std::function<void()> OnGone;
+};
+
+/// Admits orders by an OrderQueue and sends them over kept connections. All
+/// members are called on the traffic thread.
+class UpstreamService {
+public:
+  UpstreamService(boost::asio::io_context &loop, const core::Endpoint &upstream,
+                  Dialect dialect, std::shared_ptr<logging::Logger> logger,
+                  TrafficCounters &counters, UpstreamHooks hooks);
+
+  /// Takes over what the control thread knows.
+  void setView(std::shared_ptr<const TrafficView> view,
+               const routing::Service *service);
+
+  /// New orders are refused from now on.
+  void beginDrain() { Draining = true; }
+
+  /// Runs or refuses an order. \p handler is called once, perhaps before this
+  /// returns. The ticket is for `abandon`.
+  upstream::Ticket offer(Order order, OrderHandler handler);
+
+  /// Nobody waits for the order any more: it does not start, and if it may be
+  /// repeated, it is broken off soon.
+  void abandon(upstream::Ticket id);
+
+  requests::ReportedLoad load() const;
+
+private:
+  struct Running {
+    Order Data;
+    OrderHandler Handler;
+    std::shared_ptr<net::ClientCall> Call;
+    core::TimePoint SentAt{};
+    /// When an abandoned order is broken off.
+    std::optional<core::TimePoint> CutAt;
+  };
+
+  std::optional<core::ErrorKind> whyNot(const Order &order,
+                                        core::TimePoint now) const;
+  void send(upstream::Ticket id);
+  void ended(upstream::Ticket id, net::CallResult result);
+  ForwardOutcome judge(const Running &run, const net::CallResult &result,
+                       core::TimePoint now);
+  void refuse(upstream::Ticket id, core::ErrorKind reason);
+  void settle(upstream::Ticket id, OrderResult result);
+  void advance();
+  void tick();
+  void scheduleTick();
+  void suspectCold(core::TimePoint now);
+  void applyColdRate(core::TimePoint now);
+
+  boost::asio::io_context &Loop;
+  Dialect Speech;
+  std::shared_ptr<logging::Logger> Log;
+  TrafficCounters &Counters;
+  UpstreamHooks Hooks;
+  std::shared_ptr<net::HttpClient> Client;
+  std::shared_ptr<const TrafficView> View;
+  upstream::OrderQueue Queue;
+  boost::asio::steady_timer Timer;
+  bool IsTicking = false;
+  bool Draining = false;
+  std::unordered_map<upstream::Ticket, Running> Orders;
+  upstream::Ticket NextTicket = 1;
+  double ColdRate = 0;
+  /// Set when connections broke: the upstream may have started anew.
+  std::optional<core::TimePoint> SuspectSince;
+};
+
+} // namespace acaciaroad::proxy
+
+#endif
--- a/Source/Requests/RetryBudget.cpp
+++ b/Source/Requests/RetryBudget.cpp
@@ -4,30 +4,21 @@
 
 namespace acaciaroad::requests {
 
-namespace {
-
-/// Extra attempts a second that need no traffic.
-constexpr double FloorPerSecond = 1;
-/// Extra attempts that can be saved up.
-constexpr double LargestLevel = 50;
-constexpr double InitialLevel = 3;
-
-} // namespace
-
-core::Result<RetryBudget> RetryBudget::create(double ratio,
-                                              core::TimePoint now) {
+core::Result<RetryBudget> RetryBudget::create(double ratio, core::TimePoint now,
+                                              const RetryBudgetLimits &limits) {
   if (!(ratio >= 0 && ratio <= 1))
     return core::fail(core::ErrorKind::InvalidArgument,
                       "the ratio of a retry budget is between 0 and 1");
-  return RetryBudget(ratio, now);
+  return RetryBudget(ratio, now, limits);
 }
 
-RetryBudget::RetryBudget(double ratio, core::TimePoint now)
-    : Ratio(ratio), Level(InitialLevel), Filled(now) {}
+RetryBudget::RetryBudget(double ratio, core::TimePoint now,
+                         const RetryBudgetLimits &limits)
+    : Ratio(ratio), Limits(limits), Level(limits.Initial), Filled(now) {}
 
 void RetryBudget::requested(core::TimePoint now) {
   refill(now);
-  Level = std::min(LargestLevel, Level + Ratio);
+  Level = std::min(Limits.Largest, Level + Ratio);
 }
 
 bool RetryBudget::take(core::TimePoint now) {
@@ -44,8 +35,9 @@
   const std::chrono::duration<double> elapsed = now - Filled;
   Filled = now;
   // The floor fills up only what an idle class starts with.
-  if (Level < InitialLevel)
-    Level = std::min(InitialLevel, Level + FloorPerSecond * elapsed.count());
+  if (Level < Limits.Initial)
+    Level = std::min(Limits.Initial,
+                     Level + Limits.FloorPerSecond * elapsed.count());
 }
 
 } // namespace acaciaroad::requests
--- a/Source/Requests/RetryBudget.h
+++ b/Source/Requests/RetryBudget.h
@@ -9,6 +9,15 @@
 
 namespace acaciaroad::requests {
 
+/// How many extra attempts a budget holds.
+struct RetryBudgetLimits {
+  /// Extra attempts a second that need no traffic.
+  double FloorPerSecond = 1;
+  /// Extra attempts that can be saved up.
+  double Largest = 50;
+  double Initial = 3;
+};
+
 /// Each request earns a fraction of an extra attempt, and a small floor lets a
 /// class with little traffic retry at all. Since extra attempts earn nothing,
 /// they cannot multiply an overload. One budget serves the retries and hedges
@@ -17,7 +26,8 @@
 public:
   /// \p ratio is extra attempts per request. Fails with InvalidArgument unless
   /// it is between 0 and 1.
-  static core::Result<RetryBudget> create(double ratio, core::TimePoint now);
+  static core::Result<RetryBudget> create(double ratio, core::TimePoint now,
+                                          const RetryBudgetLimits &limits = {});
 
   /// A request arrived from a caller.
   void requested(core::TimePoint now);
@@ -26,10 +36,12 @@
   bool take(core::TimePoint now);
 
 private:
-  RetryBudget(double ratio, core::TimePoint now);
+  RetryBudget(double ratio, core::TimePoint now,
+              const RetryBudgetLimits &limits);
   void refill(core::TimePoint now);
 
   double Ratio;
+  RetryBudgetLimits Limits;
   double Level;
   core::TimePoint Filled;
 };
--- a/Source/Settings/Field.cpp
+++ b/Source/Settings/Field.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 
 #include "Core/Endpoint.h"
 #include "Logging/Level.h"
@@ -14,6 +16,10 @@
 constexpr std::size_t MaxLineLength = 4096;
 constexpr std::size_t Z85KeyLength = 40;
 constexpr std::size_t Sha256Length = 64;
+constexpr double NanosecondsPerMillisecond = 1e6;
+constexpr double NanosecondsPerSecond = 1e9;
+/// A day, in nanoseconds.
+constexpr double LongestDuration = 86'400e9;
 
 bool isNameCharacter(unsigned char c) {
   return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
@@ -43,6 +49,24 @@
 
 } // namespace
 
+std::optional<core::Duration> parseDuration(std::string_view text) {
+  double unit = 0;
+  if (text.ends_with("ms")) {
+    unit = NanosecondsPerMillisecond;
+    text.remove_suffix(2);
+  } else if (text.ends_with("s")) {
+    unit = NanosecondsPerSecond;
+    text.remove_suffix(1);
+  }
+  double value = 0;
+  const char *end = text.data() + text.size();
+  const auto [it, ec] = std::from_chars(text.data(), end, value);
+  if (unit == 0 || ec != std::errc() || it != end || !(value >= 0) ||
+      value * unit > LongestDuration)
+    return std::nullopt;
+  return core::Duration(std::llround(value * unit));
+}
+
 bool isValid(TextKind kind, std::string_view text) {
   switch (kind) {
   case TextKind::Name:
@@ -62,6 +86,8 @@
     return logging::levelFromName(text).has_value();
   case TextKind::Role:
     return text == "viewer" || text == "operator";
+  case TextKind::Duration:
+    return parseDuration(text).has_value();
   }
   return false;
 }
@@ -84,6 +110,8 @@
     return "debug, info, warning, error or off";
   case TextKind::Role:
     return "viewer or operator";
+  case TextKind::Duration:
+    return "a time such as 1500ms or 2.5s";
   }
   return {};
 }
--- a/Source/Settings/Field.h
+++ b/Source/Settings/Field.h
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <variant>
 
+#include "Core/Clock.h"
+
 namespace acaciaroad::settings {
 
 /// What a text may hold.
@@ -30,6 +32,8 @@
   Level,
   /// A role of the administration API.
   Role,
+  /// "1500ms" or "2.5s".
+  Duration,
 };
 
 /// A field that holds a text.
@@ -104,6 +108,9 @@
           RealField<Target>{range.Minimum, range.Maximum, missing, set}};
 }
 
+/// Parses "1500ms" or "2.5s"; nothing for any other text.
+std::optional<core::Duration> parseDuration(std::string_view text);
+
 /// Whether \p text is of kind \p kind.
 bool isValid(TextKind kind, std::string_view text);
 
--- a/Source/Settings/SettingsReference.h
+++ b/Source/Settings/SettingsReference.h
@@ -11,6 +11,9 @@
 /// Returns docs/SETTINGS.md as Markdown.
 std::string renderReference();
 
+/// As renderReference, for acacia-sidecar.
+std::string renderSidecarReference();
+
 } // namespace acaciaroad::settings
 
 #endif
--- /dev/null
+++ b/Source/Settings/SidecarSettings.h
@@ -0,0 +1,75 @@
+/// \file
+/// What the settings file of a sidecar says.
+
+#ifndef ACACIAROAD_SETTINGS_SIDECARSETTINGS_H
+#define ACACIAROAD_SETTINGS_SIDECARSETTINGS_H
+
+#include <string>
+#include <string_view>
+
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Logging/Level.h"
+
+namespace acaciaroad::settings {
+
+struct SidecarIdentity {
+  std::string Name;
+  std::string DataCentre;
+  /// Service of the upstream beside the node.
+  std::string Service;
+};
+
+/// An address that the node listens on.
+struct ListenSettings {
+  core::Endpoint Listen;
+};
+
+struct HealthSettings {
+  core::Endpoint Listen;
+  std::string MetricsPath;
+};
+
+struct UpstreamSettings {
+  core::Endpoint Address;
+  core::Duration Heartbeat{};
+  core::Duration LongestGrant{};
+};
+
+struct StoreSettings {
+  core::Endpoint Address;
+};
+
+struct SidecarLimits {
+  core::Duration KeyFreshness{};
+  core::Duration Drain{};
+  double RetryRatio = 0;
+  double RetryAllowance = 0;
+  bool operator==(const SidecarLimits &) const = default;
+};
+
+/// All settings of a sidecar, checked.
+struct SidecarSettings {
+  SidecarIdentity Node;
+  ListenSettings Callers;
+  ListenSettings Peers;
+  ListenSettings Control;
+  HealthSettings Health;
+  UpstreamSettings Upstream;
+  StoreSettings Store;
+  SidecarLimits Limits;
+  logging::Level LogLevel = logging::Level::Info;
+};
+
+/// Reads the file at \p path. Fails with InvalidSettings; the detail names
+/// file, line, field and what is allowed.
+core::Result<SidecarSettings> loadSidecarSettings(std::string_view path);
+
+/// As loadSidecarSettings, for \p text; \p fileName only appears in errors.
+core::Result<SidecarSettings> parseSidecarSettings(std::string_view text,
+                                                   std::string_view fileName);
+
+} // namespace acaciaroad::settings
+
+#endif
--- /dev/null
+++ b/Source/Sidecar/Control.cpp
@@ -0,0 +1,451 @@
+#include "Sidecar/Control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Codec/FleetRecords.h"
+#include "Core/Identifiers.h"
+
+namespace acaciaroad::sidecar {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Keys of client accounts hold while a configuration that was asked for a few
+/// seconds ago has them, so a read must not wait for long.
+constexpr feed::FeedPace OperatorPace{milliseconds(1500), milliseconds(0)};
+
+/// Nodes renew their leases all the time, so that a waiting read would return
+/// at once; the pause bounds the calls.
+constexpr feed::FeedPace FleetPace{milliseconds(0), milliseconds(900)};
+
+/// Interval at which timeouts are looked at; well under a heartbeat.
+constexpr core::Duration TickInterval = milliseconds(50);
+
+/// A heartbeat has to be answered within a second; a change of holdings that
+/// its answer should tell takes two round trips of the log.
+constexpr core::Duration LongestAnswerDelay = milliseconds(300);
+
+/// An upstream that leaves serves on for two seconds after the answer; new work
+/// is given for part of it, until other nodes know.
+constexpr core::Duration LeavingGrace = milliseconds(1000);
+
+/// A data centre that is taken out gets no new work within five seconds; its
+/// keys move on meanwhile.
+constexpr core::Duration OutGrace = milliseconds(2000);
+
+/// Upstreams send small messages.
+constexpr net::ServerLimits ControlLimits{
+    16'384, 1U << 20U, std::chrono::seconds(3), std::chrono::seconds(60)};
+
+} // namespace
+
+Control::Control(boost::asio::io_context &loop, ControlIdentity identity,
+                 ControlCodec codec, ControlLogs logs,
+                 std::shared_ptr<logging::Logger> logger, ControlHooks hooks)
+    : Loop(loop), Identity(std::move(identity)), Codec(std::move(codec)),
+      Logs(std::move(logs)), Log(std::move(logger)), Hooks(std::move(hooks)),
+      Timer(loop),
+      Agent(Identity.Agent, Identity.Timing, core::BootClock::now()) {}
+
+core::Result<void> Control::start() {
+  auto server = net::HttpServer::create(
+      Loop, Identity.Listen, ControlLimits,
+      [this](const ExchangePointer &exchange) { handle(exchange); });
+  if (!server)
+    return tl::unexpected(server.error());
+  Server = std::move(*server);
+  Operators = std::make_unique<feed::KeyedFeed>(Loop, Logs.Operators,
+                                                OperatorPace, operatorHooks());
+  Fleet = std::make_unique<feed::KeyedFeed>(Loop, Logs.Fleet, FleetPace,
+                                            fleetHooks());
+  Operators->start();
+  Fleet->start();
+  tick();
+  return {};
+}
+
+void Control::beginDrain() {
+  Agent.beginDrain();
+  Log->write(logging::Level::Info, "drain_started", {});
+}
+
+void Control::upstreamGone() {
+  if (Agent.state() == holdings::UpstreamState::Absent)
+    return;
+  Log->write(logging::Level::Warning, "upstream_gone",
+             {{"upstream", Agent.life().Id}});
+  const auto now = core::BootClock::now();
+  Agent.upstreamGone(now);
+  IsChanged = true;
+  appendDue(now);
+}
+
+feed::FeedHooks Control::operatorHooks() {
+  return {
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset) {
+        applyOperators(records, true);
+      },
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset,
+             core::TimePoint asked) {
+        applyOperators(records, false);
+        Hooks.OnConfirmed(asked);
+      },
+      [this](bool isReachable, std::string_view detail) {
+        noteReachable("operators", isReachable, detail);
+      }};
+}
+
+feed::FeedHooks Control::fleetHooks() {
+  return {[this](const std::vector<feed::KeyedRecord> &records,
+                 core::Offset end) { applyFleet(records, end, true); },
+          [this](const std::vector<feed::KeyedRecord> &records,
+                 core::Offset end,
+                 core::TimePoint) { applyFleet(records, end, false); },
+          [this](bool isReachable, std::string_view detail) {
+            noteReachable("fleet", isReachable, detail);
+          }};
+}
+
+void Control::noteReachable(std::string_view log, bool isReachable,
+                            std::string_view detail) {
+  Log->write(isReachable ? logging::Level::Info : logging::Level::Warning,
+             isReachable ? "log_regained" : "log_lost",
+             {{"log", log}, {"detail", detail}});
+}
+
+void Control::applyOperators(const std::vector<feed::KeyedRecord> &records,
+                             bool isSnapshot) {
+  if (isSnapshot)
+    DataCentresOut.clear();
+  for (const feed::KeyedRecord &it : records) {
+    const OperatorKey key = Codec.ParseOperatorKey(it.Key);
+    if (key.What == OperatorKey::Kind::Configuration && it.Value) {
+      applyConfiguration(*it.Value);
+    } else if (key.What == OperatorKey::Kind::DataCentreOut) {
+      Log->write(logging::Level::Info,
+                 it.Value ? "data_centre_out" : "data_centre_in",
+                 {{"data_centre", key.DataCentre}});
+      if (it.Value)
+        DataCentresOut.insert(key.DataCentre);
+      else
+        DataCentresOut.erase(key.DataCentre);
+    }
+  }
+  if (records.empty() && !isSnapshot)
+    return;
+  Ledger.setDataCentresOut(DataCentresOut);
+  IsChanged = true;
+  const auto now = core::BootClock::now();
+  if (!Ledger.isOut(Identity.Agent.DataCentre))
+    OutSince.reset();
+  else if (!OutSince)
+    OutSince = now;
+  Agent.ledgerChanged(Ledger, now);
+  publish(now);
+}
+
+void Control::applyConfiguration(const std::string &value) {
+  auto decoded = Codec.DecodeConfiguration(value);
+  auto table = decoded
+                   ? routing::RouteTable::create(std::move(*decoded))
+                   : tl::unexpected(decoded.error());
+  if (!table) {
+    Log->write(logging::Level::Error, "configuration_unreadable",
+               {{"detail", table.error().Detail}});
+    return;
+  }
+  const std::uint64_t version = (*table)->configuration().Version;
+  const std::uint64_t before = Routes ? Routes->configuration().Version : 0;
+  if (version < before)
+    return; // An older record, read once more after a restart of the feed.
+  if (version > before)
+    Log->write(logging::Level::Info, "configuration",
+               {{"version", version},
+                {"before", before},
+                {"routes", (*table)->configuration().Routes.size()}});
+  Routes = std::move(*table);
+}
+
+void Control::applyFleet(const std::vector<feed::KeyedRecord> &records,
+                         core::Offset end, bool isSnapshot) {
+  const auto now = core::BootClock::now();
+  if (isSnapshot) {
+    std::set<std::string, std::less<>> named;
+    for (const feed::KeyedRecord &it : records)
+      named.insert(it.Key);
+    std::vector<std::string> gone;
+    for (const auto &[name, it] : Ledger.members())
+      if (!named.contains(codec::nodeKey(name)))
+        gone.push_back(name);
+    for (const std::string &it : gone)
+      Ledger.removeNode(it);
+  }
+  for (const feed::KeyedRecord &it : records)
+    applyFleetRecord(it, now);
+  Ledger.setEnd(end);
+  IsFleetKnown = true;
+  IsChanged = IsChanged || !records.empty();
+  Agent.ledgerChanged(Ledger, now);
+  answerWaiting(now);
+  appendDue(now);
+}
+
+void Control::applyFleetRecord(const feed::KeyedRecord &record,
+                               core::TimePoint now) {
+  const codec::FleetKey key = codec::parseFleetKey(record.Key);
+  const auto complain = [&](const core::Error &error) {
+    Log->write(logging::Level::Error, "fleet_record_unreadable",
+               {{"key", record.Key}, {"detail", error.Detail}});
+  };
+  switch (key.What) {
+  case codec::FleetKey::Kind::Node:
+    if (!record.Value)
+      Ledger.removeNode(key.Name);
+    else if (const auto node = codec::decodeNode(*record.Value))
+      Ledger.applyNode(*node, now);
+    else
+      complain(node.error());
+    return;
+  case codec::FleetKey::Kind::Holdings:
+    if (!record.Value)
+      Ledger.applyHoldings(key.Name, {});
+    else if (auto rows = codec::decodeHoldings(*record.Value))
+      Ledger.applyHoldings(key.Name, std::move(*rows));
+    else
+      complain(rows.error());
+    return;
+  case codec::FleetKey::Kind::Unknown:
+    return;
+  }
+}
+
+void Control::handle(const ExchangePointer &exchange) {
+  const UpstreamCall call = Codec.ParseCall(exchange->request());
+  switch (call.What) {
+  case UpstreamCall::Kind::Heartbeat:
+    handleHeartbeat(exchange, call.UpstreamId);
+    return;
+  case UpstreamCall::Kind::Leaves:
+    Log->write(logging::Level::Info, "upstream_leaves",
+               {{"upstream", call.UpstreamId}});
+    Agent.upstreamLeaves(call.UpstreamId);
+    IsChanged = true;
+    exchange->respond(net::HttpResponse(net::http::status::ok, 11));
+    appendDue(core::BootClock::now());
+    return;
+  case UpstreamCall::Kind::Unknown:
+    exchange->respond(net::HttpResponse(net::http::status::not_found, 11));
+    return;
+  }
+}
+
+void Control::handleHeartbeat(const ExchangePointer &exchange,
+                              const std::string &upstreamId) {
+  const auto now = core::BootClock::now();
+  const auto heartbeat =
+      Codec.DecodeHeartbeat(upstreamId, exchange->request().body());
+  if (!heartbeat) {
+    Log->write(logging::Level::Warning, "heartbeat_unreadable",
+               {{"upstream", upstreamId},
+                {"detail", heartbeat.error().Detail}});
+    exchange->respond(net::HttpResponse(net::http::status::bad_request, 11));
+    return;
+  }
+  const holdings::UpstreamLife before = Agent.life();
+  const holdings::UpstreamState stateBefore = Agent.state();
+  const bool isOwn = heartbeat->Service == Identity.Agent.Service;
+  if (!isOwn || !Agent.heard(*heartbeat, now)) {
+    Log->write(logging::Level::Info, "heartbeat_ignored",
+               {{"upstream", upstreamId},
+                {"service", heartbeat->Service},
+                {"sequence", heartbeat->Sequence},
+                {"born", heartbeat->Life.Born},
+                {"known_born", before.Born}});
+    net::HttpResponse out(net::http::status::ok, 11);
+    out.body() = Codec.EncodeGrant(std::nullopt);
+    exchange->respond(std::move(out));
+    return;
+  }
+  if (!(before == Agent.life()) || stateBefore != Agent.state()) {
+    Log->write(logging::Level::Info, "upstream_changed",
+               {{"upstream", upstreamId},
+                {"born", Agent.life().Born},
+                {"state", static_cast<unsigned>(Agent.state())},
+                {"before", before.Id}});
+    LastGrant.reset();
+  }
+  HeardAt = now;
+  ColdUntil = now + heartbeat->ColdRemaining;
+  IsChanged = true;
+  appendDue(now);
+  if (isKeyed() && Agent.awaitsChange(Ledger))
+    Waiting.push_back(exchange);
+  else
+    answerHeartbeat(exchange);
+}
+
+void Control::answerHeartbeat(const ExchangePointer &exchange) {
+  const auto now = core::BootClock::now();
+  std::optional<holdings::Grant> grant;
+  if (isKeyed() && IsFleetKnown)
+    grant = Agent.grant(Ledger, now);
+  if (grant) {
+    LastGrant = grant;
+    GrantedUntil = now + grant->Length;
+    std::sort(LastGrant->Rows.begin(), LastGrant->Rows.end(),
+              [](const auto &a, const auto &b) {
+                return a.Keys.From < b.Keys.From;
+              });
+  }
+  net::HttpResponse out(net::http::status::ok, 11);
+  out.set(net::http::field::content_type, "application/json");
+  out.body() = Codec.EncodeGrant(grant);
+  exchange->respond(std::move(out));
+  IsChanged = true;
+  publish(now);
+}
+
+void Control::answerWaiting(core::TimePoint now) {
+  if (Waiting.empty())
+    return;
+  const bool isSettled = !Agent.awaitsChange(Ledger);
+  std::vector<ExchangePointer> due;
+  std::erase_if(Waiting, [&](const ExchangePointer &it) {
+    const bool isDue = isSettled || now - it->Received > LongestAnswerDelay;
+    if (isDue)
+      due.push_back(it);
+    return isDue;
+  });
+  for (const ExchangePointer &it : due)
+    answerHeartbeat(it);
+}
+
+void Control::tick() {
+  const auto now = core::BootClock::now();
+  Agent.ledgerChanged(Ledger, now);
+  answerWaiting(now);
+  appendDue(now);
+  publish(now);
+  Timer.expires_after(TickInterval);
+  Timer.async_wait([this](error_code ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+void Control::appendDue(core::TimePoint now) {
+  if (IsAppending || !IsFleetKnown)
+    return;
+  if (const auto record = Agent.nextRecord(Ledger, now)) {
+    appendRecord(*record);
+    return;
+  }
+  if (!isKeyed())
+    return;
+  if (const auto change = Agent.nextChange(Ledger, now))
+    appendChange(*change);
+}
+
+void Control::appendRecord(const holdings::NodeRecord &record) {
+  IsAppending = true;
+  Agent.recordSent(record.Sequence, core::BootClock::now());
+  const bool isNews = !(Ledger.findMember(record.Name) &&
+                        Ledger.findMember(record.Name)->Record.State ==
+                            record.State);
+  Logs.Fleet.Append(
+      {codec::nodeKey(record.Name), codec::encodeNode(record)}, std::nullopt,
+      [this, isNews](const core::Result<core::Offset> &result) {
+        IsAppending = false;
+        if (!result)
+          Log->write(logging::Level::Warning, "record_not_appended",
+                     {{"detail", result.error().Detail}});
+        else if (isNews)
+          Fleet->readNow();
+        appendDue(core::BootClock::now());
+      });
+}
+
+void Control::appendChange(const holdings::HoldingChange &change) {
+  IsAppending = true;
+  Log->write(logging::Level::Info, "holdings_proposed",
+             {{"service", change.Service},
+              {"rows", change.Rows.size()},
+              {"at", change.At},
+              {"reason", change.Reason}});
+  Logs.Fleet.Append(
+      {codec::holdingsKey(change.Service), codec::encodeHoldings(change.Rows)},
+      change.At, [this](const core::Result<core::Offset> &result) {
+        IsAppending = false;
+        auto end = holdings::ChangeEnd::Appended;
+        if (!result)
+          end = result.error().Kind == core::ErrorKind::LogOutcomeUnknown
+                    ? holdings::ChangeEnd::Unknown
+                    : holdings::ChangeEnd::Refused;
+        Log->write(logging::Level::Info, "holdings_proposal_ended",
+                   {{"accepted", result.has_value()},
+                    {"detail", result ? "" : result.error().Detail}});
+        Agent.changeEnded(end, core::BootClock::now());
+        Fleet->readNow();
+      });
+}
+
+bool Control::isKeyed() const {
+  const auto *service =
+      Routes ? Routes->findService(Identity.Agent.Service) : nullptr;
+  return service != nullptr && service->IsKeyed;
+}
+
+proxy::OwnUpstream Control::describeOwn(core::TimePoint now) const {
+  proxy::OwnUpstream out;
+  out.Life = Agent.life();
+  const bool isLeaving = LeavingSince && now - *LeavingSince > LeavingGrace;
+  const bool isOut = OutSince && now - *OutSince > OutGrace;
+  out.IsOpen = Agent.state() != holdings::UpstreamState::Absent &&
+               !isLeaving && !isOut;
+  const auto *self = Ledger.findMember(Identity.Agent.Name);
+  out.Slots = self == nullptr ? 0 : self->Record.Slots;
+  out.ColdUntil = ColdUntil;
+  out.HeardAt = HeardAt;
+  if (LastGrant)
+    out.Granted = LastGrant->Rows;
+  out.GrantedUntil = GrantedUntil;
+  return out;
+}
+
+void Control::publish(core::TimePoint now) {
+  if (Agent.state() != holdings::UpstreamState::Leaving)
+    LeavingSince.reset();
+  else if (!LeavingSince)
+    LeavingSince = now;
+  const bool isTimed = LeavingSince || OutSince;
+  if (!IsChanged && !isTimed)
+    return;
+  IsChanged = false;
+  auto view = std::make_shared<proxy::TrafficView>();
+  view->Routes = Routes;
+  view->Own = describeOwn(now);
+  view->Nodes = 0;
+  for (const auto &[name, it] : Ledger.members()) {
+    if (it.isLapsed(now))
+      continue;
+    ++view->Nodes;
+    view->Services[it.Record.Service].Peers.push_back(
+        {name, it.Record.DataCentre, it.Record.Peer,
+         core::InstanceId{core::hashOf(name)}, it.Record.Life,
+         Ledger.isEligible(it, now)});
+  }
+  if (Routes)
+    for (const routing::Service &it : Routes->configuration().Services) {
+      auto &service = view->Services[it.Name];
+      const auto rows = Ledger.holdingsOf(it.Name);
+      if (it.IsKeyed)
+        service.Holdings.assign(rows.begin(), rows.end());
+    }
+  view->Nodes = std::max<std::size_t>(1, view->Nodes);
+  Hooks.OnView(std::move(view));
+}
+
+} // namespace acaciaroad::sidecar
--- /dev/null
+++ b/Source/Sidecar/Control.h
@@ -0,0 +1,115 @@
+/// \file
+/// The control thread: follows the platform's logs, answers the own upstream,
+/// and tells the traffic thread what it needs to know.
+
+#ifndef ACACIAROAD_SIDECAR_CONTROL_H
+#define ACACIAROAD_SIDECAR_CONTROL_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Feed/KeyedFeed.h"
+#include "Holdings/FleetLedger.h"
+#include "Holdings/HoldingAgent.h"
+#include "Logging/Logger.h"
+#include "Net/HttpServer.h"
+#include "Proxy/TrafficView.h"
+#include "Sidecar/SidecarTypes.h"
+
+namespace acaciaroad::sidecar {
+
+/// What the traffic thread is told. Called on the control thread.
+struct ControlHooks {
+  std::function<void(std::shared_ptr<const proxy::TrafficView>)> OnView;
+  /// The newest configuration was asked for at that moment.
+  std::function<void(core::TimePoint)> OnConfirmed;
+};
+
+struct ControlIdentity {
+  holdings::AgentIdentity Agent;
+  holdings::AgentTiming Timing;
+  core::Endpoint Listen;
+};
+
+/// Owns all control state; every member runs on its loop.
+class Control {
+public:
+  Control(boost::asio::io_context &loop, ControlIdentity identity,
+          ControlCodec codec, ControlLogs logs,
+          std::shared_ptr<logging::Logger> logger, ControlHooks hooks);
+
+  /// Fails with InvalidArgument if the address cannot be bound.
+  core::Result<void> start();
+
+  /// The node shuts down: the upstream is still answered.
+  void beginDrain();
+
+  /// Nothing listens at the upstream's address.
+  void upstreamGone();
+
+private:
+  using ExchangePointer = std::shared_ptr<net::Exchange>;
+
+  feed::FeedHooks operatorHooks();
+  feed::FeedHooks fleetHooks();
+  void applyOperators(const std::vector<feed::KeyedRecord> &records,
+                      bool isSnapshot);
+  void applyConfiguration(const std::string &value);
+  void applyFleet(const std::vector<feed::KeyedRecord> &records,
+                  core::Offset end, bool isSnapshot);
+  void applyFleetRecord(const feed::KeyedRecord &record, core::TimePoint now);
+  void noteReachable(std::string_view log, bool isReachable,
+                     std::string_view detail);
+
+  void handle(const ExchangePointer &exchange);
+  void handleHeartbeat(const ExchangePointer &exchange,
+                       const std::string &upstreamId);
+  void answerHeartbeat(const ExchangePointer &exchange);
+  void answerWaiting(core::TimePoint now);
+
+  void tick();
+  void appendDue(core::TimePoint now);
+  void appendRecord(const holdings::NodeRecord &record);
+  void appendChange(const holdings::HoldingChange &change);
+  void publish(core::TimePoint now);
+  proxy::OwnUpstream describeOwn(core::TimePoint now) const;
+  bool isKeyed() const;
+
+  boost::asio::io_context &Loop;
+  ControlIdentity Identity;
+  ControlCodec Codec;
+  ControlLogs Logs;
+  std::shared_ptr<logging::Logger> Log;
+  ControlHooks Hooks;
+  boost::asio::steady_timer Timer;
+  std::unique_ptr<net::HttpServer> Server;
+  std::unique_ptr<feed::KeyedFeed> Operators;
+  std::unique_ptr<feed::KeyedFeed> Fleet;
+  std::shared_ptr<const routing::RouteTable> Routes;
+  std::set<std::string, std::less<>> DataCentresOut;
+  holdings::FleetLedger Ledger;
+  holdings::HoldingAgent Agent;
+  bool IsFleetKnown = false;
+  bool IsAppending = false;
+  bool IsChanged = false;
+  /// Heartbeats whose answer awaits a change of holdings.
+  std::vector<ExchangePointer> Waiting;
+  std::optional<holdings::Grant> LastGrant;
+  core::TimePoint GrantedUntil{};
+  core::TimePoint HeardAt{};
+  core::TimePoint ColdUntil{};
+  std::optional<core::TimePoint> LeavingSince;
+  std::optional<core::TimePoint> OutSince;
+};
+
+} // namespace acaciaroad::sidecar
+
+#endif
--- /dev/null
+++ b/Source/Sidecar/Sidecar.cpp
@@ -0,0 +1,250 @@
+#include "Sidecar/Sidecar.h"
+
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <fmt/core.h>
+#include <unistd.h>
+
+namespace acaciaroad::sidecar {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Clients stop sending new work after two health checks, a second apart.
+constexpr core::Duration ReadyDrain = milliseconds(2300);
+
+/// Interval at which a drain looks for the end of the last request.
+constexpr core::Duration DrainInterval = milliseconds(50);
+
+/// Interval at which the settings file is looked at for a change that came
+/// without a signal.
+constexpr core::Duration SettingsInterval = std::chrono::seconds(1);
+
+/// Before a configuration tells what clients may send.
+net::ServerLimits limitsOf(const routing::ClientLimits &from) {
+  return {from.HeaderBytes, from.BodyBytes, from.HeaderTimeout,
+          from.IdleTimeout};
+}
+
+proxy::EntryLimits entryLimitsOf(const settings::SidecarSettings &from) {
+  return {from.Limits.KeyFreshness, from.Limits.RetryRatio,
+          from.Limits.RetryAllowance};
+}
+
+void writeLine(std::string_view line) {
+  // A closed standard output must not end the process.
+  static_cast<void>(::write(STDOUT_FILENO, line.data(), line.size()));
+}
+
+} // namespace
+
+core::Result<std::unique_ptr<Sidecar>>
+Sidecar::create(const settings::SidecarSettings &settings,
+                SidecarParts parts) {
+  logging::LoggerOptions options;
+  options.Instance = settings.Node.Name;
+  options.Threshold = settings.LogLevel;
+  options.Sink = writeLine;
+  auto logger = logging::Logger::create(std::move(options));
+  if (!logger)
+    return tl::unexpected(logger.error());
+  std::unique_ptr<Sidecar> out(
+      new Sidecar(settings, std::move(parts), std::move(*logger)));
+  if (auto done = out->bind(); !done)
+    return tl::unexpected(done.error());
+  return out;
+}
+
+Sidecar::Sidecar(const settings::SidecarSettings &settings, SidecarParts parts,
+                 std::shared_ptr<logging::Logger> logger)
+    : Settings(settings), DrainLimit(settings.Limits.Drain), Parts(std::move(parts)), Log(std::move(logger)),
+      Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP), DrainTimer(TrafficLoop),
+      SettingsTimer(ControlLoop) {}
+
+Sidecar::~Sidecar() = default;
+
+core::Result<std::unique_ptr<net::HttpServer>>
+Sidecar::listen(const core::Endpoint &address, net::ExchangeHandler handler) {
+  return net::HttpServer::create(TrafficLoop, address,
+                                 limitsOf(routing::ClientLimits()),
+                                 std::move(handler));
+}
+
+core::Result<void> Sidecar::bind() {
+  Upstream = std::make_unique<proxy::UpstreamService>(
+      TrafficLoop, Settings.Upstream.Address, Parts.Dialect, Log, Counters,
+      proxy::UpstreamHooks{[this] {
+        boost::asio::post(ControlLoop, [this] { ControlPart->upstreamGone(); });
+      }});
+  Entry = std::make_unique<proxy::EntryService>(
+      TrafficLoop,
+      proxy::EntryIdentity{Settings.Node.Name, Settings.Node.DataCentre,
+                           Settings.Node.Service},
+      entryLimitsOf(Settings), Parts.Dialect, Log, Counters, *Upstream);
+  Peers = std::make_unique<proxy::PeerService>(Parts.Dialect, *Upstream);
+  auto callers = listen(Settings.Callers.Listen,
+                        [this](const auto &it) { Entry->handle(it); });
+  auto peers = listen(Settings.Peers.Listen,
+                      [this](const auto &it) { Peers->handle(it); });
+  auto health = listen(Settings.Health.Listen,
+                       [this](const auto &it) { answerHealth(it); });
+  for (const auto *it : {&callers, &peers, &health})
+    if (!*it)
+      return tl::unexpected(it->error());
+  CallerServer = std::move(*callers);
+  PeerServer = std::move(*peers);
+  HealthServer = std::move(*health);
+  holdings::AgentIdentity agent{Settings.Node.Name, Settings.Node.DataCentre,
+                                Settings.Node.Service, Settings.Peers.Listen,
+                                core::randomId()};
+  ControlPart = std::make_unique<Control>(
+      ControlLoop,
+      ControlIdentity{std::move(agent),
+                      {Settings.Upstream.Heartbeat,
+                       Settings.Upstream.LongestGrant},
+                      Settings.Control.Listen},
+      Parts.Codec, Parts.MakeLogs(ControlLoop, Settings.Store.Address), Log,
+      controlHooks());
+  return ControlPart->start();
+}
+
+ControlHooks Sidecar::controlHooks() {
+  return {[this](std::shared_ptr<const proxy::TrafficView> view) {
+            boost::asio::post(TrafficLoop,
+                              [this, view = std::move(view)]() mutable {
+                                onView(std::move(view));
+                              });
+          },
+          [this](core::TimePoint asked) {
+            boost::asio::post(TrafficLoop, [this, asked] {
+              Entry->configurationConfirmed(asked);
+            });
+          }};
+}
+
+void Sidecar::onView(std::shared_ptr<const proxy::TrafficView> view) {
+  if (view->Routes) {
+    HasConfiguration = true;
+    const auto &limits = view->Routes->configuration().Limits;
+    CallerServer->setLimits(limitsOf(limits));
+  }
+  const routing::Service *service =
+      view->Routes ? view->Routes->findService(Settings.Node.Service)
+                   : nullptr;
+  Entry->setView(view);
+  Upstream->setView(std::move(view), service);
+}
+
+void Sidecar::answerHealth(const std::shared_ptr<net::Exchange> &exchange) {
+  const std::string_view target = net::toView(exchange->request().target());
+  if (target == Settings.Health.MetricsPath) {
+    net::HttpResponse out(net::http::status::ok, 11);
+    out.set(net::http::field::content_type, "text/plain; version=0.0.4");
+    out.body() = proxy::render(Counters);
+    exchange->respond(std::move(out));
+    return;
+  }
+  const bool isReady = HasConfiguration && !Draining;
+  exchange->respond(net::HttpResponse(
+      isReady ? net::http::status::ok : net::http::status::service_unavailable,
+      11));
+}
+
+void Sidecar::waitForSignals() {
+  Signals.async_wait([this](error_code ec, int number) {
+    if (ec)
+      return;
+    if (number == SIGHUP) {
+      reload("signal");
+      waitForSignals();
+      return;
+    }
+    Log->write(logging::Level::Info, "stop_requested", {{"signal", number}});
+    ControlPart->beginDrain();
+    boost::asio::post(TrafficLoop, [this] { beginDrain(); });
+  });
+}
+
+void Sidecar::reload(std::string_view cause) {
+  auto next = Parts.ReadSettings();
+  if (!next) {
+    Log->write(logging::Level::Error, "settings_unreadable",
+               {{"cause", cause}, {"detail", next.error().Detail}});
+    return;
+  }
+  Log->write(logging::Level::Info, "settings_reloaded", {{"cause", cause}});
+  Log->setThreshold(next->LogLevel);
+  boost::asio::post(TrafficLoop, [this, limits = entryLimitsOf(*next)] {
+    Entry->setLimits(limits);
+  });
+  Settings.LogLevel = next->LogLevel;
+  Settings.Limits = next->Limits;
+}
+
+void Sidecar::watchSettings() {
+  SettingsTimer.expires_after(SettingsInterval);
+  SettingsTimer.async_wait([this](error_code ec) {
+    if (ec)
+      return;
+    const auto next = Parts.ReadSettings();
+    if (next && (next->LogLevel != Settings.LogLevel ||
+                 !(next->Limits == Settings.Limits)))
+      reload("file changed");
+    watchSettings();
+  });
+}
+
+void Sidecar::beginDrain() {
+  Draining = true;
+  continueDrain(core::BootClock::now());
+}
+
+void Sidecar::continueDrain(core::TimePoint started) {
+  const core::Duration age = core::BootClock::now() - started;
+  if (age >= ReadyDrain && !CallerServer->isDraining()) {
+    CallerServer->beginDrain();
+    PeerServer->beginDrain();
+    Entry->beginDrain();
+    Upstream->beginDrain();
+  }
+  const bool isIdle =
+      CallerServer->inFlight() == 0 && PeerServer->inFlight() == 0;
+  const bool isOver =
+      (CallerServer->isDraining() && isIdle) || age >= DrainLimit;
+  if (isOver) {
+    stop();
+    return;
+  }
+  DrainTimer.expires_after(DrainInterval);
+  DrainTimer.async_wait([this, started](error_code ec) {
+    if (!ec)
+      continueDrain(started);
+  });
+}
+
+void Sidecar::stop() {
+  Log->write(logging::Level::Info, "stopped",
+             {{"requests", Counters.Requests},
+              {"in_flight", CallerServer->inFlight()}});
+  ControlLoop.stop();
+  TrafficLoop.stop();
+}
+
+void Sidecar::run() {
+  Log->write(logging::Level::Info, "started",
+             {{"service", Settings.Node.Service},
+              {"data_centre", Settings.Node.DataCentre},
+              {"callers", core::toString(Settings.Callers.Listen)}});
+  waitForSignals();
+  watchSettings();
+  std::thread control([this] { ControlLoop.run(); });
+  TrafficLoop.run();
+  control.join();
+}
+
+} // namespace acaciaroad::sidecar
--- /dev/null
+++ b/Source/Sidecar/Sidecar.h
@@ -0,0 +1,89 @@
+/// \file
+/// The program beside one upstream: a control thread and a traffic thread.
+
+#ifndef ACACIAROAD_SIDECAR_SIDECAR_H
+#define ACACIAROAD_SIDECAR_SIDECAR_H
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Logging/Logger.h"
+#include "Proxy/EntryService.h"
+#include "Proxy/PeerService.h"
+#include "Settings/SidecarSettings.h"
+#include "Sidecar/Control.h"
+
+namespace acaciaroad::sidecar {
+
+/// Makes the logs of the platform on the control thread's loop.
+using LogsFactory = std::function<ControlLogs(boost::asio::io_context &,
+                                              const core::Endpoint &)>;
+/// Reads the settings once more.
+using SettingsSource =
+    std::function<core::Result<settings::SidecarSettings>()>;
+
+struct SidecarParts {
+  proxy::Dialect Dialect;
+  ControlCodec Codec;
+  LogsFactory MakeLogs;
+  SettingsSource ReadSettings;
+};
+
+class Sidecar {
+public:
+  /// Binds all addresses. Fails with InvalidArgument.
+  static core::Result<std::unique_ptr<Sidecar>>
+  create(const settings::SidecarSettings &settings, SidecarParts parts);
+  ~Sidecar();
+
+  /// Returns after SIGTERM, once all requests have ended or the drain time is
+  /// over.
+  void run();
+
+private:
+  Sidecar(const settings::SidecarSettings &settings, SidecarParts parts,
+          std::shared_ptr<logging::Logger> logger);
+  core::Result<void> bind();
+  core::Result<std::unique_ptr<net::HttpServer>>
+  listen(const core::Endpoint &address, net::ExchangeHandler handler);
+  ControlHooks controlHooks();
+  void onView(std::shared_ptr<const proxy::TrafficView> view);
+  void answerHealth(const std::shared_ptr<net::Exchange> &exchange);
+  void waitForSignals();
+  void reload(std::string_view cause);
+  void watchSettings();
+  void beginDrain();
+  void continueDrain(core::TimePoint started);
+  void stop();
+
+  /// Changed by the control thread alone once it runs; what the traffic thread
+  /// reads stays as it was at the start.
+  settings::SidecarSettings Settings;
+  const core::Duration DrainLimit;
+  SidecarParts Parts;
+  std::shared_ptr<logging::Logger> Log;
+  /// Declared before all that lives on them.
+  boost::asio::io_context TrafficLoop{1};
+  boost::asio::io_context ControlLoop{1};
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer DrainTimer;
+  boost::asio::steady_timer SettingsTimer;
+  proxy::TrafficCounters Counters;
+  std::unique_ptr<proxy::UpstreamService> Upstream;
+  std::unique_ptr<proxy::EntryService> Entry;
+  std::unique_ptr<proxy::PeerService> Peers;
+  std::unique_ptr<net::HttpServer> CallerServer;
+  std::unique_ptr<net::HttpServer> PeerServer;
+  std::unique_ptr<net::HttpServer> HealthServer;
+  std::unique_ptr<Control> ControlPart;
+  bool HasConfiguration = false;
+  bool Draining = false;
+};
+
+} // namespace acaciaroad::sidecar
+
+#endif
--- /dev/null
+++ b/Source/Upstream/OrderQueue.cpp
@@ -0,0 +1,123 @@
+#include "Upstream/OrderQueue.h"
+
+#include <algorithm>
+
+namespace acaciaroad::upstream {
+
+namespace {
+
+/// Weight of the newest service time in the mean; follows a change of speed
+/// within about ten orders.
+constexpr int MeanWeight = 8;
+
+/// An order is let in if this share of its expected time is left, in percent:
+/// half of all orders take less than the mean.
+constexpr int NeededPercent = 60;
+
+/// The shortest time after which a refused caller is asked to come back; about
+/// two round trips to it.
+constexpr core::Duration ShortestRetry = std::chrono::milliseconds(50);
+
+void learn(core::Duration &mean, core::Duration sample) {
+  mean = mean.count() == 0 ? sample : mean + (sample - mean) / MeanWeight;
+}
+
+} // namespace
+
+core::Duration OrderQueue::expected(std::string_view workClass) const {
+  const auto it = Means.find(workClass);
+  return it == Means.end() ? OverallMean : it->second;
+}
+
+core::Duration OrderQueue::waitBefore(const QueuedOrder &order) const {
+  const Place place{order.Rank, order.Deadline, order.Id};
+  const auto ahead = std::distance(Waiting.begin(), Waiting.lower_bound(place));
+  const auto slots = std::max<std::int64_t>(1, Slots);
+  // A slot becomes free each mean time over the number of slots.
+  return OverallMean * (ahead + 1) / slots;
+}
+
+Decision OrderQueue::offer(const QueuedOrder &order, core::TimePoint now) {
+  if (Slots == 0)
+    return {Verdict::Refused, core::ErrorKind::NoUpstream};
+  const core::Duration needed =
+      expected(order.WorkClass) * NeededPercent / 100;
+  if (order.Deadline <= now + needed)
+    return {Verdict::Refused, core::ErrorKind::DeadlineTooShort};
+  if (Running.size() < Slots && Waiting.empty() && Rate.mayStart(now)) {
+    start(order, now);
+    return {Verdict::Start, core::ErrorKind::Internal};
+  }
+  core::TimePoint begin = std::max(now, Rate.nextStart(now));
+  begin += waitBefore(order);
+  if (order.Deadline <= begin + needed)
+    return {Verdict::Refused, core::ErrorKind::QueueFull};
+  Waiting.insert({order.Rank, order.Deadline, order.Id});
+  Orders.emplace(order.Id, order);
+  return {Verdict::Queued, core::ErrorKind::Internal};
+}
+
+void OrderQueue::start(const QueuedOrder &order, core::TimePoint now) {
+  Running.emplace(order.Id, Started{order.WorkClass, now});
+  Rate.started(now);
+}
+
+void OrderQueue::finished(Ticket id, bool didRun, core::TimePoint now) {
+  const auto it = Running.find(id);
+  if (it == Running.end())
+    return;
+  if (didRun) {
+    learn(Means[it->second.WorkClass], now - it->second.At);
+    learn(OverallMean, now - it->second.At);
+  }
+  Running.erase(it);
+}
+
+bool OrderQueue::cancel(Ticket id) {
+  const auto it = Orders.find(id);
+  if (it == Orders.end())
+    return false;
+  Waiting.erase({it->second.Rank, it->second.Deadline, id});
+  Orders.erase(it);
+  return true;
+}
+
+std::vector<Dequeued> OrderQueue::advance(core::TimePoint now) {
+  std::vector<Dequeued> out;
+  for (auto it = Waiting.begin(); it != Waiting.end();) {
+    const QueuedOrder &order = Orders.at(it->Id);
+    const core::Duration needed =
+        expected(order.WorkClass) * NeededPercent / 100;
+    if (order.Deadline <= now + needed) {
+      out.push_back(
+          {order.Id, Verdict::Refused, core::ErrorKind::DeadlineTooShort});
+    } else if (Running.size() < Slots && Rate.mayStart(now)) {
+      start(order, now);
+      out.push_back({order.Id, Verdict::Start, core::ErrorKind::Internal});
+    } else {
+      ++it;
+      continue;
+    }
+    Orders.erase(it->Id);
+    it = Waiting.erase(it);
+  }
+  return out;
+}
+
+std::vector<Dequeued> OrderQueue::refuseAll(core::ErrorKind reason) {
+  std::vector<Dequeued> out;
+  for (const Place &it : Waiting)
+    out.push_back({it.Id, Verdict::Refused, reason});
+  Waiting.clear();
+  Orders.clear();
+  return out;
+}
+
+core::Duration OrderQueue::retryAfter(std::string_view workClass) const {
+  const auto slots = std::max<std::int64_t>(1, Slots);
+  const auto waiting = static_cast<std::int64_t>(Waiting.size());
+  return std::max(ShortestRetry,
+                  expected(workClass) + OverallMean * waiting / slots);
+}
+
+} // namespace acaciaroad::upstream
--- /dev/null
+++ b/Source/Upstream/OrderQueue.h
@@ -0,0 +1,106 @@
+/// \file
+/// Decides which orders one upstream runs, and which are refused.
+
+#ifndef ACACIAROAD_UPSTREAM_ORDERQUEUE_H
+#define ACACIAROAD_UPSTREAM_ORDERQUEUE_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/Clock.h"
+#include "Core/ErrorKind.h"
+#include "Upstream/Offer.h"
+#include "Upstream/RequestRate.h"
+
+namespace acaciaroad::upstream {
+
+/// An order as the queue sees it.
+struct QueuedOrder {
+  Ticket Id = 0;
+  std::string WorkClass;
+  /// Lower goes first.
+  std::int32_t Rank = 0;
+  /// The answer is worthless after it.
+  core::TimePoint Deadline{};
+};
+
+/// An order that left the queue.
+struct Dequeued {
+  Ticket Id = 0;
+  Verdict What = Verdict::Refused;
+  core::ErrorKind Reason = core::ErrorKind::QueueFull;
+};
+
+/// Keeps the orders of one upstream within its slots and, while it is cold,
+/// within its rate. Others wait by rank, then by deadline, for as long as they
+/// can still end in time by what their class of work usually takes; an order
+/// that cannot is refused on arrival. Pure; the caller serialises all calls.
+class OrderQueue {
+public:
+  /// Orders that may run at once; 0 takes none.
+  void setSlots(std::uint32_t slots) { Slots = slots; }
+
+  /// Requests a second while the upstream is cold; 0 once it is warm.
+  void setColdRate(std::uint32_t perSecond) { Rate.setBound(perSecond); }
+
+  /// Returns Start, Queued or Refused.
+  Decision offer(const QueuedOrder &order, core::TimePoint now);
+
+  /// A started order ended. \p didRun is false if the upstream refused it.
+  void finished(Ticket id, bool didRun, core::TimePoint now);
+
+  /// Takes a waiting order out; returns false if it does not wait.
+  bool cancel(Ticket id);
+
+  /// Returns what starts or is refused now. To be called after each end, and
+  /// often while anything waits.
+  std::vector<Dequeued> advance(core::TimePoint now);
+
+  /// Returns all that waits, refused for \p reason.
+  std::vector<Dequeued> refuseAll(core::ErrorKind reason);
+
+  /// Returns the time after which an order of \p workClass would be likely to
+  /// end in time.
+  core::Duration retryAfter(std::string_view workClass) const;
+
+  std::uint32_t running() const {
+    return static_cast<std::uint32_t>(Running.size());
+  }
+  std::uint32_t waiting() const {
+    return static_cast<std::uint32_t>(Waiting.size());
+  }
+  std::uint32_t slots() const { return Slots; }
+
+private:
+  struct Started {
+    std::string WorkClass;
+    core::TimePoint At{};
+  };
+  struct Place {
+    std::int32_t Rank = 0;
+    core::TimePoint Deadline{};
+    Ticket Id = 0;
+    auto operator<=>(const Place &) const = default;
+  };
+
+  void start(const QueuedOrder &order, core::TimePoint now);
+  core::Duration expected(std::string_view workClass) const;
+  core::Duration waitBefore(const QueuedOrder &order) const;
+
+  std::uint32_t Slots = 0;
+  RequestRate Rate;
+  std::map<Ticket, Started> Running;
+  std::set<Place> Waiting;
+  std::map<Ticket, QueuedOrder> Orders;
+  /// Mean service time of each class of work.
+  std::map<std::string, core::Duration, std::less<>> Means;
+  core::Duration OverallMean{};
+};
+
+} // namespace acaciaroad::upstream
+
+#endif
--- /dev/null
+++ b/Source/Upstream/RequestRate.cpp
@@ -0,0 +1,34 @@
+#include "Upstream/RequestRate.h"
+
+namespace acaciaroad::upstream {
+
+namespace {
+
+/// A second, and room for requests that reach the upstream closer together
+/// than they were sent.
+constexpr core::Duration Window = std::chrono::milliseconds(1050);
+
+} // namespace
+
+bool RequestRate::mayStart(core::TimePoint now) {
+  forget(now);
+  return Bound == 0 || Starts.size() < Bound;
+}
+
+void RequestRate::started(core::TimePoint now) {
+  forget(now);
+  Starts.push_back(now);
+}
+
+core::TimePoint RequestRate::nextStart(core::TimePoint now) {
+  if (mayStart(now))
+    return now;
+  return Starts[Starts.size() - Bound] + Window;
+}
+
+void RequestRate::forget(core::TimePoint now) {
+  while (!Starts.empty() && now - Starts.front() >= Window)
+    Starts.pop_front();
+}
+
+} // namespace acaciaroad::upstream
--- a/cmake/AcaciaModule.cmake
+++ b/cmake/AcaciaModule.cmake
@@ -3,7 +3,10 @@
 add_library(acacia_options INTERFACE)
 target_compile_options(acacia_options INTERFACE
   -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast
-  -Wconversion -Wno-sign-conversion -Werror)
+  -Wconversion -Wno-sign-conversion)
+if(ACACIA_WERROR)
+  target_compile_options(acacia_options INTERFACE -Werror)
+endif()
 target_include_directories(acacia_options INTERFACE ${PROJECT_SOURCE_DIR}/Source)
 target_link_libraries(acacia_options INTERFACE Threads::Threads fmt::fmt)
 if(ACACIA_SANITIZE)
