--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -79,6 +79,7 @@
   if (SuspectSince && own.HeardAt > *SuspectSince)
     SuspectSince.reset();
   ColdRate = service == nullptr ? 0 : service->ColdRate;
+  IsKeyed = service != nullptr && service->IsKeyed;
   Queue.setSlots(own.IsOpen ? own.Slots : 0);
   if (!own.IsOpen)
     for (const upstream::Dequeued &it : Queue.refuseAll(ErrorKind::NoUpstream))
@@ -106,7 +107,9 @@
     return ErrorKind::NoUpstream;
   if (order.ExpectedUpstream != own.Life.Id)
     return ErrorKind::OwnerChanged;
-  if (order.Key &&
+  if (IsKeyed && !order.Key)
+    return ErrorKind::RoutingKeyMissing;
+  if (IsKeyed &&
       (now >= own.GrantedUntil || !findHolding(own.Granted, *order.Key)))
     return ErrorKind::NoOwner;
   return std::nullopt;
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -116,6 +116,7 @@
   std::unordered_map<upstream::Ticket, Running> Orders;
   upstream::Ticket NextTicket = 1;
   double ColdRate = 0;
+  bool IsKeyed = false;
   /// Set when connections broke: the upstream may have started anew.
   std::optional<core::TimePoint> SuspectSince;
 };
