Move keys from overloaded nodes to the least loaded one

Cause: keys were divided evenly by number, while the busy ones lie together and upstreams differ in speed: the busiest of guiao had 2.85 times the mean load and 1,468 of its 8,703 runs ended badly.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -105,4 +105,22 @@
   return out;
 }
 
+std::string encodeHint(const FleetHint &hint) {
+  pb::FleetHint out;
+  out.set_node(hint.Node);
+  out.set_fleet_end(hint.FleetEnd);
+  out.set_utilization(hint.Load.Utilization);
+  out.set_cost(hint.Load.Cost);
+  return out.SerializeAsString();
+}
+
+core::Result<FleetHint> decodeHint(std::string_view bytes) {
+  pb::FleetHint in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return corrupt("a hint can't be parsed");
+  if (!(in.utilization() >= 0) || !(in.cost() >= 0))
+    return corrupt("a hint has a negative load");
+  return FleetHint{in.node(), in.fleet_end(), {in.utilization(), in.cost()}};
+}
+
 } // namespace acaciaroad::codec
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -11,6 +11,7 @@
 
 #include "Core/Error.h"
 #include "Holdings/HoldingTypes.h"
+#include "Holdings/LoadMove.h"
 
 namespace acaciaroad::codec {
 
@@ -35,6 +36,18 @@
 core::Result<std::vector<holdings::Holding>>
 decodeHoldings(std::string_view value);
 
+/// What nodes tell each other often; a lost one is replaced by the next.
+struct FleetHint {
+  std::string Node;
+  /// End of the fleet's log as far as the sender knows.
+  core::Offset FleetEnd = 0;
+  holdings::NodeLoad Load;
+};
+
+std::string encodeHint(const FleetHint &hint);
+/// Fails with CorruptMessage.
+core::Result<FleetHint> decodeHint(std::string_view bytes);
+
 } // namespace acaciaroad::codec
 
 #endif
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -45,6 +45,13 @@
 /// Between two planned moves of one node; a move's effect shows within it.
 constexpr core::Duration MoveInterval = std::chrono::seconds(2);
 
+/// Loads change within a second; an older one says nothing.
+constexpr core::Duration LoadLifetime = milliseconds(1500);
+
+/// Rows of a service, beyond which load moves no more keys: the answer to a
+/// heartbeat has room for about a hundred.
+constexpr std::size_t MostRows = 160;
+
 /// A member with less than this share of a fair part counts as new.
 constexpr double NewcomerShare = 0.25;
 
@@ -255,6 +262,35 @@
     return;
   }
   planForNewcomer(ledger, now);
+  planForLoad(ledger, now);
+}
+
+void HoldingAgent::setPeerLoad(std::string_view node, const NodeLoad &load,
+                               core::TimePoint now) {
+  PeerLoads[std::string(node)] = {load, now};
+}
+
+void HoldingAgent::planForLoad(const FleetLedger &ledger,
+                               core::TimePoint now) {
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  if (!Leaving.empty() || now < NextMove || rows.size() > MostRows)
+    return;
+  std::vector<LoadTaker> takers;
+  for (const Member *it : ledger.eligible(Identity.Service, now)) {
+    const auto load = PeerLoads.find(it->Record.Name);
+    if (it->Record.Name != Identity.Name && load != PeerLoads.end() &&
+        now - load->second.At < LoadLifetime)
+      takers.push_back({it->Record.Name, load->second.Load});
+  }
+  std::vector<KeyRange> own;
+  for (const Holding &row : rows)
+    if (owns(row))
+      own.push_back(row.Keys);
+  const auto move = planLoadMove(Load, own, takers);
+  if (!move)
+    return;
+  Leaving.push_back({move->Keys, move->Target, false, false});
+  NextMove = now + MoveInterval;
 }
 
 void HoldingAgent::planForNewcomer(const FleetLedger &ledger,
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -15,6 +16,7 @@
 #include "Core/Clock.h"
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingTypes.h"
+#include "Holdings/LoadMove.h"
 
 namespace acaciaroad::holdings {
 
@@ -71,6 +73,11 @@
   /// Nothing listens at the upstream's address: its life is over.
   void upstreamGone(core::TimePoint now);
 
+  /// The load of the own upstream, and that of another node.
+  void setLoad(KeyedLoad load) { Load = std::move(load); }
+  void setPeerLoad(std::string_view node, const NodeLoad &load,
+                   core::TimePoint now);
+
   /// The node shuts down: it proposes nothing more.
   void beginDrain() { Draining = true; }
 
@@ -110,6 +117,7 @@
   bool isLifeOver(core::TimePoint now) const;
   void planOutgoing(const FleetLedger &ledger, core::TimePoint now);
   void planForNewcomer(const FleetLedger &ledger, core::TimePoint now);
+  void planForLoad(const FleetLedger &ledger, core::TimePoint now);
   void noteReleased(const Heartbeat &heartbeat);
   void noteFreed(const Heartbeat &heartbeat);
   std::vector<Holding> releasedRows(std::span<const Holding> rows) const;
@@ -141,6 +149,10 @@
     bool Withheld = false;
     bool Released = false;
   };
+  struct KnownLoad {
+    NodeLoad Load;
+    core::TimePoint At{};
+  };
   struct SentRecord {
     std::uint64_t Sequence = 0;
     core::TimePoint Sent{};
@@ -170,6 +182,8 @@
   std::optional<core::TimePoint> OrphansSince;
   std::optional<core::TimePoint> FirstTakerSince;
   core::TimePoint NextMove{};
+  KeyedLoad Load;
+  std::map<std::string, KnownLoad, std::less<>> PeerLoads;
 };
 
 } // namespace acaciaroad::holdings
--- /dev/null
+++ b/Source/Holdings/LoadMove.h
@@ -0,0 +1,53 @@
+/// \file
+/// Which keys an overloaded node gives to another one.
+
+#ifndef ACACIAROAD_HOLDINGS_LOADMOVE_H
+#define ACACIAROAD_HOLDINGS_LOADMOVE_H
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "Holdings/HoldingTypes.h"
+
+namespace acaciaroad::holdings {
+
+/// Load of one node's upstream.
+struct NodeLoad {
+  /// Work that arrives over the work that its slots can do; above 1, requests
+  /// have to be refused.
+  double Utilization = 0;
+  /// What one request a second adds to the utilization.
+  double Cost = 0;
+};
+
+/// The load of the own upstream and how it spreads over the keys.
+struct KeyedLoad {
+  NodeLoad Node;
+  /// Requests a second of each bucket of BucketKeys keys.
+  std::vector<double> Rates;
+  Key BucketKeys = 1;
+};
+
+/// Another node that could take keys.
+struct LoadTaker {
+  std::string Node;
+  NodeLoad Load;
+};
+
+struct LoadMove {
+  KeyRange Keys;
+  std::string Target;
+};
+
+/// Returns a range out of \p own, the ranges that the node holds, that brings
+/// the node and the least loaded taker closer together; nothing while the load
+/// is bearable, the difference small, or no range fits.
+std::optional<LoadMove> planLoadMove(const KeyedLoad &load,
+                                     std::span<const KeyRange> own,
+                                     std::span<const LoadTaker> takers);
+
+} // namespace acaciaroad::holdings
+
+#endif
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -39,6 +40,9 @@
 /// closer together than they were sent stay within it.
 constexpr double ColdRateShare = 1.0;
 
+/// Interval at which the control thread is told the load.
+constexpr core::Duration LoadInterval = milliseconds(250);
+
 /// Without news from an upstream whose connections broke, it counts as cold
 /// for this long; longer than two heartbeats.
 constexpr core::Duration SuspicionLength = std::chrono::seconds(4);
@@ -52,7 +56,7 @@
                                  TrafficCounters &counters, UpstreamHooks hooks)
     : Loop(loop), Speech(std::move(dialect)), Log(std::move(logger)),
       Counters(counters), Hooks(std::move(hooks)),
-      View(std::make_shared<const TrafficView>()), Timer(loop) {
+      View(std::make_shared<const TrafficView>()), Timer(loop), LoadTimer(loop) {
   net::ClientOptions options;
   options.ConnectTimeout = ConnectTimeout;
   options.SendTimeout = SendTimeout;
@@ -67,6 +71,26 @@
     return id.empty() || id == read(request).RequestId;
   };
   Client = net::HttpClient::create(loop, upstream, std::move(options));
+  reportLoad();
+}
+
+void UpstreamService::reportLoad() {
+  LoadTimer.expires_after(LoadInterval);
+  LoadTimer.async_wait([this](error_code ec) {
+    if (!ec)
+      reportLoad();
+  });
+  if (!IsKeyed)
+    return;
+  Keys.fade(core::BootClock::now());
+  holdings::KeyedLoad out;
+  out.BucketKeys = upstream::KeyLoad::KeysPerBucket;
+  out.Rates.assign(Keys.rates().begin(), Keys.rates().end());
+  const std::chrono::duration<double> mean = Queue.meanService();
+  out.Node.Cost = mean.count() / std::max(1U, Queue.slots());
+  out.Node.Utilization =
+      out.Node.Cost * std::accumulate(out.Rates.begin(), out.Rates.end(), 0.0);
+  Hooks.OnLoad(std::move(out));
 }
 
 void UpstreamService::setView(std::shared_ptr<const TrafficView> view,
@@ -119,6 +143,8 @@
   const auto now = core::BootClock::now();
   const upstream::Ticket id = NextTicket++;
   const auto reason = whyNot(order, now);
+  if (IsKeyed && order.Key && reason != ErrorKind::NoOwner)
+    Keys.arrived(*order.Key);
   upstream::QueuedOrder queued{id, order.WorkClass, order.Rank, order.Deadline};
   Orders.emplace(id, Running{std::move(order), std::move(handler), {}, {}, {}});
   if (reason) {
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -14,12 +14,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "Holdings/LoadMove.h"
 #include "Logging/Logger.h"
 #include "Net/HttpClient.h"
 #include "Proxy/Dialect.h"
 #include "Proxy/PeerFields.h"
 #include "Proxy/TrafficCounters.h"
 #include "Proxy/TrafficView.h"
+#include "Upstream/KeyLoad.h"
 #include "Upstream/OrderQueue.h"
 
 namespace acaciaroad::proxy {
@@ -51,6 +53,8 @@
 struct UpstreamHooks {
   /// Nothing listens at the upstream's address.
   std::function<void()> OnGone;
+  /// Told several times a second for an upstream that holds keys.
+  std::function<void(holdings::KeyedLoad)> OnLoad;
 };
 
 /// Admits orders by an OrderQueue and sends them over kept connections. All
@@ -97,6 +101,7 @@
   void refuse(upstream::Ticket id, core::ErrorKind reason);
   void settle(upstream::Ticket id, OrderResult result);
   void advance();
+  void reportLoad();
   void tick();
   void scheduleTick();
   void suspectCold(core::TimePoint now);
@@ -110,7 +115,9 @@
   std::shared_ptr<net::HttpClient> Client;
   std::shared_ptr<const TrafficView> View;
   upstream::OrderQueue Queue;
+  upstream::KeyLoad Keys{holdings::KeyCount};
   boost::asio::steady_timer Timer;
+  boost::asio::steady_timer LoadTimer;
   bool IsTicking = false;
   bool Draining = false;
   std::unordered_map<upstream::Ticket, Running> Orders;
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -53,6 +53,13 @@
           it.Control.Listen = endpointOf(s);
         },
         "Where the upstream's heartbeats are accepted."),
+    textField<SidecarSettings>(
+        "gossip", "listen", TextKind::Endpoint, std::nullopt,
+        [](SidecarSettings &it, std::string_view s) {
+          it.Gossip.Listen = endpointOf(s);
+        },
+        "Where other nodes' datagrams are accepted; the port is the same on "
+        "all nodes."),
     textField<SidecarSettings>(
         "health", "listen", TextKind::Endpoint, std::nullopt,
         [](SidecarSettings &it, std::string_view s) {
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -55,6 +55,7 @@
   ListenSettings Callers;
   ListenSettings Peers;
   ListenSettings Control;
+  ListenSettings Gossip;
   HealthSettings Health;
   UpstreamSettings Upstream;
   StoreSettings Store;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -36,6 +36,13 @@
 /// keys move on meanwhile.
 constexpr core::Duration OutGrace = milliseconds(2000);
 
+/// Interval at which nodes tell each other their load.
+constexpr core::Duration TellInterval = milliseconds(250);
+
+/// Nodes that are told; bounds the datagrams in a large fleet. The others read
+/// the log at their own pace.
+constexpr std::size_t MostTold = 24;
+
 /// Upstreams send small messages.
 constexpr net::ServerLimits ControlLimits{
     16'384, 1U << 20U, std::chrono::seconds(3), std::chrono::seconds(60)};
@@ -57,6 +64,12 @@
   if (!server)
     return tl::unexpected(server.error());
   Server = std::move(*server);
+  auto gossip = DatagramSocket::create(
+      Loop, Identity.Gossip,
+      [this](std::string_view bytes) { onDatagram(bytes); });
+  if (!gossip)
+    return tl::unexpected(gossip.error());
+  Gossip = std::move(*gossip);
   Operators = std::make_unique<feed::KeyedFeed>(Loop, Logs.Operators,
                                                 OperatorPace, operatorHooks());
   Fleet = std::make_unique<feed::KeyedFeed>(Loop, Logs.Fleet, FleetPace,
@@ -186,6 +199,8 @@
   for (const feed::KeyedRecord &it : records)
     applyFleetRecord(it, now);
   Ledger.setEnd(end);
+  if (std::exchange(HasNews, false))
+    tellPeers(true);
   IsFleetKnown = true;
   IsChanged = IsChanged || !records.empty();
   Agent.ledgerChanged(Ledger, now);
@@ -323,8 +338,47 @@
     answerHeartbeat(it);
 }
 
+void Control::setLoad(holdings::KeyedLoad load) {
+  OwnLoad = load.Node;
+  Agent.setLoad(std::move(load));
+}
+
+void Control::onDatagram(std::string_view bytes) {
+  const auto hint = codec::decodeHint(bytes);
+  if (!hint) {
+    Log->write(logging::Level::Warning, "hint_unreadable",
+               {{"detail", hint.error().Detail}});
+    return;
+  }
+  Agent.setPeerLoad(hint->Node, hint->Load, core::BootClock::now());
+  if (IsFleetKnown && hint->FleetEnd > Ledger.end())
+    Fleet->readNow();
+}
+
+void Control::tellPeers(bool isNews) {
+  ToldAt = core::BootClock::now();
+  // Renewals of leases move the end all the time; only news is told.
+  const std::string bytes = codec::encodeHint(
+      {Identity.Agent.Name, isNews ? Ledger.end() : 0, OwnLoad});
+  std::vector<const holdings::Member *> told;
+  for (const auto &[name, it] : Ledger.members()) {
+    const bool isConcerned =
+        isNews || it.Record.Service == Identity.Agent.Service;
+    if (isConcerned && name != Identity.Agent.Name && !it.isLapsed(ToldAt))
+      told.push_back(&it);
+  }
+  const std::size_t first =
+      told.size() > MostTold ? core::randomId() % told.size() : 0;
+  for (std::size_t n = 0; n < std::min(told.size(), MostTold); ++n) {
+    const auto &peer = told[(first + n) % told.size()]->Record.Peer;
+    Gossip->send({peer.Host, Identity.Gossip.Port}, bytes);
+  }
+}
+
 void Control::tick() {
   const auto now = core::BootClock::now();
+  if (isKeyed() && now - ToldAt >= TellInterval)
+    tellPeers(false);
   Agent.ledgerChanged(Ledger, now);
   answerWaiting(now);
   appendDue(now);
@@ -362,8 +416,10 @@
         if (!result)
           Log->write(logging::Level::Warning, "record_not_appended",
                      {{"detail", result.error().Detail}});
-        else if (isNews)
+        else if (isNews) {
+          HasNews = true;
           Fleet->readNow();
+        }
         appendDue(core::BootClock::now());
       });
 }
@@ -388,6 +444,7 @@
                    {{"accepted", result.has_value()},
                     {"detail", result ? "" : result.error().Detail}});
         Agent.changeEnded(end, core::BootClock::now());
+        HasNews = HasNews || result.has_value();
         Fleet->readNow();
       });
 }
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -22,6 +22,7 @@
 #include "Logging/Logger.h"
 #include "Net/HttpServer.h"
 #include "Proxy/TrafficView.h"
+#include "Sidecar/DatagramSocket.h"
 #include "Sidecar/SidecarTypes.h"
 
 namespace acaciaroad::sidecar {
@@ -37,6 +38,8 @@
   holdings::AgentIdentity Agent;
   holdings::AgentTiming Timing;
   core::Endpoint Listen;
+  /// Datagrams of other nodes; all nodes use the same port.
+  core::Endpoint Gossip;
 };
 
 /// Owns all control state; every member runs on its loop.
@@ -55,6 +58,9 @@
   /// Nothing listens at the upstream's address.
   void upstreamGone();
 
+  /// The load of the own upstream, from the traffic thread.
+  void setLoad(holdings::KeyedLoad load);
+
 private:
   using ExchangePointer = std::shared_ptr<net::Exchange>;
 
@@ -75,6 +81,9 @@
   void answerHeartbeat(const ExchangePointer &exchange);
   void answerWaiting(core::TimePoint now);
 
+  void onDatagram(std::string_view bytes);
+  /// Tells some other nodes the end of the log and the own load.
+  void tellPeers(bool isNews);
   void tick();
   void appendDue(core::TimePoint now);
   void appendRecord(const holdings::NodeRecord &record);
@@ -91,6 +100,9 @@
   ControlHooks Hooks;
   boost::asio::steady_timer Timer;
   std::unique_ptr<net::HttpServer> Server;
+  std::unique_ptr<DatagramSocket> Gossip;
+  holdings::NodeLoad OwnLoad;
+  core::TimePoint ToldAt{};
   std::unique_ptr<feed::KeyedFeed> Operators;
   std::unique_ptr<feed::KeyedFeed> Fleet;
   std::shared_ptr<const routing::RouteTable> Routes;
@@ -100,6 +112,8 @@
   bool IsFleetKnown = false;
   bool IsAppending = false;
   bool IsChanged = false;
+  /// The own node has appended what others should read soon.
+  bool HasNews = false;
   /// Heartbeats whose answer awaits a change of holdings.
   std::vector<ExchangePointer> Waiting;
   std::optional<holdings::Grant> LastGrant;
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -78,9 +78,17 @@
 core::Result<void> Sidecar::bind() {
   Upstream = std::make_unique<proxy::UpstreamService>(
       TrafficLoop, Settings.Upstream.Address, Parts.Dialect, Log, Counters,
-      proxy::UpstreamHooks{[this] {
-        boost::asio::post(ControlLoop, [this] { ControlPart->upstreamGone(); });
-      }});
+      proxy::UpstreamHooks{
+          [this] {
+            boost::asio::post(ControlLoop,
+                              [this] { ControlPart->upstreamGone(); });
+          },
+          [this](holdings::KeyedLoad load) {
+            boost::asio::post(ControlLoop,
+                              [this, load = std::move(load)]() mutable {
+                                ControlPart->setLoad(std::move(load));
+                              });
+          }});
   Entry = std::make_unique<proxy::EntryService>(
       TrafficLoop,
       proxy::EntryIdentity{Settings.Node.Name, Settings.Node.DataCentre,
@@ -107,7 +115,7 @@
       ControlIdentity{std::move(agent),
                       {Settings.Upstream.Heartbeat,
                        Settings.Upstream.LongestGrant},
-                      Settings.Control.Listen},
+                      Settings.Control.Listen, Settings.Gossip.Listen},
       Parts.Codec, Parts.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
   return ControlPart->start();
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -74,6 +74,8 @@
     return static_cast<std::uint32_t>(Waiting.size());
   }
   std::uint32_t slots() const { return Slots; }
+  /// Mean service time of all classes; 0 before the first.
+  core::Duration meanService() const { return OverallMean; }
 
 private:
   struct Started {
