Borrow shares of accounts; withhold keys as soon as they are proposed to others

Now an upstream is gone only if its heartbeats are missing too, and proposed keys are withheld at once.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -123,4 +123,28 @@
   return FleetHint{in.node(), in.fleet_end(), {in.utilization(), in.cost()}};
 }
 
+std::string encodeCredit(const CreditDatagram &datagram) {
+  pb::CreditDatagram out;
+  out.set_account(datagram.Account);
+  if (datagram.ReplyTo)
+    out.set_reply_to(core::toString(*datagram.ReplyTo));
+  out.set_ask(datagram.Ask);
+  out.set_amount(datagram.Amount);
+  return out.SerializeAsString();
+}
+
+core::Result<CreditDatagram> decodeCredit(std::string_view bytes) {
+  pb::CreditDatagram in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return corrupt("a message about credit can't be parsed");
+  CreditDatagram out{in.account(), std::nullopt, in.ask(), in.amount()};
+  if (!in.reply_to().empty()) {
+    const auto address = core::parseEndpoint(in.reply_to());
+    if (!address)
+      return tl::unexpected(address.error());
+    out.ReplyTo = *address;
+  }
+  return out;
+}
+
 } // namespace acaciaroad::codec
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -4,6 +4,8 @@
 #ifndef ACACIAROAD_CODEC_FLEETRECORDS_H
 #define ACACIAROAD_CODEC_FLEETRECORDS_H
 
+#include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -48,6 +50,20 @@
 /// Fails with CorruptMessage.
 core::Result<FleetHint> decodeHint(std::string_view bytes);
 
+/// Asks another node for a part of its share of an account, or answers.
+struct CreditDatagram {
+  std::string Account;
+  /// Where the answer goes to; absent in an answer.
+  std::optional<core::Endpoint> ReplyTo;
+  std::uint64_t Ask = 0;
+  /// Requests wanted, or lent.
+  std::uint32_t Amount = 0;
+};
+
+std::string encodeCredit(const CreditDatagram &datagram);
+/// Fails with CorruptMessage.
+core::Result<CreditDatagram> decodeCredit(std::string_view bytes);
+
 } // namespace acaciaroad::codec
 
 #endif
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -29,6 +29,7 @@
 void KeyedFeed::restart() {
   IsFollowing = false;
   Snapshot.clear();
+  Collected.clear();
   readPage();
 }
 
@@ -85,9 +86,16 @@
   if (!std::exchange(IsReachable, true))
     Hooks.OnReachable(true, {});
   Position = tail->Next;
-  const bool hasMore = tail->Next < tail->End;
-  Hooks.OnRecords(std::move(tail->Records), Position, asked);
-  if (hasMore || IsUrgent)
+  std::move(tail->Records.begin(), tail->Records.end(),
+            std::back_inserter(Collected));
+  // A part of what came after a snapshot may be older than the snapshot.
+  if (tail->Next < tail->End) {
+    IsUrgent = true;
+    readTail();
+    return;
+  }
+  Hooks.OnRecords(std::exchange(Collected, {}), Position, asked);
+  if (IsUrgent)
     readTail();
   else
     schedule(Pace.Pause);
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -18,7 +18,7 @@
 struct FeedHooks {
   /// The newest record of every key; others no longer exist.
   std::function<void(std::vector<KeyedRecord>, core::Offset end)> OnSnapshot;
-  /// Further records, perhaps none. All up to \p end was known to the log at
+  /// Further records up to the end of the log, perhaps none. All up to \p end was known to the log at
   /// some moment after \p asked.
   std::function<void(std::vector<KeyedRecord>, core::Offset end,
                      core::TimePoint asked)>
@@ -61,6 +61,8 @@
   FeedHooks Hooks;
   boost::asio::steady_timer Timer;
   std::vector<KeyedRecord> Snapshot;
+  /// Read, but not up to the end of the log.
+  std::vector<KeyedRecord> Collected;
   core::Offset SnapshotEnd = 0;
   core::Offset Position = 0;
   bool IsFollowing = false;
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -21,6 +21,9 @@
 /// An upstream that was silent for so many heartbeats takes no new work.
 constexpr int SilentHeartbeats = 3;
 
+/// A heartbeat is late after this part of the interval, in percent.
+constexpr int LateHeartbeatPercent = 125;
+
 /// Upstreams measure a grant with a clock that may run this much slow.
 constexpr int ClockDriftPercent = 2;
 
@@ -131,9 +134,16 @@
   State = UpstreamState::Leaving;
 }
 
-void HoldingAgent::upstreamGone(core::TimePoint now) {
+bool HoldingAgent::upstreamRefused(core::TimePoint now) {
+  // A live upstream whose queue is long resets connections too, but goes on
+  // with its heartbeats.
+  if (HasHeard && now - HeardAt < Timing.Heartbeat * LateHeartbeatPercent / 100)
+    return false;
+  if (State == UpstreamState::Absent && HeldUntil <= now)
+    return false;
   State = UpstreamState::Absent;
   HeldUntil = std::min(HeldUntil, now);
+  return true;
 }
 
 bool HoldingAgent::isLifeOver(core::TimePoint now) const {
@@ -377,6 +387,17 @@
   return out;
 }
 
+void HoldingAgent::withhold(std::span<const KeyRange> keys) {
+  // The change may be in the log before this node reads of it.
+  for (const KeyRange &it : keys) {
+    const bool isKnown =
+        std::any_of(Leaving.begin(), Leaving.end(),
+                    [&](const Outgoing &known) { return known.Keys == it; });
+    if (!isKnown)
+      Leaving.push_back({it, {}, true, true});
+  }
+}
+
 std::optional<HoldingChange>
 HoldingAgent::changeOwn(const FleetLedger &ledger, core::TimePoint now) {
   const auto rows = ledger.holdingsOf(Identity.Service);
@@ -413,6 +434,7 @@
   std::vector<KeyRange> gone;
   for (const Holding &it : released)
     gone.push_back(it.Keys);
+  withhold(gone);
   Rows kept;
   for (const Holding &row : rows)
     for (const KeyRange &it : subtract(row.Keys, gone)) {
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -70,8 +70,9 @@
   /// The upstream says that it leaves.
   void upstreamLeaves(std::string_view id);
 
-  /// Nothing listens at the upstream's address: its life is over.
-  void upstreamGone(core::TimePoint now);
+  /// Nothing listens at the upstream's address. Returns whether that ends its
+  /// life: only if its heartbeats are missing too.
+  bool upstreamRefused(core::TimePoint now);
 
   /// The load of the own upstream, and that of another node.
   void setLoad(KeyedLoad load) { Load = std::move(load); }
@@ -120,6 +121,7 @@
   void planForLoad(const FleetLedger &ledger, core::TimePoint now);
   void noteReleased(const Heartbeat &heartbeat);
   void noteFreed(const Heartbeat &heartbeat);
+  void withhold(std::span<const KeyRange> keys);
   std::vector<Holding> releasedRows(std::span<const Holding> rows) const;
   std::vector<Holding> orphans(const FleetLedger &ledger,
                                std::span<const Holding> rows,
--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -219,8 +219,7 @@
   out.End = end;
   out.Detail = ec.message();
   out.IsRefused = end == CallEnd::NotSent &&
-                  (ec == boost::asio::error::connection_refused ||
-                   ec == boost::asio::error::connection_reset);
+                  ec == boost::asio::error::connection_refused;
   handler(std::move(out));
 }
 
--- a/Source/Sidecar/DatagramSocket.cpp
+++ b/Source/Net/DatagramSocket.cpp
@@ -1,10 +1,10 @@
-#include "Sidecar/DatagramSocket.h"
+#include "Net/DatagramSocket.h"
 
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 
-namespace acaciaroad::sidecar {
+namespace acaciaroad::net {
 
 using boost::asio::ip::udp;
 using boost::system::error_code;
@@ -50,4 +50,4 @@
                  ignored);
 }
 
-} // namespace acaciaroad::sidecar
+} // namespace acaciaroad::net
--- a/Source/Sidecar/DatagramSocket.h
+++ b/Source/Net/DatagramSocket.h
@@ -1,8 +1,8 @@
 /// \file
-/// Datagrams between the control threads of nodes.
+/// Datagrams between nodes.
 
-#ifndef ACACIAROAD_SIDECAR_DATAGRAMSOCKET_H
-#define ACACIAROAD_SIDECAR_DATAGRAMSOCKET_H
+#ifndef ACACIAROAD_NET_DATAGRAMSOCKET_H
+#define ACACIAROAD_NET_DATAGRAMSOCKET_H
 
 #include <array>
 #include <functional>
@@ -16,7 +16,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
 
-namespace acaciaroad::sidecar {
+namespace acaciaroad::net {
 
 /// Receives and sends datagrams; one that can't be sent at once is dropped.
 class DatagramSocket {
@@ -43,6 +43,6 @@
   boost::asio::ip::udp::endpoint Sender;
 };
 
-} // namespace acaciaroad::sidecar
+} // namespace acaciaroad::net
 
 #endif
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -35,7 +35,7 @@
   CallEnd End = CallEnd::NotSent;
   HttpResponse Response;
   std::string Detail;
-  /// The server refused or reset a new connection.
+  /// Nothing listens at the server's address.
   bool IsRefused = false;
 };
 
--- /dev/null
+++ b/Source/Proxy/CreditExchange.cpp
@@ -0,0 +1,155 @@
+#include "Proxy/CreditExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Codec/FleetRecords.h"
+#include "Core/Identifiers.h"
+
+namespace acaciaroad::proxy {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Nodes asked at a time.
+constexpr std::size_t AskedAtOnce = 2;
+
+/// Groups of nodes asked before a request is refused.
+constexpr int MostTries = 3;
+
+/// Answers of nodes that are milliseconds apart and share a core with others.
+constexpr core::Duration AnswerTimeout = milliseconds(15);
+
+/// After a round in which nobody had credit, the account is over its rate over
+/// the whole fleet; the next round waits for this time.
+constexpr core::Duration QuietTime = milliseconds(100);
+
+} // namespace
+
+core::Result<std::unique_ptr<CreditExchange>>
+CreditExchange::create(boost::asio::io_context &loop,
+                       const core::Endpoint &listen,
+                       accounts::AccountShares &shares,
+                       std::shared_ptr<logging::Logger> logger) {
+  std::unique_ptr<CreditExchange> out(
+      new CreditExchange(loop, listen, shares, std::move(logger)));
+  auto socket = net::DatagramSocket::create(
+      loop, listen,
+      [it = out.get()](std::string_view bytes) { it->onDatagram(bytes); });
+  if (!socket)
+    return tl::unexpected(socket.error());
+  out->Socket = std::move(*socket);
+  return out;
+}
+
+CreditExchange::CreditExchange(boost::asio::io_context &loop,
+                               core::Endpoint listen,
+                               accounts::AccountShares &shares,
+                               std::shared_ptr<logging::Logger> logger)
+    : Loop(loop), Listen(std::move(listen)), Shares(shares),
+      Log(std::move(logger)) {}
+
+void CreditExchange::borrow(const std::string &account,
+                            const accounts::AccountRate &rate,
+                            std::function<void(bool)> done) {
+  const auto now = core::BootClock::now();
+  Round &round = Rounds.try_emplace(account, Loop).first->second;
+  if (Hosts.empty() || now < round.QuietUntil) {
+    done(false);
+    return;
+  }
+  round.Rate = rate;
+  round.Waiting.push_back(std::move(done));
+  if (round.Waiting.size() > 1)
+    return;
+  round.Tries = 0;
+  ask(account, round);
+}
+
+void CreditExchange::ask(const std::string &account, Round &round) {
+  ++round.Tries;
+  round.Ask = NextAsk++;
+  round.Answers = 0;
+  const auto want = std::max(Shares.wanted(account),
+                             static_cast<std::uint32_t>(round.Waiting.size()));
+  const std::string bytes =
+      codec::encodeCredit({account, Listen, round.Ask, want});
+  const std::size_t n = std::min(AskedAtOnce, Hosts.size());
+  const std::size_t first = core::randomId() % Hosts.size();
+  for (std::size_t it = 0; it < n; ++it)
+    Socket->send({Hosts[(first + it) % Hosts.size()], Listen.Port}, bytes);
+  round.Timer.expires_after(AnswerTimeout);
+  round.Timer.async_wait([this, account, number = round.Ask](error_code ec) {
+    const auto it = Rounds.find(account);
+    if (ec || it == Rounds.end() || it->second.Ask != number)
+      return;
+    giveUp(account, it->second);
+  });
+}
+
+void CreditExchange::onDatagram(std::string_view bytes) {
+  const auto datagram = codec::decodeCredit(bytes);
+  if (!datagram) {
+    Log->write(logging::Level::Warning, "credit_unreadable",
+               {{"detail", datagram.error().Detail}});
+    return;
+  }
+  if (!datagram->ReplyTo) {
+    onAnswer(datagram->Account, datagram->Ask, datagram->Amount);
+    return;
+  }
+  const std::uint32_t lent = Shares.lend(datagram->Account, datagram->Amount,
+                                         core::BootClock::now());
+  Socket->send(*datagram->ReplyTo,
+               codec::encodeCredit({datagram->Account, std::nullopt,
+                                    datagram->Ask, lent}));
+}
+
+void CreditExchange::onAnswer(const std::string &account, std::uint64_t ask,
+                              std::uint32_t lent) {
+  Shares.receive(account, lent, core::BootClock::now());
+  const auto it = Rounds.find(account);
+  if (it == Rounds.end() || it->second.Waiting.empty())
+    return;
+  Round &round = it->second;
+  if (lent > 0)
+    serve(account, round);
+  if (round.Ask != ask || round.Waiting.empty())
+    return;
+  ++round.Answers;
+  if (static_cast<std::size_t>(round.Answers) >=
+      std::min(AskedAtOnce, Hosts.size()))
+    giveUp(account, round);
+}
+
+void CreditExchange::serve(const std::string &account, Round &round) {
+  const auto now = core::BootClock::now();
+  std::vector<std::function<void(bool)>> served;
+  while (served.size() < round.Waiting.size() &&
+         Shares.take(account, round.Rate, now))
+    served.push_back(std::move(round.Waiting[served.size()]));
+  round.Waiting.erase(round.Waiting.begin(),
+                      round.Waiting.begin() +
+                          static_cast<std::ptrdiff_t>(served.size()));
+  if (round.Waiting.empty())
+    round.Timer.cancel();
+  for (const auto &it : served)
+    it(true);
+}
+
+void CreditExchange::giveUp(const std::string &account, Round &round) {
+  if (round.Waiting.empty())
+    return;
+  if (round.Tries < MostTries && !Hosts.empty()) {
+    ask(account, round);
+    return;
+  }
+  round.QuietUntil = core::BootClock::now() + QuietTime;
+  round.Timer.cancel();
+  for (const auto &it : std::exchange(round.Waiting, {}))
+    it(false);
+}
+
+} // namespace acaciaroad::proxy
--- /dev/null
+++ b/Source/Proxy/CreditExchange.h
@@ -0,0 +1,80 @@
+/// \file
+/// Borrows shares of client accounts from other nodes.
+
+#ifndef ACACIAROAD_PROXY_CREDITEXCHANGE_H
+#define ACACIAROAD_PROXY_CREDITEXCHANGE_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Accounts/AccountShares.h"
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Logging/Logger.h"
+#include "Net/DatagramSocket.h"
+
+namespace acaciaroad::proxy {
+
+/// Asks some nodes for credit when the own share is used up, and answers those
+/// that ask. Lives on the traffic thread.
+class CreditExchange {
+public:
+  /// Fails with InvalidArgument if the address cannot be bound.
+  static core::Result<std::unique_ptr<CreditExchange>>
+  create(boost::asio::io_context &loop, const core::Endpoint &listen,
+         accounts::AccountShares &shares,
+         std::shared_ptr<logging::Logger> logger);
+
+  /// Sets the nodes that can be asked; all listen on the own port.
+  void setPeers(std::vector<std::string> hosts) { Hosts = std::move(hosts); }
+
+  /// Calls \p done with whether a request of \p account may go on; at once if
+  /// nobody is to be asked.
+  void borrow(const std::string &account, const accounts::AccountRate &rate,
+              std::function<void(bool)> done);
+
+private:
+  /// The asks of one account that are under way.
+  struct Round {
+    explicit Round(boost::asio::io_context &loop) : Timer(loop) {}
+    accounts::AccountRate Rate;
+    std::vector<std::function<void(bool)>> Waiting;
+    boost::asio::steady_timer Timer;
+    std::uint64_t Ask = 0;
+    int Answers = 0;
+    int Tries = 0;
+    /// After a round without success.
+    core::TimePoint QuietUntil{};
+  };
+
+  CreditExchange(boost::asio::io_context &loop, core::Endpoint listen,
+                 accounts::AccountShares &shares,
+                 std::shared_ptr<logging::Logger> logger);
+  void ask(const std::string &account, Round &round);
+  void onDatagram(std::string_view bytes);
+  void onAnswer(const std::string &account, std::uint64_t ask,
+                std::uint32_t lent);
+  void serve(const std::string &account, Round &round);
+  void giveUp(const std::string &account, Round &round);
+
+  boost::asio::io_context &Loop;
+  core::Endpoint Listen;
+  accounts::AccountShares &Shares;
+  std::shared_ptr<logging::Logger> Log;
+  std::unique_ptr<net::DatagramSocket> Socket;
+  std::vector<std::string> Hosts;
+  std::map<std::string, Round> Rounds;
+  std::uint64_t NextAsk = 1;
+};
+
+} // namespace acaciaroad::proxy
+
+#endif
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -97,6 +97,7 @@
   }
   Plan.started();
   Target = peer->Id;
+  TargetNode = peer->Name;
   Tried.push_back(Target);
   SentAt = now;
   if (auto *state = Entry.stateOf(Service))
@@ -178,9 +179,20 @@
 void EntryRun::answer(net::HttpResponse response) {
   finish();
   net::eraseConnectionFields(response);
+  const core::Duration latency = core::BootClock::now() - Exchange->Received;
   ++Entry.Counters.Answered;
-  Entry.Counters.CallerLatency.add(core::BootClock::now() -
-                                   Exchange->Received);
+  Entry.Counters.CallerLatency.add(latency);
+  Entry.Log->write(
+      logging::Level::Info, "request_answered",
+      {{"request_id", RequestId},
+       {"route", Route.Name},
+       {"account", Account == nullptr ? "" : Account->Name},
+       {"service", Service},
+       {"node", TargetNode},
+       {"attempts", Attempt},
+       {"status", response.result_int()},
+       {"ms", std::chrono::duration<double, std::milli>(latency).count()},
+       {"configuration", View->Routes->configuration().Version}});
   Exchange->respond(std::move(response));
 }
 
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -57,6 +57,7 @@
   /// The attempt under way.
   std::uint64_t Attempt = 0;
   core::InstanceId Target;
+  std::string TargetNode;
   core::TimePoint SentAt{};
   std::shared_ptr<net::ClientCall> Call;
   std::optional<upstream::Ticket> Ticket;
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -44,7 +44,8 @@
                            TrafficCounters &counters, UpstreamService &own)
     : Loop(loop), Identity(std::move(identity)), Limits(limits),
       Speech(std::move(dialect)), Log(std::move(logger)), Counters(counters),
-      Own(own), Peers(loop), View(std::make_shared<const TrafficView>()) {}
+      Own(own), Peers(loop), View(std::make_shared<const TrafficView>()),
+      Shares(limits.AccountWindow) {}
 
 void EntryService::setView(std::shared_ptr<const TrafficView> view) {
   View = std::move(view);
@@ -55,6 +56,14 @@
          View->Routes->configuration().Accounts)
       Shares.prepare(it.Name, it.Rate, now);
   refreshCandidates(now);
+  if (!Credit)
+    return;
+  std::vector<std::string> hosts;
+  for (const auto &[name, service] : View->Services)
+    for (const Peer &it : service.Peers)
+      if (it.Name != Identity.Node)
+        hosts.push_back(it.Address.Host);
+  Credit->setPeers(std::move(hosts));
 }
 
 void EntryService::refreshCandidates(core::TimePoint now) {
@@ -138,22 +147,55 @@
            account.error().Detail);
     return;
   }
-  const std::string service = Split.next(*route).Service;
+  if (*account != nullptr &&
+      !Shares.take((*account)->Name, (*account)->Rate, now))
+    borrow(exchange, *route, **account);
+  else
+    run(exchange, *route, *account);
+}
+
+core::Result<void> EntryService::openCredit(const core::Endpoint &listen) {
+  auto credit = CreditExchange::create(Loop, listen, Shares, Log);
+  if (!credit)
+    return tl::unexpected(credit.error());
+  Credit = std::move(*credit);
+  return {};
+}
+
+void EntryService::borrow(const std::shared_ptr<net::Exchange> &exchange,
+                          const routing::Route &route,
+                          const routing::ClientAccount &account) {
+  const auto decide = [this, exchange, view = View, &route,
+                       &account](bool isLent) {
+    if (isLent)
+      run(exchange, route, &account);
+    else
+      refuse(*exchange, ErrorKind::RateExceeded,
+             Shares.untilNext(account.Name), account.Name);
+  };
+  if (Credit)
+    Credit->borrow(account.Name, account.Rate, decide);
+  else
+    decide(false);
+}
+
+void EntryService::run(const std::shared_ptr<net::Exchange> &exchange,
+                       const routing::Route &route,
+                       const routing::ClientAccount *account) {
+  if (exchange->isAnswered())
+    return; // The caller left while credit was asked for.
+  const auto now = core::BootClock::now();
+  const CallerFields caller = Speech.ReadCaller(exchange->request());
+  const std::string service = Split.next(route).Service;
   const routing::Service *target = View->Routes->findService(service);
   if (target != nullptr && target->IsKeyed && !caller.Key) {
     refuse(*exchange, ErrorKind::RoutingKeyMissing, {}, service);
     return;
   }
-  if (*account != nullptr &&
-      !Shares.take((*account)->Name, (*account)->Rate, now)) {
-    refuse(*exchange, ErrorKind::RateExceeded,
-           Shares.untilNext((*account)->Name), (*account)->Name);
-    return;
-  }
   const core::Duration patience =
-      std::min(caller.Patience.value_or(route->Timeout), route->Timeout);
+      std::min(caller.Patience.value_or(route.Timeout), route.Timeout);
   const core::TimePoint deadline = exchange->Received + patience;
-  auto plan = AttemptPlan::create(policyOf(*route), deadline, now);
+  auto plan = AttemptPlan::create(policyOf(route), deadline, now);
   ServiceState *state = stateOf(service);
   if (!plan || state == nullptr) {
     refuse(*exchange,
@@ -162,7 +204,7 @@
     return;
   }
   state->Budget.requested(now);
-  std::make_shared<EntryRun>(*this, exchange, *route, *account, service, *plan,
+  std::make_shared<EntryRun>(*this, exchange, route, account, service, *plan,
                              deadline)
       ->start();
 }
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -14,6 +14,7 @@
 #include "Accounts/AccountShares.h"
 #include "Logging/Logger.h"
 #include "Net/HttpServer.h"
+#include "Proxy/CreditExchange.h"
 #include "Proxy/PeerClients.h"
 #include "Proxy/TrafficCounters.h"
 #include "Proxy/UpstreamService.h"
@@ -31,6 +32,8 @@
   /// Keys of client accounts are honoured while a configuration that was asked
   /// for less than this ago has them.
   core::Duration KeyFreshness{};
+  /// Operators measure accounts over it; read once, at the start.
+  core::Duration AccountWindow{};
   /// Further attempts for each request.
   double RetryRatio = 0;
   /// Further attempts of the whole fleet that need no traffic.
@@ -64,6 +67,10 @@
 
   void handle(const std::shared_ptr<net::Exchange> &exchange);
 
+  /// Lets the node borrow shares of accounts at \p listen. Fails with
+  /// InvalidArgument if the address cannot be bound.
+  core::Result<void> openCredit(const core::Endpoint &listen);
+
 private:
   friend class EntryRun;
 
@@ -81,6 +88,12 @@
   core::Result<const routing::ClientAccount *>
   authenticate(const routing::Route &route, const CallerFields &caller,
                core::TimePoint now) const;
+  /// Asks other nodes for credit before it refuses.
+  void borrow(const std::shared_ptr<net::Exchange> &exchange,
+              const routing::Route &route,
+              const routing::ClientAccount &account);
+  void run(const std::shared_ptr<net::Exchange> &exchange,
+           const routing::Route &route, const routing::ClientAccount *account);
   ServiceState *stateOf(std::string_view service);
   void refreshCandidates(core::TimePoint now);
 
@@ -96,6 +109,7 @@
   core::TimePoint ConfirmedAt{};
   bool Draining = false;
   accounts::AccountShares Shares;
+  std::unique_ptr<CreditExchange> Credit;
   routing::TrafficSplit Split;
   std::map<std::string, ServiceState, std::less<>> Services;
 };
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -193,7 +193,7 @@
     out.ReachedUpstream = false;
     suspectCold(now);
     if (result.IsRefused)
-      Hooks.OnGone();
+      Hooks.OnConnectionRefused();
     return out;
   case net::CallEnd::Broken:
     out.Outcome = AttemptOutcome::SentNoAnswer;
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -51,8 +51,8 @@
 
 /// What it tells the control thread.
 struct UpstreamHooks {
-  /// Nothing listens at the upstream's address.
-  std::function<void()> OnGone;
+  /// The upstream's address refuses connections.
+  std::function<void()> OnConnectionRefused;
   /// Told several times a second for an upstream that holds keys.
   std::function<void(holdings::KeyedLoad)> OnLoad;
 };
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -60,6 +60,13 @@
         },
         "Where other nodes' datagrams are accepted; the port is the same on "
         "all nodes."),
+    textField<SidecarSettings>(
+        "credit", "listen", TextKind::Endpoint, std::nullopt,
+        [](SidecarSettings &it, std::string_view s) {
+          it.Credit.Listen = endpointOf(s);
+        },
+        "Where other nodes ask for shares of client accounts, by datagram; "
+        "the port is the same on all nodes."),
     textField<SidecarSettings>(
         "health", "listen", TextKind::Endpoint, std::nullopt,
         [](SidecarSettings &it, std::string_view s) {
@@ -110,6 +117,13 @@
           it.Limits.Drain = durationOf(s) - ExitRoom;
         },
         "Time from SIGTERM to the end of the process at the latest."),
+    textField<SidecarSettings>(
+        "limits", "account_window", TextKind::Duration, "5s",
+        [](SidecarSettings &it, std::string_view s) {
+          it.Limits.AccountWindow = durationOf(s);
+        },
+        "Time over which rate and burst of client accounts are measured; a "
+        "change needs a restart."),
     realField<SidecarSettings>(
         "limits", "retry_ratio", {0, 1}, 0.1,
         [](SidecarSettings &it, double x) { it.Limits.RetryRatio = x; },
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -44,6 +44,7 @@
 struct SidecarLimits {
   core::Duration KeyFreshness{};
   core::Duration Drain{};
+  core::Duration AccountWindow{};
   double RetryRatio = 0;
   double RetryAllowance = 0;
   bool operator==(const SidecarLimits &) const = default;
@@ -56,6 +57,7 @@
   ListenSettings Peers;
   ListenSettings Control;
   ListenSettings Gossip;
+  ListenSettings Credit;
   HealthSettings Health;
   UpstreamSettings Upstream;
   StoreSettings Store;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -64,7 +64,7 @@
   if (!server)
     return tl::unexpected(server.error());
   Server = std::move(*server);
-  auto gossip = DatagramSocket::create(
+  auto gossip = net::DatagramSocket::create(
       Loop, Identity.Gossip,
       [this](std::string_view bytes) { onDatagram(bytes); });
   if (!gossip)
@@ -85,13 +85,14 @@
   Log->write(logging::Level::Info, "drain_started", {});
 }
 
-void Control::upstreamGone() {
-  if (Agent.state() == holdings::UpstreamState::Absent)
+void Control::upstreamRefused() {
+  const auto now = core::BootClock::now();
+  if (!Agent.upstreamRefused(now))
     return;
+  const auto silence =
+      std::chrono::duration_cast<milliseconds>(now - HeardAt);
   Log->write(logging::Level::Warning, "upstream_gone",
-             {{"upstream", Agent.life().Id}});
-  const auto now = core::BootClock::now();
-  Agent.upstreamGone(now);
+             {{"upstream", Agent.life().Id}, {"silent_ms", silence.count()}});
   IsChanged = true;
   appendDue(now);
 }
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -20,9 +20,9 @@
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingAgent.h"
 #include "Logging/Logger.h"
+#include "Net/DatagramSocket.h"
 #include "Net/HttpServer.h"
 #include "Proxy/TrafficView.h"
-#include "Sidecar/DatagramSocket.h"
 #include "Sidecar/SidecarTypes.h"
 
 namespace acaciaroad::sidecar {
@@ -55,8 +55,8 @@
   /// The node shuts down: the upstream is still answered.
   void beginDrain();
 
-  /// Nothing listens at the upstream's address.
-  void upstreamGone();
+  /// The upstream's address refuses connections.
+  void upstreamRefused();
 
   /// The load of the own upstream, from the traffic thread.
   void setLoad(holdings::KeyedLoad load);
@@ -100,7 +100,7 @@
   ControlHooks Hooks;
   boost::asio::steady_timer Timer;
   std::unique_ptr<net::HttpServer> Server;
-  std::unique_ptr<DatagramSocket> Gossip;
+  std::unique_ptr<net::DatagramSocket> Gossip;
   holdings::NodeLoad OwnLoad;
   core::TimePoint ToldAt{};
   std::unique_ptr<feed::KeyedFeed> Operators;
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -32,7 +32,8 @@
 }
 
 proxy::EntryLimits entryLimitsOf(const settings::SidecarSettings &from) {
-  return {from.Limits.KeyFreshness, from.Limits.RetryRatio,
+  return {from.Limits.KeyFreshness, from.Limits.AccountWindow,
+          from.Limits.RetryRatio,
           from.Limits.RetryAllowance};
 }
 
@@ -81,7 +82,7 @@
       proxy::UpstreamHooks{
           [this] {
             boost::asio::post(ControlLoop,
-                              [this] { ControlPart->upstreamGone(); });
+                              [this] { ControlPart->upstreamRefused(); });
           },
           [this](holdings::KeyedLoad load) {
             boost::asio::post(ControlLoop,
@@ -94,6 +95,8 @@
       proxy::EntryIdentity{Settings.Node.Name, Settings.Node.DataCentre,
                            Settings.Node.Service},
       entryLimitsOf(Settings), Parts.Dialect, Log, Counters, *Upstream);
+  if (auto done = Entry->openCredit(Settings.Credit.Listen); !done)
+    return done;
   Peers = std::make_unique<proxy::PeerService>(Parts.Dialect, *Upstream);
   auto callers = listen(Settings.Callers.Listen,
                         [this](const auto &it) { Entry->handle(it); });
