--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -147,4 +147,34 @@
   return out;
 }
 
+std::string encodeTail(const feed::Tail &tail) {
+  pb::RelayTail out;
+  for (const feed::KeyedRecord &it : tail.Records) {
+    pb::RelayRecord &record = *out.add_records();
+    record.set_key(it.Key);
+    if (it.Value)
+      record.set_value(*it.Value);
+  }
+  out.set_next(tail.Next);
+  out.set_age(tail.Age.count());
+  return out.SerializeAsString();
+}
+
+core::Result<feed::Tail> decodeTail(std::string_view bytes) {
+  pb::RelayTail in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+      in.age() < 0)
+    return corrupt("a part of a log can't be parsed");
+  feed::Tail out;
+  for (const pb::RelayRecord &it : in.records()) {
+    out.Records.push_back({it.key(), std::nullopt});
+    if (it.has_value())
+      out.Records.back().Value = it.value();
+  }
+  out.Next = in.next();
+  out.End = in.next();
+  out.Age = core::Duration(in.age());
+  return out;
+}
+
 } // namespace acaciaroad::codec
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Core/Error.h"
+#include "Feed/FeedTypes.h"
 #include "Holdings/HoldingTypes.h"
 #include "Holdings/LoadMove.h"
 
@@ -64,6 +65,10 @@
 /// Fails with CorruptMessage.
 core::Result<CreditDatagram> decodeCredit(std::string_view bytes);
 
+std::string encodeTail(const feed::Tail &tail);
+/// Fails with CorruptMessage.
+core::Result<feed::Tail> decodeTail(std::string_view bytes);
+
 } // namespace acaciaroad::codec
 
 #endif
--- a/Source/Feed/FeedTypes.h
+++ b/Source/Feed/FeedTypes.h
@@ -36,6 +36,8 @@
   /// Offset after the last of Records.
   core::Offset Next = 0;
   core::Offset End = 0;
+  /// How long before the question the log itself was asked.
+  core::Duration Age{};
 };
 
 using PageHandler = std::function<void(core::Result<NewestPage>)>;
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -94,7 +94,7 @@
     readTail();
     return;
   }
-  Hooks.OnRecords(std::exchange(Collected, {}), Position, asked);
+  Hooks.OnRecords(std::exchange(Collected, {}), Position, asked - tail->Age);
   if (IsUrgent)
     readTail();
   else
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -43,6 +43,8 @@
 
   void start();
 
+  void setPace(FeedPace pace) { Pace = pace; }
+
   /// Reads at once, or right after the read that is under way.
   void readNow();
 
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -249,6 +249,7 @@
       return owns(row) && row.Keys.intersects(it.Keys);
     });
   });
+  watchOrphans(ledger, now);
   planOutgoing(ledger, now);
 }
 
@@ -335,24 +336,31 @@
   }
 }
 
+bool HoldingAgent::wantsChange(const FleetLedger &ledger,
+                               core::TimePoint now) const {
+  const bool isPending =
+      Pending && now - Pending->Since <= PendingTimeout;
+  if (isPending || Draining || now >= AuthorityUntil)
+    return false;
+  return planOwn(ledger, now) || planOrphans(ledger, now);
+}
+
 std::optional<HoldingChange>
 HoldingAgent::nextChange(const FleetLedger &ledger, core::TimePoint now) {
-  if (Pending && now - Pending->Since > PendingTimeout)
-    Pending.reset();
-  if (Pending || Draining || now >= AuthorityUntil)
+  if (!wantsChange(ledger, now))
     return std::nullopt;
-  if (auto out = changeOwn(ledger, now))
-    return out;
-  return changeOrphans(ledger, now);
+  auto out = planOwn(ledger, now);
+  if (!out)
+    out = planOrphans(ledger, now);
+  withhold(ledger.holdingsOf(Identity.Service), out->Rows);
+  Pending = PendingChange{ledger.end(), now};
+  return out;
 }
 
-std::optional<HoldingChange> HoldingAgent::propose(const FleetLedger &ledger,
-                                                   Rows rows,
-                                                   std::string_view reason,
-                                                   core::TimePoint now) {
+HoldingChange HoldingAgent::propose(const FleetLedger &ledger, Rows rows,
+                                    std::string_view reason) const {
   normalize(rows);
-  Pending = PendingChange{ledger.end(), now, false};
-  return HoldingChange{Identity.Service, std::move(rows), ledger.end(), reason};
+  return {Identity.Service, std::move(rows), ledger.end(), reason};
 }
 
 std::vector<Holding>
@@ -387,19 +395,24 @@
   return out;
 }
 
-void HoldingAgent::withhold(std::span<const KeyRange> keys) {
+void HoldingAgent::withhold(std::span<const Holding> rows,
+                            std::span<const Holding> proposed) {
   // The change may be in the log before this node reads of it.
-  for (const KeyRange &it : keys) {
-    const bool isKnown =
-        std::any_of(Leaving.begin(), Leaving.end(),
-                    [&](const Outgoing &known) { return known.Keys == it; });
-    if (!isKnown)
-      Leaving.push_back({it, {}, true, true});
-  }
+  std::vector<KeyRange> kept;
+  for (const Holding &it : proposed)
+    if (owns(it))
+      kept.push_back(it.Keys);
+  for (const Outgoing &it : Leaving)
+    if (it.Withheld)
+      kept.push_back(it.Keys);
+  for (const Holding &row : rows)
+    if (owns(row))
+      for (const KeyRange &it : subtract(row.Keys, kept))
+        Leaving.push_back({it, {}, true, true});
 }
 
 std::optional<HoldingChange>
-HoldingAgent::changeOwn(const FleetLedger &ledger, core::TimePoint now) {
+HoldingAgent::planOwn(const FleetLedger &ledger, core::TimePoint now) const {
   const auto rows = ledger.holdingsOf(Identity.Service);
   const Fence token = ledger.end() + 1;
   // A new life of the own upstream takes over what the former one held.
@@ -414,7 +427,7 @@
       it.Token = token;
       it.Handover.clear();
     }
-    return propose(ledger, std::move(out), "new life of the upstream", now);
+    return propose(ledger, std::move(out), "new life of the upstream");
   }
   Rows released = releasedRows(rows);
   const bool isOver = isLifeOver(now);
@@ -434,7 +447,6 @@
   std::vector<KeyRange> gone;
   for (const Holding &it : released)
     gone.push_back(it.Keys);
-  withhold(gone);
   Rows kept;
   for (const Holding &row : rows)
     for (const KeyRange &it : subtract(row.Keys, gone)) {
@@ -458,7 +470,7 @@
   }
   for (Holding &it : spread(open, out, takers, token))
     out.push_back(std::move(it));
-  return propose(ledger, std::move(out), "keys given on", now);
+  return propose(ledger, std::move(out), "keys given on");
 }
 
 std::vector<Holding> HoldingAgent::orphans(const FleetLedger &ledger,
@@ -471,7 +483,7 @@
     const Member *owner = ledger.findMember(it.Node);
     if (owner && !owner->isLapsed(now))
       continue;
-    // The own node's keys are dealt with by changeOwn.
+    // The own node's keys are dealt with by planOwn.
     if (it.Node == Identity.Name)
       continue;
     out.push_back(it);
@@ -481,36 +493,44 @@
 }
 
 bool HoldingAgent::isMyTurn(std::span<const Member *const> takers,
-                            core::TimePoint now) {
-  if (!OrphansSince)
-    OrphansSince = now;
+                            core::TimePoint now) const {
   int rank = 0;
   for (const Member *it : takers) {
     if (it->Record.Name == Identity.Name)
-      return now - *OrphansSince >= TurnStep * rank;
+      return OrphansSince && now - *OrphansSince >= TurnStep * rank;
     ++rank;
   }
   return false;
 }
 
-std::optional<HoldingChange>
-HoldingAgent::changeOrphans(const FleetLedger &ledger, core::TimePoint now) {
+void HoldingAgent::watchOrphans(const FleetLedger &ledger,
+                                core::TimePoint now) {
   const auto rows = ledger.holdingsOf(Identity.Service);
-  const auto takers = ledger.eligible(Identity.Service, now);
-  if (takers.empty()) {
+  if (ledger.eligible(Identity.Service, now).empty()) {
     FirstTakerSince.reset();
-    return std::nullopt;
+    OrphansSince.reset();
+    return;
   }
   if (!FirstTakerSince)
     FirstTakerSince = now;
-  if (rows.empty() && now - *FirstTakerSince < FirstDivisionWait)
-    return std::nullopt;
-  const Rows open = orphans(ledger, rows, now);
-  if (open.empty()) {
+  if (orphans(ledger, rows, now).empty())
     OrphansSince.reset();
+  else if (!OrphansSince)
+    OrphansSince = now;
+}
+
+std::optional<HoldingChange>
+HoldingAgent::planOrphans(const FleetLedger &ledger,
+                          core::TimePoint now) const {
+  const auto rows = ledger.holdingsOf(Identity.Service);
+  const auto takers = ledger.eligible(Identity.Service, now);
+  const bool isEarly = rows.empty() && (!FirstTakerSince ||
+                                        now - *FirstTakerSince <
+                                            FirstDivisionWait);
+  if (isEarly || !isMyTurn(takers, now))
     return std::nullopt;
-  }
-  if (!isMyTurn(takers, now))
+  const Rows open = orphans(ledger, rows, now);
+  if (open.empty())
     return std::nullopt;
   std::vector<KeyRange> gone;
   for (const Holding &it : open)
@@ -524,7 +544,7 @@
   for (Holding &it : spread(open, out, takers, ledger.end() + 1))
     out.push_back(std::move(it));
   return propose(ledger, std::move(out),
-                 rows.empty() ? "first division" : "holder lost", now);
+                 rows.empty() ? "first division" : "holder lost");
 }
 
 void HoldingAgent::changeEnded(ChangeEnd end, core::TimePoint now) {
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -93,6 +93,9 @@
   /// The record was appended; its lease counts from \p sent once it is read.
   void recordSent(std::uint64_t sequence, core::TimePoint sent);
 
+  /// Whether `nextChange` has something to propose, on the records read so far.
+  bool wantsChange(const FleetLedger &ledger, core::TimePoint now) const;
+
   /// Returns a change to append now.
   std::optional<HoldingChange> nextChange(const FleetLedger &ledger,
                                           core::TimePoint now);
@@ -121,26 +124,27 @@
   void planForLoad(const FleetLedger &ledger, core::TimePoint now);
   void noteReleased(const Heartbeat &heartbeat);
   void noteFreed(const Heartbeat &heartbeat);
-  void withhold(std::span<const KeyRange> keys);
+  void withhold(std::span<const Holding> rows,
+                std::span<const Holding> proposed);
   std::vector<Holding> releasedRows(std::span<const Holding> rows) const;
   std::vector<Holding> orphans(const FleetLedger &ledger,
                                std::span<const Holding> rows,
                                core::TimePoint now) const;
-  bool isMyTurn(std::span<const Member *const> takers, core::TimePoint now);
-  std::optional<HoldingChange> propose(const FleetLedger &ledger, Rows rows,
-                                       std::string_view reason,
-                                       core::TimePoint now);
-  std::optional<HoldingChange> changeOwn(const FleetLedger &ledger,
-                                         core::TimePoint now);
-  std::optional<HoldingChange> changeOrphans(const FleetLedger &ledger,
-                                             core::TimePoint now);
+  bool isMyTurn(std::span<const Member *const> takers,
+                core::TimePoint now) const;
+  void watchOrphans(const FleetLedger &ledger, core::TimePoint now);
+  HoldingChange propose(const FleetLedger &ledger, Rows rows,
+                        std::string_view reason) const;
+  std::optional<HoldingChange> planOwn(const FleetLedger &ledger,
+                                       core::TimePoint now) const;
+  std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
+                                           core::TimePoint now) const;
   NodeRecord describe() const;
 
   /// A change that was proposed and whose outcome isn't read yet.
   struct PendingChange {
     core::Offset At = 0;
     core::TimePoint Since{};
-    bool Answered = false;
   };
   /// Keys that the upstream is to let go.
   struct Outgoing {
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "Net/ClientConnection.h"
 
@@ -74,4 +75,25 @@
     it->close();
 }
 
+void sendWithTimeout(boost::asio::io_context &loop, HttpClient &client,
+                     HttpRequest request, core::Duration timeout,
+                     CallHandler handler) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(loop);
+  const auto shared = std::make_shared<CallHandler>(std::move(handler));
+  const auto call =
+      client.send(std::move(request), [timer, shared](CallResult result) {
+        timer->cancel();
+        if (const auto done = std::exchange(*shared, nullptr))
+          done(std::move(result));
+      });
+  timer->expires_after(timeout);
+  timer->async_wait([call, shared](boost::system::error_code ec) {
+    if (ec)
+      return;
+    call->cancel();
+    if (const auto done = std::exchange(*shared, nullptr))
+      done({CallEnd::Broken, {}, "no answer in time", false});
+  });
+}
+
 } // namespace acaciaroad::net
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -97,6 +97,11 @@
   std::uint64_t Connects = 0;
 };
 
+/// Sends \p request and gives it up after \p timeout, as CallEnd::Broken.
+void sendWithTimeout(boost::asio::io_context &loop, HttpClient &client,
+                     HttpRequest request, core::Duration timeout,
+                     CallHandler handler);
+
 } // namespace acaciaroad::net
 
 #endif
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_PROXY_ENTRYSERVICE_H
 #define ACACIAROAD_PROXY_ENTRYSERVICE_H
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,7 +61,9 @@
   void setLimits(const EntryLimits &limits) { Limits = limits; }
 
   /// The newest configuration was asked for at \p asked.
-  void configurationConfirmed(core::TimePoint asked) { ConfirmedAt = asked; }
+  void configurationConfirmed(core::TimePoint asked) {
+    ConfirmedAt = std::max(ConfirmedAt, asked);
+  }
 
   /// New requests are refused from now on.
   void beginDrain() { Draining = true; }
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -67,6 +67,13 @@
         },
         "Where other nodes ask for shares of client accounts, by datagram; "
         "the port is the same on all nodes."),
+    textField<SidecarSettings>(
+        "relay", "listen", TextKind::Endpoint, std::nullopt,
+        [](SidecarSettings &it, std::string_view s) {
+          it.Relay.Listen = endpointOf(s);
+        },
+        "Where other nodes read what this one has read from the platform's "
+        "logs; the port is the same on all nodes."),
     textField<SidecarSettings>(
         "health", "listen", TextKind::Endpoint, std::nullopt,
         [](SidecarSettings &it, std::string_view s) {
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -58,6 +58,7 @@
   ListenSettings Control;
   ListenSettings Gossip;
   ListenSettings Credit;
+  ListenSettings Relay;
   HealthSettings Health;
   UpstreamSettings Upstream;
   StoreSettings Store;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -13,13 +13,25 @@
 
 namespace {
 
-/// Keys of client accounts hold while a configuration that was asked for a few
-/// seconds ago has them, so a read must not wait for long.
-constexpr feed::FeedPace OperatorPace{milliseconds(1500), milliseconds(0)};
+/// Of the nodes that read the operators' log. Keys of client accounts hold while
+/// a configuration that was asked for a few seconds ago has them, so a read must
+/// not wait for long.
+constexpr feed::FeedPace OperatorPace{milliseconds(1000), milliseconds(0)};
 
-/// Nodes renew their leases all the time, so that a waiting read would return
-/// at once; the pause bounds the calls.
-constexpr feed::FeedPace FleetPace{milliseconds(0), milliseconds(900)};
+/// Of the nodes that read the fleet's log. Nodes renew their leases all the
+/// time, so that a waiting read would return at once; the pause bounds the
+/// calls.
+constexpr feed::FeedPace FleetPace{milliseconds(0), milliseconds(600)};
+
+/// Of the nodes that read through others.
+constexpr feed::FeedPace RelayPace{milliseconds(0), milliseconds(500)};
+
+/// Nodes that read the logs for the others: one may be lost or cut off.
+constexpr std::size_t ReaderCount = 2;
+
+/// A change that is proposed right after a read seldom finds the log's end
+/// moved by another node's renewal.
+constexpr core::Duration ProposeWindow = milliseconds(15);
 
 /// Interval at which timeouts are looked at; well under a heartbeat.
 constexpr core::Duration TickInterval = milliseconds(50);
@@ -70,10 +82,17 @@
   if (!gossip)
     return tl::unexpected(gossip.error());
   Gossip = std::move(*gossip);
-  Operators = std::make_unique<feed::KeyedFeed>(Loop, Logs.Operators,
-                                                OperatorPace, operatorHooks());
-  Fleet = std::make_unique<feed::KeyedFeed>(Loop, Logs.Fleet, FleetPace,
-                                            fleetHooks());
+  auto relay = LogRelay::create(
+      Loop, Identity.Relay, [this](RelayedLog log) { return chooseRelay(log); });
+  if (!relay)
+    return tl::unexpected(relay.error());
+  Relay = std::move(*relay);
+  Operators = std::make_unique<feed::KeyedFeed>(
+      Loop, Relay->wrap(RelayedLog::Operators, Logs.Operators), OperatorPace,
+      operatorHooks());
+  Fleet = std::make_unique<feed::KeyedFeed>(
+      Loop, Relay->wrap(RelayedLog::Fleet, Logs.Fleet), FleetPace,
+      fleetHooks());
   Operators->start();
   Fleet->start();
   tick();
@@ -99,11 +118,14 @@
 
 feed::FeedHooks Control::operatorHooks() {
   return {
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset) {
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end) {
+        // How old the pages are isn't known here; the next read tells.
+        Relay->buffer(RelayedLog::Operators).reset(end, core::TimePoint());
         applyOperators(records, true);
       },
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset,
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
              core::TimePoint asked) {
+        Relay->buffer(RelayedLog::Operators).add(records, end, asked);
         applyOperators(records, false);
         Hooks.OnConfirmed(asked);
       },
@@ -114,10 +136,15 @@
 
 feed::FeedHooks Control::fleetHooks() {
   return {[this](const std::vector<feed::KeyedRecord> &records,
-                 core::Offset end) { applyFleet(records, end, true); },
+                 core::Offset end) {
+            Relay->buffer(RelayedLog::Fleet).reset(end, core::TimePoint());
+            applyFleet(records, end, true);
+          },
           [this](const std::vector<feed::KeyedRecord> &records,
-                 core::Offset end,
-                 core::TimePoint) { applyFleet(records, end, false); },
+                 core::Offset end, core::TimePoint asked) {
+            Relay->buffer(RelayedLog::Fleet).add(records, end, asked);
+            applyFleet(records, end, false);
+          },
           [this](bool isReachable, std::string_view detail) {
             noteReachable("fleet", isReachable, detail);
           }};
@@ -205,7 +232,9 @@
   IsFleetKnown = true;
   IsChanged = IsChanged || !records.empty();
   Agent.ledgerChanged(Ledger, now);
+  updateReaders(now);
   answerWaiting(now);
+  ProposeUntil = now + ProposeWindow;
   appendDue(now);
 }
 
@@ -344,6 +373,47 @@
   Agent.setLoad(std::move(load));
 }
 
+std::optional<std::string> Control::chooseRelay(RelayedLog log) {
+  // A proposal needs the true end of the log.
+  if (log == RelayedLog::Fleet &&
+      Agent.wantsChange(Ledger, core::BootClock::now()))
+    return std::nullopt;
+  if (log == RelayedLog::Fleet)
+    if (auto teller = std::exchange(Teller, std::nullopt))
+      return teller;
+  if (Readers.empty())
+    return std::nullopt;
+  const std::size_t own = core::hashOf(Identity.Agent.Name);
+  return Readers[own % Readers.size()];
+}
+
+void Control::updateReaders(core::TimePoint now) {
+  // Every node finds the same readers once it has read the same records.
+  std::vector<std::pair<std::uint64_t, const holdings::Member *>> ranked;
+  for (const auto &[name, it] : Ledger.members())
+    if (!it.isLapsed(now))
+      ranked.emplace_back(core::hashOf(name), &it);
+  std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min(ranked.size(), ReaderCount));
+  std::vector<std::string> readers;
+  bool isReader = ranked.size() < ReaderCount;
+  for (const auto &[rank, it] : ranked) {
+    readers.push_back(it->Record.Peer.Host);
+    isReader = isReader || it->Record.Name == Identity.Agent.Name;
+  }
+  if (isReader)
+    readers.clear();
+  if (readers == Readers && !IsFirstUpdate)
+    return;
+  IsFirstUpdate = false;
+  Readers = std::move(readers);
+  Log->write(logging::Level::Info, "log_readers",
+             {{"reads_itself", isReader},
+              {"reader", Readers.empty() ? "" : Readers.front()}});
+  Operators->setPace(isReader ? OperatorPace : RelayPace);
+  Fleet->setPace(isReader ? FleetPace : RelayPace);
+}
+
 void Control::onDatagram(std::string_view bytes) {
   const auto hint = codec::decodeHint(bytes);
   if (!hint) {
@@ -352,8 +422,12 @@
     return;
   }
   Agent.setPeerLoad(hint->Node, hint->Load, core::BootClock::now());
-  if (IsFleetKnown && hint->FleetEnd > Ledger.end())
-    Fleet->readNow();
+  if (!IsFleetKnown || hint->FleetEnd <= Ledger.end())
+    return;
+  const auto *member = Ledger.findMember(hint->Node);
+  if (member != nullptr)
+    Teller = member->Record.Peer.Host;
+  Fleet->readNow();
 }
 
 void Control::tellPeers(bool isNews) {
@@ -398,8 +472,12 @@
     appendRecord(*record);
     return;
   }
-  if (!isKeyed())
+  if (!isKeyed() || !Agent.wantsChange(Ledger, now))
     return;
+  if (now >= ProposeUntil) {
+    Fleet->readNow();
+    return;
+  }
   if (const auto change = Agent.nextChange(Ledger, now))
     appendChange(*change);
 }
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -23,6 +23,7 @@
 #include "Net/DatagramSocket.h"
 #include "Net/HttpServer.h"
 #include "Proxy/TrafficView.h"
+#include "Sidecar/LogRelay.h"
 #include "Sidecar/SidecarTypes.h"
 
 namespace acaciaroad::sidecar {
@@ -40,6 +41,8 @@
   core::Endpoint Listen;
   /// Datagrams of other nodes; all nodes use the same port.
   core::Endpoint Gossip;
+  /// Reads of other nodes; all nodes use the same port.
+  core::Endpoint Relay;
 };
 
 /// Owns all control state; every member runs on its loop.
@@ -81,6 +84,10 @@
   void answerHeartbeat(const ExchangePointer &exchange);
   void answerWaiting(core::TimePoint now);
 
+  /// Returns the host through which this node reads, if it reads through one.
+  std::optional<std::string> chooseRelay(RelayedLog log);
+  /// Sets how often the logs are read, by whether this node reads them itself.
+  void updateReaders(core::TimePoint now);
   void onDatagram(std::string_view bytes);
   /// Tells some other nodes the end of the log and the own load.
   void tellPeers(bool isNews);
@@ -103,6 +110,13 @@
   std::unique_ptr<net::DatagramSocket> Gossip;
   holdings::NodeLoad OwnLoad;
   core::TimePoint ToldAt{};
+  std::unique_ptr<LogRelay> Relay;
+  /// Hosts of the nodes that read the logs; empty if this node is one.
+  std::vector<std::string> Readers;
+  /// A node that has told of news, to be asked for it once.
+  std::optional<std::string> Teller;
+  /// A change may be proposed until then: the log was read just before.
+  core::TimePoint ProposeUntil{};
   std::unique_ptr<feed::KeyedFeed> Operators;
   std::unique_ptr<feed::KeyedFeed> Fleet;
   std::shared_ptr<const routing::RouteTable> Routes;
@@ -111,6 +125,7 @@
   holdings::HoldingAgent Agent;
   bool IsFleetKnown = false;
   bool IsAppending = false;
+  bool IsFirstUpdate = true;
   bool IsChanged = false;
   /// The own node has appended what others should read soon.
   bool HasNews = false;
--- /dev/null
+++ b/Source/Sidecar/LogRelay.cpp
@@ -0,0 +1,148 @@
+#include "Sidecar/LogRelay.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+#include "Codec/FleetRecords.h"
+
+namespace acaciaroad::sidecar {
+
+using core::ErrorKind;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Nodes are milliseconds apart; a relay that takes longer is passed over.
+constexpr core::Duration RelayTimeout = milliseconds(150);
+constexpr core::Duration ConnectTimeout = milliseconds(100);
+constexpr core::Duration IdleLimit = std::chrono::seconds(20);
+constexpr std::uint64_t LargestAnswer = 4U << 20U;
+constexpr std::size_t MostConnections = 4;
+
+/// What a relay has not asked for within this time is asked for directly: it
+/// may be cut off from the log.
+constexpr core::Duration LargestAge = milliseconds(1800);
+
+constexpr std::string_view PathPrefix = "/relay/";
+
+/// "/relay/LOG/OFFSET".
+std::string targetOf(RelayedLog name, core::Offset from) {
+  return fmt::format("{}{}/{}", PathPrefix, static_cast<int>(name), from);
+}
+
+struct RelayRead {
+  RelayedLog Name = RelayedLog::Operators;
+  core::Offset From = 0;
+};
+
+std::optional<RelayRead> parseTarget(std::string_view target) {
+  if (!target.starts_with(PathPrefix))
+    return std::nullopt;
+  target.remove_prefix(PathPrefix.size());
+  if (target.size() < 3 || target[1] != '/' ||
+      (target[0] != '0' && target[0] != '1'))
+    return std::nullopt;
+  RelayRead out;
+  out.Name = static_cast<RelayedLog>(target[0] - '0');
+  const char *end = target.data() + target.size();
+  const auto [it, ec] = std::from_chars(target.data() + 2, end, out.From);
+  if (ec != std::errc() || it != end)
+    return std::nullopt;
+  return out;
+}
+
+} // namespace
+
+core::Result<std::unique_ptr<LogRelay>>
+LogRelay::create(boost::asio::io_context &loop, const core::Endpoint &listen,
+                 ChooseHost choose) {
+  std::unique_ptr<LogRelay> out(
+      new LogRelay(loop, listen, std::move(choose)));
+  constexpr net::ServerLimits Limits{4096, 4096, std::chrono::seconds(3),
+                                     std::chrono::seconds(60)};
+  auto server = net::HttpServer::create(
+      loop, listen, Limits,
+      [it = out.get()](const std::shared_ptr<net::Exchange> &exchange) {
+        it->serve(exchange);
+      });
+  if (!server)
+    return tl::unexpected(server.error());
+  out->Server = std::move(*server);
+  return out;
+}
+
+LogRelay::LogRelay(boost::asio::io_context &loop, core::Endpoint listen,
+                   ChooseHost choose)
+    : Loop(loop), Listen(std::move(listen)), Choose(std::move(choose)) {}
+
+feed::KeyedLog LogRelay::wrap(RelayedLog name, feed::KeyedLog log) {
+  feed::KeyedLog out = log;
+  out.ReadFrom = [this, name, direct = log.ReadFrom](
+                     core::Offset from, core::Duration wait,
+                     feed::TailHandler handler) {
+    const auto host = Choose(name);
+    if (!host) {
+      direct(from, wait, std::move(handler));
+      return;
+    }
+    readFrom(name, *host, from,
+             [direct, from,
+              handler = std::move(handler)](core::Result<feed::Tail> tail) {
+               if (tail)
+                 handler(std::move(tail));
+               else
+                 direct(from, core::Duration{}, handler);
+             });
+  };
+  return out;
+}
+
+void LogRelay::serve(const std::shared_ptr<net::Exchange> &exchange) {
+  const auto read = parseTarget(net::toView(exchange->request().target()));
+  const auto tail =
+      read ? buffer(read->Name).read(read->From, core::BootClock::now())
+           : std::nullopt;
+  net::HttpResponse out(
+      tail ? net::http::status::ok : net::http::status::not_found, 11);
+  if (tail)
+    out.body() = codec::encodeTail(*tail);
+  exchange->respond(std::move(out));
+}
+
+std::shared_ptr<net::HttpClient> LogRelay::clientFor(const std::string &host) {
+  auto &out = Clients[host];
+  if (!out) {
+    net::ClientOptions options;
+    options.ConnectTimeout = ConnectTimeout;
+    options.SendTimeout = RelayTimeout;
+    options.IdleLimit = IdleLimit;
+    options.BodyBytes = LargestAnswer;
+    options.MostConnections = MostConnections;
+    out = net::HttpClient::create(Loop, {host, Listen.Port},
+                                  std::move(options));
+  }
+  return out;
+}
+
+void LogRelay::readFrom(RelayedLog name, const std::string &host,
+                        core::Offset from, feed::TailHandler handler) {
+  net::sendWithTimeout(
+      Loop, *clientFor(host),
+      {net::http::verb::get, targetOf(name, from), 11}, RelayTimeout,
+      [handler = std::move(handler)](net::CallResult result) {
+        if (result.End != net::CallEnd::Answered ||
+            result.Response.result() != net::http::status::ok) {
+          handler(core::fail(ErrorKind::PeerUnreachable, result.Detail));
+          return;
+        }
+        auto tail = codec::decodeTail(result.Response.body());
+        if (tail && tail->Age > LargestAge)
+          tail = core::fail(ErrorKind::NodeIsolated, "the relay is behind");
+        handler(std::move(tail));
+      });
+}
+
+} // namespace acaciaroad::sidecar
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -118,7 +118,8 @@
       ControlIdentity{std::move(agent),
                       {Settings.Upstream.Heartbeat,
                        Settings.Upstream.LongestGrant},
-                      Settings.Control.Listen, Settings.Gossip.Listen},
+                      Settings.Control.Listen, Settings.Gossip.Listen,
+                      Settings.Relay.Listen},
       Parts.Codec, Parts.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
   return ControlPart->start();
