--- a/Source/Accounts/AccountShares.cpp
+++ b/Source/Accounts/AccountShares.cpp
@@ -71,8 +71,8 @@
   return share->Bucket.take(1) == 1;
 }
 
-std::uint32_t AccountShares::lend(std::string_view account,
-                                  std::uint32_t most, core::TimePoint now) {
+std::uint32_t AccountShares::lend(std::string_view account, std::uint32_t most,
+                                  core::TimePoint now) {
   const auto it = Shares.find(std::string(account));
   if (it == Shares.end())
     return 0;
@@ -102,8 +102,7 @@
 
 core::Duration AccountShares::untilNext(std::string_view account) const {
   const auto it = Shares.find(std::string(account));
-  return it == Shares.end() ? core::Duration{}
-                            : it->second.Bucket.untilNext();
+  return it == Shares.end() ? core::Duration{} : it->second.Bucket.untilNext();
 }
 
 } // namespace acaciaroad::accounts
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -65,8 +65,8 @@
 
 void KeyedFeed::readTail() {
   IsReading = true;
-  const auto wait = std::exchange(IsUrgent, false) ? core::Duration{}
-                                                   : Pace.Wait;
+  const auto wait =
+      std::exchange(IsUrgent, false) ? core::Duration{} : Pace.Wait;
   const auto asked = core::BootClock::now();
   Log.ReadFrom(Position, wait, [this, asked](core::Result<Tail> tail) {
     IsReading = false;
@@ -105,8 +105,8 @@
   if (std::exchange(IsReachable, false) || Failures == 0)
     Hooks.OnReachable(false, error.Detail);
   const int doublings = std::min(Failures++, MostDoublings);
-  schedule(std::min<core::Duration>(FirstRetry * (1 << doublings),
-                                    LongestRetry));
+  schedule(
+      std::min<core::Duration>(FirstRetry * (1 << doublings), LongestRetry));
 }
 
 void KeyedFeed::schedule(core::Duration pause) {
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -18,8 +18,8 @@
 struct FeedHooks {
   /// The newest record of every key; others no longer exist.
   std::function<void(std::vector<KeyedRecord>, core::Offset end)> OnSnapshot;
-  /// Further records up to the end of the log, perhaps none. All up to \p end was known to the log at
-  /// some moment after \p asked.
+  /// Further records up to the end of the log, perhaps none. All up to \p end
+  /// was known to the log at some moment after \p asked.
   std::function<void(std::vector<KeyedRecord>, core::Offset end,
                      core::TimePoint asked)>
       OnRecords;
--- a/Source/Feed/RelayBuffer.cpp
+++ b/Source/Feed/RelayBuffer.cpp
@@ -53,7 +53,8 @@
   out.End = out.Next;
   if (from >= End)
     return out;
-  out.Records.assign(Records.begin() + static_cast<std::ptrdiff_t>(from - First),
+  out.Records.assign(Records.begin() +
+                         static_cast<std::ptrdiff_t>(from - First),
                      Records.end());
   return out;
 }
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -111,10 +111,9 @@
     Freed.push_back(it);
   // Keys that are held again have a state newer than what was handed over.
   std::erase_if(Freed, [&](const FreedKeys &it) {
-    return std::any_of(heartbeat.Holds.begin(), heartbeat.Holds.end(),
-                       [&](const HeldKeys &held) {
-                         return held.Keys.intersects(it.Keys);
-                       });
+    return std::any_of(
+        heartbeat.Holds.begin(), heartbeat.Holds.end(),
+        [&](const HeldKeys &held) { return held.Keys.intersects(it.Keys); });
   });
 }
 
@@ -216,8 +215,8 @@
   last.Sequence = 0;
   const bool isSent = last == record;
   const core::Duration age = now - LastRecordAt;
-  const bool isDue = isKnown ? age >= RenewInterval
-                             : !isSent || age >= RecordRetry;
+  const bool isDue =
+      isKnown ? age >= RenewInterval : !isSent || age >= RecordRetry;
   if (!isDue)
     return std::nullopt;
   record.Sequence = NextSequence++;
@@ -281,8 +280,7 @@
   PeerLoads[std::string(node)] = {load, now};
 }
 
-void HoldingAgent::planForLoad(const FleetLedger &ledger,
-                               core::TimePoint now) {
+void HoldingAgent::planForLoad(const FleetLedger &ledger, core::TimePoint now) {
   const auto rows = ledger.holdingsOf(Identity.Service);
   if (!Leaving.empty() || now < NextMove || rows.size() > MostRows)
     return;
@@ -338,15 +336,14 @@
 
 bool HoldingAgent::wantsChange(const FleetLedger &ledger,
                                core::TimePoint now) const {
-  const bool isPending =
-      Pending && now - Pending->Since <= PendingTimeout;
+  const bool isPending = Pending && now - Pending->Since <= PendingTimeout;
   if (isPending || Draining || now >= AuthorityUntil)
     return false;
   return planOwn(ledger, now) || planOrphans(ledger, now);
 }
 
-std::optional<HoldingChange>
-HoldingAgent::nextChange(const FleetLedger &ledger, core::TimePoint now) {
+std::optional<HoldingChange> HoldingAgent::nextChange(const FleetLedger &ledger,
+                                                      core::TimePoint now) {
   if (!wantsChange(ledger, now))
     return std::nullopt;
   auto out = planOwn(ledger, now);
@@ -413,8 +410,8 @@
         Leaving.push_back({it, {}, true, true});
 }
 
-std::optional<HoldingChange>
-HoldingAgent::planOwn(const FleetLedger &ledger, core::TimePoint now) const {
+std::optional<HoldingChange> HoldingAgent::planOwn(const FleetLedger &ledger,
+                                                   core::TimePoint now) const {
   const auto rows = ledger.holdingsOf(Identity.Service);
   const Fence token = ledger.end() + 1;
   // A new life of the own upstream takes over what the former one held.
@@ -527,9 +524,9 @@
                           core::TimePoint now) const {
   const auto rows = ledger.holdingsOf(Identity.Service);
   const auto takers = ledger.eligible(Identity.Service, now);
-  const bool isEarly = rows.empty() && (!FirstTakerSince ||
-                                        now - *FirstTakerSince <
-                                            FirstDivisionWait);
+  const bool isEarly =
+      rows.empty() &&
+      (!FirstTakerSince || now - *FirstTakerSince < FirstDivisionWait);
   if (isEarly || !isMyTurn(takers, now))
     return std::nullopt;
   const Rows open = orphans(ledger, rows, now);
--- a/Source/Holdings/KeyPlacement.cpp
+++ b/Source/Holdings/KeyPlacement.cpp
@@ -13,21 +13,36 @@
   std::int64_t Lacks = 0;
 };
 
+/// Returns the number of keys up to which the takers can be filled with
+/// \p free keys; \p own is sorted.
+std::int64_t levelOf(std::span<const std::int64_t> own, std::int64_t free) {
+  std::int64_t sum = free;
+  std::int64_t n = 0;
+  for (const std::int64_t it : own) {
+    // Who holds more than the others can reach gets nothing.
+    if (n > 0 && it * n >= sum)
+      break;
+    sum += it;
+    ++n;
+  }
+  return n == 0 ? 0 : (sum + n - 1) / n;
+}
+
 std::vector<Taker> weigh(std::span<const Holding> free,
                          std::span<const Holding> rows,
                          std::span<const Member *const> takers) {
-  std::vector<Taker> out;
   std::int64_t total = 0;
   for (const Holding &it : free)
     total += it.Keys.size();
-  for (const Member *it : takers) {
-    const std::int64_t own = keysOf(rows, it->Record.Name);
-    total += own;
-    out.push_back({it, -own});
-  }
-  const auto n = static_cast<std::int64_t>(takers.size());
-  for (Taker &it : out)
-    it.Lacks += (total + n - 1) / n;
+  std::vector<std::int64_t> own;
+  for (const Member *it : takers)
+    own.push_back(keysOf(rows, it->Record.Name));
+  std::vector<std::int64_t> sorted = own;
+  std::sort(sorted.begin(), sorted.end());
+  const std::int64_t level = levelOf(sorted, total);
+  std::vector<Taker> out;
+  for (std::size_t n = 0; n < takers.size(); ++n)
+    out.push_back({takers[n], level - own[n]});
   return out;
 }
 
--- a/Source/Holdings/KeyPlacement.h
+++ b/Source/Holdings/KeyPlacement.h
@@ -24,8 +24,7 @@
 /// goes to the taker that lacks most. \p takers must not be empty.
 std::vector<Holding> spread(std::span<const Holding> free,
                             std::span<const Holding> rows,
-                            std::span<const Member *const> takers,
-                            Fence token);
+                            std::span<const Member *const> takers, Fence token);
 
 /// Sorts rows by key and joins neighbours that differ in nothing else.
 void normalize(std::vector<Holding> &rows);
--- a/Source/Holdings/LoadMove.cpp
+++ b/Source/Holdings/LoadMove.cpp
@@ -64,9 +64,8 @@
   const double difference = load.Node.Utilization - taker->Load.Utilization;
   if (difference < LeastDifference)
     return std::nullopt;
-  const double cost =
-      load.Node.Cost + (taker->Load.Cost > 0 ? taker->Load.Cost
-                                             : load.Node.Cost);
+  const double cost = load.Node.Cost + (taker->Load.Cost > 0 ? taker->Load.Cost
+                                                             : load.Node.Cost);
   if (cost <= 0)
     return std::nullopt;
   const double wanted = difference / cost * MoveShare;
--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -187,8 +187,8 @@
 void ClientConnection::noteKeepAlive() {
   Reusable = Reusable && Parser->keep_alive() && Buffer.size() == 0;
   IdleLimit = Client->Options.IdleLimit;
-  const auto stated = keepAliveSeconds(
-      toView(Parser->get()[http::field::keep_alive]));
+  const auto stated =
+      keepAliveSeconds(toView(Parser->get()[http::field::keep_alive]));
   if (stated)
     IdleLimit = std::min<core::Duration>(
         IdleLimit, std::chrono::seconds(*stated) * KeepAliveShare / 100);
@@ -218,8 +218,8 @@
   CallResult out;
   out.End = end;
   out.Detail = ec.message();
-  out.IsRefused = end == CallEnd::NotSent &&
-                  ec == boost::asio::error::connection_refused;
+  out.IsRefused =
+      end == CallEnd::NotSent && ec == boost::asio::error::connection_refused;
   handler(std::move(out));
 }
 
--- a/Source/Net/DatagramSocket.cpp
+++ b/Source/Net/DatagramSocket.cpp
@@ -33,21 +33,20 @@
     : Socket(loop), OnDatagram(std::move(handler)) {}
 
 void DatagramSocket::receive() {
-  Socket.async_receive_from(
-      boost::asio::buffer(Buffer), Sender, [this](error_code ec, std::size_t n) {
-        if (ec == boost::asio::error::operation_aborted)
-          return;
-        if (!ec)
-          OnDatagram({Buffer.data(), n});
-        receive();
-      });
+  Socket.async_receive_from(boost::asio::buffer(Buffer), Sender,
+                            [this](error_code ec, std::size_t n) {
+                              if (ec == boost::asio::error::operation_aborted)
+                                return;
+                              if (!ec)
+                                OnDatagram({Buffer.data(), n});
+                              receive();
+                            });
 }
 
 void DatagramSocket::send(const core::Endpoint &to, std::string_view bytes) {
   error_code ignored; // The next datagram replaces one that is lost.
   Socket.send_to(boost::asio::buffer(bytes.data(), bytes.size()),
-                 {boost::asio::ip::make_address(to.Host), to.Port}, 0,
-                 ignored);
+                 {boost::asio::ip::make_address(to.Host), to.Port}, 0, ignored);
 }
 
 } // namespace acaciaroad::net
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -76,8 +76,8 @@
 
 void ServerSession::checkAbandoned() {
   char buf = 0;
-  const auto n = ::recv(Socket.native_handle(), &buf, 1,
-                        MSG_PEEK | MSG_DONTWAIT);
+  const auto n =
+      ::recv(Socket.native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0)
     return; // The next request; it is read after this one's answer.
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -181,9 +181,8 @@
   const bool isSlow = State == Phase::Reading && Parser &&
                       !Parser->is_header_done() &&
                       now - Since > limits.HeaderTimeout;
-  const bool isStuck =
-      (State == Phase::Writing || State == Phase::Reading) &&
-      now - Since > limits.IdleTimeout + limits.HeaderTimeout;
+  const bool isStuck = (State == Phase::Writing || State == Phase::Reading) &&
+                       now - Since > limits.IdleTimeout + limits.HeaderTimeout;
   if (isIdle || isSlow || isStuck)
     close();
 }
--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -6,9 +6,9 @@
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
-#include "Settings/SidecarSettings.h"
-#include "Settings/SidecarFields.h"
 #include "Settings/SettingsReference.h"
+#include "Settings/SidecarFields.h"
+#include "Settings/SidecarSettings.h"
 #include "Sidecar/Sidecar.h"
 #include "platform/ConfigurationDecoder.h"
 #include "platform/Dialect.h"
--- a/Source/Proxy/CreditExchange.cpp
+++ b/Source/Proxy/CreditExchange.cpp
@@ -28,11 +28,9 @@
 
 } // namespace
 
-core::Result<std::unique_ptr<CreditExchange>>
-CreditExchange::create(boost::asio::io_context &loop,
-                       const core::Endpoint &listen,
-                       accounts::AccountShares &shares,
-                       std::shared_ptr<logging::Logger> logger) {
+core::Result<std::unique_ptr<CreditExchange>> CreditExchange::create(
+    boost::asio::io_context &loop, const core::Endpoint &listen,
+    accounts::AccountShares &shares, std::shared_ptr<logging::Logger> logger) {
   std::unique_ptr<CreditExchange> out(
       new CreditExchange(loop, listen, shares, std::move(logger)));
   auto socket = net::DatagramSocket::create(
@@ -100,11 +98,11 @@
     onAnswer(datagram->Account, datagram->Ask, datagram->Amount);
     return;
   }
-  const std::uint32_t lent = Shares.lend(datagram->Account, datagram->Amount,
-                                         core::BootClock::now());
+  const std::uint32_t lent =
+      Shares.lend(datagram->Account, datagram->Amount, core::BootClock::now());
   Socket->send(*datagram->ReplyTo,
-               codec::encodeCredit({datagram->Account, std::nullopt,
-                                    datagram->Ask, lent}));
+               codec::encodeCredit(
+                   {datagram->Account, std::nullopt, datagram->Ask, lent}));
 }
 
 void CreditExchange::onAnswer(const std::string &account, std::uint64_t ask,
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -37,11 +37,10 @@
 void EntryRun::start() {
   Exchange->setOnAbandoned([self = shared_from_this()] { self->abandon(); });
   Timer.expires_after(Deadline - core::BootClock::now());
-  Timer.async_wait(
-      [self = shared_from_this()](boost::beast::error_code ec) {
-        if (!ec)
-          self->onDeadline();
-      });
+  Timer.async_wait([self = shared_from_this()](boost::beast::error_code ec) {
+    if (!ec)
+      self->onDeadline();
+  });
   attempt();
 }
 
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -82,10 +82,11 @@
           Limits.RetryRatio * RatioShare, now, {0, share, share});
       if (!choice || !budget)
         continue; // Not with the arguments above.
-      found = Services
-                  .emplace(name, ServiceState{{}, std::move(*choice),
-                                              std::move(*budget)})
-                  .first;
+      found =
+          Services
+              .emplace(name,
+                       ServiceState{{}, std::move(*choice), std::move(*budget)})
+              .first;
     }
     found->second.Choice.setCandidates(open);
   }
@@ -131,9 +132,9 @@
            "no configuration is known");
     return;
   }
-  const routing::Route *route = View->Routes->findRoute(
-      net::toView(request[net::http::field::host]),
-      net::toView(request.target()));
+  const routing::Route *route =
+      View->Routes->findRoute(net::toView(request[net::http::field::host]),
+                              net::toView(request.target()));
   if (route == nullptr) {
     const bool isKnown = isFresh(now);
     refuse(*exchange,
@@ -170,8 +171,8 @@
     if (isLent)
       run(exchange, route, &account);
     else
-      refuse(*exchange, ErrorKind::RateExceeded,
-             Shares.untilNext(account.Name), account.Name);
+      refuse(*exchange, ErrorKind::RateExceeded, Shares.untilNext(account.Name),
+             account.Name);
   };
   if (Credit)
     Credit->borrow(account.Name, account.Rate, decide);
@@ -216,28 +217,26 @@
   const CallerFields caller = Speech.ReadCaller(exchange.request());
   const auto confirmed = std::chrono::duration_cast<std::chrono::milliseconds>(
       core::BootClock::now() - ConfirmedAt);
-  Log->write(
-      logging::Level::Info, "request_refused",
-      {{"request_id", caller.RequestId},
-       {"reason", answer.Name},
-       {"status", answer.HttpStatus},
-       {"ran", core::toString(answer.HasRan)},
-       {"detail", detail},
-       {"configuration",
-        View->Routes ? View->Routes->configuration().Version : 0},
-       {"configuration_age_ms", confirmed.count()}});
+  Log->write(logging::Level::Info, "request_refused",
+             {{"request_id", caller.RequestId},
+              {"reason", answer.Name},
+              {"status", answer.HttpStatus},
+              {"ran", core::toString(answer.HasRan)},
+              {"detail", detail},
+              {"configuration",
+               View->Routes ? View->Routes->configuration().Version : 0},
+              {"configuration_age_ms", confirmed.count()}});
   net::HttpResponse out(static_cast<net::http::status>(answer.HttpStatus), 11);
   Speech.WriteRequestId(out, caller.RequestId);
   if (answer.HttpStatus == 503 || answer.HttpStatus == 429) {
     const std::chrono::duration<double> wait =
         retryAfter.count() > 0 ? retryAfter : DefaultRetryAfter;
-    out.set(net::http::field::retry_after,
-            fmt::format("{:.3f}", wait.count()));
+    out.set(net::http::field::retry_after, fmt::format("{:.3f}", wait.count()));
   }
   out.set(net::http::field::content_type, "application/problem+json");
-  out.body() = fmt::format(R"({{"kind":"{}","title":"{}","ran":"{}"}})",
-                           answer.Name, answer.Title,
-                           core::toString(answer.HasRan));
+  out.body() =
+      fmt::format(R"({{"kind":"{}","title":"{}","ran":"{}"}})", answer.Name,
+                  answer.Title, core::toString(answer.HasRan));
   exchange.respond(std::move(out));
 }
 
--- a/Source/Proxy/PeerFields.cpp
+++ b/Source/Proxy/PeerFields.cpp
@@ -60,8 +60,8 @@
 }
 
 void writeOutcome(net::HttpFields &fields, const ForwardOutcome &outcome) {
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-      outcome.RetryAfter);
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(outcome.RetryAfter);
   set(fields, OutcomeField,
       fmt::format("{},{},{},{}", static_cast<int>(outcome.Outcome),
                   static_cast<int>(outcome.Reason),
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -21,12 +21,12 @@
   order.Deadline = exchange->Received + fields.TimeLeft;
   net::eraseConnectionFields(request);
   order.Request = std::move(request);
-  const auto ticket = Upstream.offer(
-      std::move(order), [exchange](OrderResult result) {
+  const auto ticket =
+      Upstream.offer(std::move(order), [exchange](OrderResult result) {
         net::HttpResponse answer = std::move(result.Answer);
         if (result.Outcome.Outcome != requests::AttemptOutcome::Answered)
-          answer = net::HttpResponse(net::http::status::service_unavailable,
-                                     11);
+          answer =
+              net::HttpResponse(net::http::status::service_unavailable, 11);
         net::eraseConnectionFields(answer);
         writeOutcome(answer, result.Outcome);
         exchange->respond(std::move(answer));
--- a/Source/Proxy/TrafficView.cpp
+++ b/Source/Proxy/TrafficView.cpp
@@ -4,13 +4,13 @@
 
 namespace acaciaroad::proxy {
 
-const holdings::Holding *
-findHolding(std::span<const holdings::Holding> rows, holdings::Key key) {
-  const auto it = std::lower_bound(
-      rows.begin(), rows.end(), key,
-      [](const holdings::Holding &row, holdings::Key k) {
-        return row.Keys.To < k;
-      });
+const holdings::Holding *findHolding(std::span<const holdings::Holding> rows,
+                                     holdings::Key key) {
+  const auto it =
+      std::lower_bound(rows.begin(), rows.end(), key,
+                       [](const holdings::Holding &row, holdings::Key k) {
+                         return row.Keys.To < k;
+                       });
   if (it == rows.end() || !it->Keys.contains(key))
     return nullptr;
   return &*it;
--- a/Source/Proxy/TrafficView.h
+++ b/Source/Proxy/TrafficView.h
@@ -64,8 +64,8 @@
 };
 
 /// Returns the row that \p key is in, or nullptr.
-const holdings::Holding *
-findHolding(std::span<const holdings::Holding> rows, holdings::Key key);
+const holdings::Holding *findHolding(std::span<const holdings::Holding> rows,
+                                     holdings::Key key);
 
 /// Returns the peer of a service by its node's name, or nullptr.
 const Peer *findPeer(const ServiceView &service, std::string_view node);
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -56,7 +56,8 @@
                                  TrafficCounters &counters, UpstreamHooks hooks)
     : Loop(loop), Speech(std::move(dialect)), Log(std::move(logger)),
       Counters(counters), Hooks(std::move(hooks)),
-      View(std::make_shared<const TrafficView>()), Timer(loop), LoadTimer(loop) {
+      View(std::make_shared<const TrafficView>()), Timer(loop),
+      LoadTimer(loop) {
   net::ClientOptions options;
   options.ConnectTimeout = ConnectTimeout;
   options.SendTimeout = SendTimeout;
@@ -115,8 +116,8 @@
 void UpstreamService::applyColdRate(core::TimePoint now) {
   if (SuspectSince && now - *SuspectSince > SuspicionLength)
     SuspectSince.reset();
-  const bool isCold = now < View->Own.ColdUntil || SuspectSince ||
-                      !View->Own.Life.isKnown();
+  const bool isCold =
+      now < View->Own.ColdUntil || SuspectSince || !View->Own.Life.isKnown();
   Queue.setColdRate(
       isCold ? static_cast<std::uint32_t>(std::floor(ColdRate * ColdRateShare))
              : 0);
@@ -174,10 +175,9 @@
               {"upstream", run.Data.ExpectedUpstream},
               {"running", Queue.running()},
               {"waiting", Queue.waiting()}});
-  run.Call = Client->send(std::move(run.Data.Request),
-                          [this, id](net::CallResult result) {
-                            ended(id, std::move(result));
-                          });
+  run.Call = Client->send(
+      std::move(run.Data.Request),
+      [this, id](net::CallResult result) { ended(id, std::move(result)); });
   Counters.UpstreamConnects = Client->connectsStarted();
 }
 
@@ -207,8 +207,8 @@
   const bool isSuccess = status >= 200 && status < 300;
   if (answer.IsNotRun) {
     out.Outcome = AttemptOutcome::RefusedNotRun;
-    out.Reason = status == 421 ? ErrorKind::OwnerChanged
-                               : ErrorKind::UpstreamShedding;
+    out.Reason =
+        status == 421 ? ErrorKind::OwnerChanged : ErrorKind::UpstreamShedding;
   } else if (isSuccess &&
              (!answer.IsSigned ||
               result.Response.count(net::http::field::content_encoding) > 0)) {
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-/// Of the nodes that read the operators' log. Keys of client accounts hold while
-/// a configuration that was asked for a few seconds ago has them, so a read must
-/// not wait for long.
+/// Of the nodes that read the operators' log. Keys of client accounts hold
+/// while a configuration that was asked for a few seconds ago has them, so a
+/// read must not wait for long.
 constexpr feed::FeedPace OperatorPace{milliseconds(1000), milliseconds(0)};
 
 /// Of the nodes that read the fleet's log. Nodes renew their leases all the
@@ -82,8 +82,9 @@
   if (!gossip)
     return tl::unexpected(gossip.error());
   Gossip = std::move(*gossip);
-  auto relay = LogRelay::create(
-      Loop, Identity.Relay, [this](RelayedLog log) { return chooseRelay(log); });
+  auto relay = LogRelay::create(Loop, Identity.Relay, [this](RelayedLog log) {
+    return chooseRelay(log);
+  });
   if (!relay)
     return tl::unexpected(relay.error());
   Relay = std::move(*relay);
@@ -108,8 +109,7 @@
   const auto now = core::BootClock::now();
   if (!Agent.upstreamRefused(now))
     return;
-  const auto silence =
-      std::chrono::duration_cast<milliseconds>(now - HeardAt);
+  const auto silence = std::chrono::duration_cast<milliseconds>(now - HeardAt);
   Log->write(logging::Level::Warning, "upstream_gone",
              {{"upstream", Agent.life().Id}, {"silent_ms", silence.count()}});
   IsChanged = true;
@@ -135,19 +135,19 @@
 }
 
 feed::FeedHooks Control::fleetHooks() {
-  return {[this](const std::vector<feed::KeyedRecord> &records,
-                 core::Offset end) {
-            Relay->buffer(RelayedLog::Fleet).reset(end, core::TimePoint());
-            applyFleet(records, end, true);
-          },
-          [this](const std::vector<feed::KeyedRecord> &records,
-                 core::Offset end, core::TimePoint asked) {
-            Relay->buffer(RelayedLog::Fleet).add(records, end, asked);
-            applyFleet(records, end, false);
-          },
-          [this](bool isReachable, std::string_view detail) {
-            noteReachable("fleet", isReachable, detail);
-          }};
+  return {
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end) {
+        Relay->buffer(RelayedLog::Fleet).reset(end, core::TimePoint());
+        applyFleet(records, end, true);
+      },
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
+             core::TimePoint asked) {
+        Relay->buffer(RelayedLog::Fleet).add(records, end, asked);
+        applyFleet(records, end, false);
+      },
+      [this](bool isReachable, std::string_view detail) {
+        noteReachable("fleet", isReachable, detail);
+      }};
 }
 
 void Control::noteReachable(std::string_view log, bool isReachable,
@@ -190,9 +190,8 @@
 
 void Control::applyConfiguration(const std::string &value) {
   auto decoded = Codec.DecodeConfiguration(value);
-  auto table = decoded
-                   ? routing::RouteTable::create(std::move(*decoded))
-                   : tl::unexpected(decoded.error());
+  auto table = decoded ? routing::RouteTable::create(std::move(*decoded))
+                       : tl::unexpected(decoded.error());
   if (!table) {
     Log->write(logging::Level::Error, "configuration_unreadable",
                {{"detail", table.error().Detail}});
@@ -293,9 +292,9 @@
   const auto heartbeat =
       Codec.DecodeHeartbeat(upstreamId, exchange->request().body());
   if (!heartbeat) {
-    Log->write(logging::Level::Warning, "heartbeat_unreadable",
-               {{"upstream", upstreamId},
-                {"detail", heartbeat.error().Detail}});
+    Log->write(
+        logging::Level::Warning, "heartbeat_unreadable",
+        {{"upstream", upstreamId}, {"detail", heartbeat.error().Detail}});
     exchange->respond(net::HttpResponse(net::http::status::bad_request, 11));
     return;
   }
@@ -340,10 +339,9 @@
   if (grant) {
     LastGrant = grant;
     GrantedUntil = now + grant->Length;
-    std::sort(LastGrant->Rows.begin(), LastGrant->Rows.end(),
-              [](const auto &a, const auto &b) {
-                return a.Keys.From < b.Keys.From;
-              });
+    std::sort(
+        LastGrant->Rows.begin(), LastGrant->Rows.end(),
+        [](const auto &a, const auto &b) { return a.Keys.From < b.Keys.From; });
   }
   net::HttpResponse out(net::http::status::ok, 11);
   out.set(net::http::field::content_type, "application/json");
@@ -485,9 +483,9 @@
 void Control::appendRecord(const holdings::NodeRecord &record) {
   IsAppending = true;
   Agent.recordSent(record.Sequence, core::BootClock::now());
-  const bool isNews = !(Ledger.findMember(record.Name) &&
-                        Ledger.findMember(record.Name)->Record.State ==
-                            record.State);
+  const bool isNews =
+      !(Ledger.findMember(record.Name) &&
+        Ledger.findMember(record.Name)->Record.State == record.State);
   Logs.Fleet.Append(
       {codec::nodeKey(record.Name), codec::encodeNode(record)}, std::nullopt,
       [this, isNews](const core::Result<core::Offset> &result) {
@@ -539,8 +537,8 @@
   out.Life = Agent.life();
   const bool isLeaving = LeavingSince && now - *LeavingSince > LeavingGrace;
   const bool isOut = OutSince && now - *OutSince > OutGrace;
-  out.IsOpen = Agent.state() != holdings::UpstreamState::Absent &&
-               !isLeaving && !isOut;
+  out.IsOpen =
+      Agent.state() != holdings::UpstreamState::Absent && !isLeaving && !isOut;
   const auto *self = Ledger.findMember(Identity.Agent.Name);
   out.Slots = self == nullptr ? 0 : self->Record.Slots;
   out.ColdUntil = ColdUntil;
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -59,8 +59,7 @@
 core::Result<std::unique_ptr<LogRelay>>
 LogRelay::create(boost::asio::io_context &loop, const core::Endpoint &listen,
                  ChooseHost choose) {
-  std::unique_ptr<LogRelay> out(
-      new LogRelay(loop, listen, std::move(choose)));
+  std::unique_ptr<LogRelay> out(new LogRelay(loop, listen, std::move(choose)));
   constexpr net::ServerLimits Limits{4096, 4096, std::chrono::seconds(3),
                                      std::chrono::seconds(60)};
   auto server = net::HttpServer::create(
@@ -80,9 +79,9 @@
 
 feed::KeyedLog LogRelay::wrap(RelayedLog name, feed::KeyedLog log) {
   feed::KeyedLog out = log;
-  out.ReadFrom = [this, name, direct = log.ReadFrom](
-                     core::Offset from, core::Duration wait,
-                     feed::TailHandler handler) {
+  out.ReadFrom = [this, name,
+                  direct = log.ReadFrom](core::Offset from, core::Duration wait,
+                                         feed::TailHandler handler) {
     const auto host = Choose(name);
     if (!host) {
       direct(from, wait, std::move(handler));
@@ -121,8 +120,8 @@
     options.IdleLimit = IdleLimit;
     options.BodyBytes = LargestAnswer;
     options.MostConnections = MostConnections;
-    out = net::HttpClient::create(Loop, {host, Listen.Port},
-                                  std::move(options));
+    out =
+        net::HttpClient::create(Loop, {host, Listen.Port}, std::move(options));
   }
   return out;
 }
@@ -130,9 +129,8 @@
 void LogRelay::readFrom(RelayedLog name, const std::string &host,
                         core::Offset from, feed::TailHandler handler) {
   net::sendWithTimeout(
-      Loop, *clientFor(host),
-      {net::http::verb::get, targetOf(name, from), 11}, RelayTimeout,
-      [handler = std::move(handler)](net::CallResult result) {
+      Loop, *clientFor(host), {net::http::verb::get, targetOf(name, from), 11},
+      RelayTimeout, [handler = std::move(handler)](net::CallResult result) {
         if (result.End != net::CallEnd::Answered ||
             result.Response.result() != net::http::status::ok) {
           handler(core::fail(ErrorKind::PeerUnreachable, result.Detail));
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -33,8 +33,7 @@
 
 proxy::EntryLimits entryLimitsOf(const settings::SidecarSettings &from) {
   return {from.Limits.KeyFreshness, from.Limits.AccountWindow,
-          from.Limits.RetryRatio,
-          from.Limits.RetryAllowance};
+          from.Limits.RetryRatio, from.Limits.RetryAllowance};
 }
 
 void writeLine(std::string_view line) {
@@ -45,8 +44,7 @@
 } // namespace
 
 core::Result<std::unique_ptr<Sidecar>>
-Sidecar::create(const settings::SidecarSettings &settings,
-                SidecarParts parts) {
+Sidecar::create(const settings::SidecarSettings &settings, SidecarParts parts) {
   logging::LoggerOptions options;
   options.Instance = settings.Node.Name;
   options.Threshold = settings.LogLevel;
@@ -63,7 +61,8 @@
 
 Sidecar::Sidecar(const settings::SidecarSettings &settings, SidecarParts parts,
                  std::shared_ptr<logging::Logger> logger)
-    : Settings(settings), DrainLimit(settings.Limits.Drain), Parts(std::move(parts)), Log(std::move(logger)),
+    : Settings(settings), DrainLimit(settings.Limits.Drain),
+      Parts(std::move(parts)), Log(std::move(logger)),
       Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP), DrainTimer(TrafficLoop),
       SettingsTimer(ControlLoop) {}
 
@@ -79,17 +78,18 @@
 core::Result<void> Sidecar::bind() {
   Upstream = std::make_unique<proxy::UpstreamService>(
       TrafficLoop, Settings.Upstream.Address, Parts.Dialect, Log, Counters,
-      proxy::UpstreamHooks{
-          [this] {
-            boost::asio::post(ControlLoop,
-                              [this] { ControlPart->upstreamRefused(); });
-          },
-          [this](holdings::KeyedLoad load) {
-            boost::asio::post(ControlLoop,
-                              [this, load = std::move(load)]() mutable {
-                                ControlPart->setLoad(std::move(load));
-                              });
-          }});
+      proxy::UpstreamHooks{[this] {
+                             boost::asio::post(ControlLoop, [this] {
+                               ControlPart->upstreamRefused();
+                             });
+                           },
+                           [this](holdings::KeyedLoad load) {
+                             boost::asio::post(
+                                 ControlLoop,
+                                 [this, load = std::move(load)]() mutable {
+                                   ControlPart->setLoad(std::move(load));
+                                 });
+                           }});
   Entry = std::make_unique<proxy::EntryService>(
       TrafficLoop,
       proxy::EntryIdentity{Settings.Node.Name, Settings.Node.DataCentre,
@@ -115,11 +115,12 @@
                                 core::randomId()};
   ControlPart = std::make_unique<Control>(
       ControlLoop,
-      ControlIdentity{std::move(agent),
-                      {Settings.Upstream.Heartbeat,
-                       Settings.Upstream.LongestGrant},
-                      Settings.Control.Listen, Settings.Gossip.Listen,
-                      Settings.Relay.Listen},
+      ControlIdentity{
+          std::move(agent),
+          {Settings.Upstream.Heartbeat, Settings.Upstream.LongestGrant},
+          Settings.Control.Listen,
+          Settings.Gossip.Listen,
+          Settings.Relay.Listen},
       Parts.Codec, Parts.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
   return ControlPart->start();
@@ -146,8 +147,7 @@
     CallerServer->setLimits(limitsOf(limits));
   }
   const routing::Service *service =
-      view->Routes ? view->Routes->findService(Settings.Node.Service)
-                   : nullptr;
+      view->Routes ? view->Routes->findService(Settings.Node.Service) : nullptr;
   Entry->setView(view);
   Upstream->setView(std::move(view), service);
 }
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -23,8 +23,7 @@
 using LogsFactory = std::function<ControlLogs(boost::asio::io_context &,
                                               const core::Endpoint &)>;
 /// Reads the settings once more.
-using SettingsSource =
-    std::function<core::Result<settings::SidecarSettings>()>;
+using SettingsSource = std::function<core::Result<settings::SidecarSettings>()>;
 
 struct SidecarParts {
   proxy::Dialect Dialect;
--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -40,8 +40,7 @@
 Decision OrderQueue::offer(const QueuedOrder &order, core::TimePoint now) {
   if (Slots == 0)
     return {Verdict::Refused, core::ErrorKind::NoUpstream};
-  const core::Duration needed =
-      expected(order.WorkClass) * NeededPercent / 100;
+  const core::Duration needed = expected(order.WorkClass) * NeededPercent / 100;
   if (order.Deadline <= now + needed)
     return {Verdict::Refused, core::ErrorKind::DeadlineTooShort};
   if (Running.size() < Slots && Waiting.empty() && Rate.mayStart(now)) {
--- /dev/null
+++ b/Tests/Accounts/AccountSharesTest.cpp
@@ -0,0 +1,108 @@
+#include "Accounts/AccountShares.h"
+
+#include <deque>
+#include <vector>
+
+#include "Support/Random.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::accounts;
+using core::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr core::Duration Window = seconds(5);
+
+struct FleetRow {
+  const char *Name;
+  std::size_t Nodes;
+  AccountRate Rate;
+  /// Requests a second over the whole fleet.
+  double Demand;
+  /// Part of the demand that arrives at the first node.
+  double FirstShare;
+  bool Lends;
+  /// Part of the requests that have to be let in at least.
+  double LeastServed;
+};
+
+const FleetRow FleetRows[] = {
+    {"even and within the rate", 12, {44, 44}, 25, 1.0 / 12, true, 0.99},
+    {"uneven, with lending", 12, {44, 44}, 25, 0.7, true, 0.9},
+    {"uneven, without lending", 12, {44, 44}, 25, 0.7, false, 0.3},
+    {"seven times the rate", 12, {44, 44}, 300, 1.0 / 12, true, 0.14},
+    {"a small account on many nodes", 30, {20, 20}, 10, 1.0 / 30, true, 0.95},
+};
+
+/// Lets in what it can, asking two other nodes at most.
+bool admit(std::vector<AccountShares> &nodes, std::size_t at,
+           const FleetRow &row, tests::Random &draw, TimePoint now) {
+  if (nodes[at].take("a", row.Rate, now))
+    return true;
+  for (int n = 0; row.Lends && n < 6; ++n) {
+    const std::size_t other = draw.below(nodes.size());
+    if (other == at)
+      continue;
+    nodes[at].receive("a", nodes[other].lend("a", nodes[at].wanted("a"), now),
+                      now);
+    if (nodes[at].take("a", row.Rate, now))
+      return true;
+  }
+  return false;
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(AccountShares, KeepTheSum, FleetRows) {
+  tests::Random draw(7);
+  std::vector<AccountShares> nodes(row.Nodes, AccountShares(Window));
+  TimePoint now{};
+  for (AccountShares &it : nodes) {
+    it.setNodes(row.Nodes, now);
+    it.prepare("a", row.Rate, now);
+  }
+  now += seconds(8);
+  std::deque<TimePoint> served;
+  int asked = 0;
+  std::size_t total = 0;
+  const double bound =
+      row.Rate.PerSecond * 5 + row.Rate.Burst + static_cast<double>(row.Nodes);
+  for (const TimePoint end = now + seconds(30); now < end;) {
+    now += draw.exponential(
+        core::Duration(static_cast<std::int64_t>(1e9 / row.Demand)));
+    const std::size_t at =
+        draw.chance(row.FirstShare) ? 0 : draw.below(row.Nodes);
+    ++asked;
+    if (!admit(nodes, at, row, draw, now))
+      continue;
+    ++total;
+    served.push_back(now);
+    while (now - served.front() > Window)
+      served.pop_front();
+    cr_assert_leq(static_cast<double>(served.size()), bound, "%s", row.Name);
+  }
+  cr_assert_geq(static_cast<double>(total) / asked, row.LeastServed, "%s: %f",
+                row.Name, static_cast<double>(total) / asked);
+}
+
+Test(AccountShares, LosesWhatIsLentAndNotReceived) {
+  const TimePoint now{};
+  AccountShares lender(Window);
+  lender.prepare("a", {100, 100}, now);
+  const TimePoint later = now + seconds(5);
+  const std::uint32_t lent = lender.lend("a", 10, later);
+  cr_assert_eq(lent, 10U);
+  int left = 0;
+  while (lender.take("a", {100, 100}, later))
+    ++left;
+  cr_assert_eq(left, 40);
+}
+
+Test(AccountShares, HasNoLimitWithoutARate) {
+  AccountShares shares(Window);
+  for (int n = 0; n < 1000; ++n)
+    cr_assert(shares.take("a", {0, 0}, TimePoint()));
+}
--- /dev/null
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -0,0 +1,219 @@
+#include <string>
+
+#include "Adapter/Headers.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::adapter;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string RouteText =
+    R"({"name":"r","host":"h.example","pathPrefix":"/p/","kind":"safe",)"
+    R"("timeout":"500ms","latencySlo":"0.2s","priority":2,"service":"s",)"
+    R"("maxAttempts":2,"public":false})";
+const std::string ServiceText =
+    R"({"name":"s","healthPath":"/healthz","maxConnections":120,)"
+    R"("coldStart":"3s","coldPerS":38.0,"sharded":true,"warmup":"2s"})";
+
+std::string configuration(const std::string &route,
+                          const std::string &version = "\"0000000c\"") {
+  return R"({"version":)" + version + R"(,"routes":[)" + route +
+         R"(],"services":[)" + ServiceText +
+         R"(],"tenants":[{"name":"t","apiKeys":["k"],"ratePerS":44,)"
+         R"("burst":50}],"limits":{"idleTimeout":"15000ms"}})";
+}
+
+std::string replaced(std::string text, const std::string &from,
+                     const std::string &to) {
+  const auto at = text.find(from);
+  return text.replace(at, from.size(), to);
+}
+
+struct ConfigurationRow {
+  const char *Name;
+  std::string Text;
+  bool IsGood;
+};
+
+const ConfigurationRow ConfigurationRows[] = {
+    {"as on the page", configuration(RouteText), true},
+    {"a split",
+     configuration(replaced(RouteText, R"("service":"s")",
+                            R"("trafficSplit":[{"service":"s","weight":9},)"
+                            R"({"service":"t","weight":1}])")),
+     true},
+    {"a field that isn't known",
+     configuration(replaced(RouteText, "{", R"({"new":[1],)")), true},
+    {"no JSON", "{\"version\":", false},
+    {"no object", "[]", false},
+    {"a version that isn't hexadecimal", configuration(RouteText, "\"x\""),
+     false},
+    {"a version of another type", configuration(RouteText, "12"), false},
+    {"an unknown kind",
+     configuration(replaced(RouteText, "\"safe\"", "\"fast\"")), false},
+    {"a time without a unit",
+     configuration(replaced(RouteText, "\"500ms\"", "\"500\"")), false},
+    {"no timeout",
+     configuration(replaced(RouteText, R"("timeout":"500ms",)", "")), false},
+    {"a number as text",
+     configuration(replaced(RouteText, "\"priority\":2", "\"priority\":\"2\"")),
+     false},
+};
+
+const std::string BeatText =
+    R"({"address":"10.1.0.9:8080","born":17,"info":{"service":"s",)"
+    R"("version":"v1","zone":"here","slots":12},"status":{"state":"ready",)"
+    R"("seq":4,"coldRemaining":"1.5s"},"holds":[[0,9,7]],)"
+    R"("freed":[[10,19,"abc"]]})";
+
+struct BeatRow {
+  const char *Name;
+  std::string Text;
+  bool IsGood;
+};
+
+const BeatRow BeatRows[] = {
+    {"as on the page", BeatText, true},
+    {"without keys",
+     replaced(replaced(BeatText, R"("holds":[[0,9,7]],)", ""),
+              R"("freed":[[10,19,"abc"]])", R"("other":1)"),
+     true},
+    {"draining", replaced(BeatText, "ready", "draining"), true},
+    {"no JSON", "\x01\x02", false},
+    {"no birth", replaced(BeatText, R"("born":17,)", ""), false},
+    {"a birth of another type", replaced(BeatText, "17", "\"17\""), false},
+    {"an unknown state", replaced(BeatText, "ready", "asleep"), false},
+    {"no sequence", replaced(BeatText, R"("seq":4,)", ""), false},
+    {"slots of another type", replaced(BeatText, "12", "\"12\""), false},
+    {"keys out of range", replaced(BeatText, "[0,9,7]", "[0,70000,7]"), false},
+    {"keys of another type", replaced(BeatText, "[0,9,7]", "[0,\"9\",7]"),
+     false},
+    {"an address with a name", replaced(BeatText, "10.1.0.9", "host"), false},
+};
+
+struct CallRow {
+  const char *Name;
+  net::http::verb Method;
+  const char *Target;
+  sidecar::UpstreamCall::Kind What;
+};
+
+using CallKind = sidecar::UpstreamCall::Kind;
+const CallRow CallRows[] = {
+    {"heartbeat", net::http::verb::put, "/instances/i-1", CallKind::Heartbeat},
+    {"leaves", net::http::verb::delete_, "/instances/i-1", CallKind::Leaves},
+    {"no id", net::http::verb::put, "/instances/", CallKind::Unknown},
+    {"another path", net::http::verb::put, "/other/i-1", CallKind::Unknown},
+    {"another method", net::http::verb::get, "/instances/i-1",
+     CallKind::Unknown},
+};
+
+struct LoadRow {
+  const char *Name;
+  const char *Text;
+  bool IsKnown;
+  std::uint32_t DurationPercent;
+};
+
+const LoadRow LoadRows[] = {
+    {"three figures", "3,1,8", true, 100},
+    {"four figures", "3,1,8,250", true, 250},
+    {"two figures", "3,1", false, 0},
+    {"no number", "3,x,8", false, 0},
+    {"absent", "", false, 0},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(Adapter, DecodesConfigurations, ConfigurationRows) {
+  const auto decoded = decodeConfiguration(row.Text);
+  cr_assert_eq(decoded.has_value(), row.IsGood, "%s: %s", row.Name,
+               decoded ? "" : decoded.error().Detail.c_str());
+}
+
+Test(Adapter, KeepsTheFieldsOfAConfiguration) {
+  const auto decoded = decodeConfiguration(configuration(RouteText));
+  cr_assert(decoded.has_value());
+  cr_assert_eq(decoded->Version, 12U);
+  const routing::Route &route = decoded->Routes.at(0);
+  cr_assert(route.Kind == routing::WorkKind::Idempotent);
+  cr_assert_eq(route.Timeout.count(),
+               core::Duration(milliseconds(500)).count());
+  cr_assert_eq(route.LatencyTarget.count(),
+               core::Duration(milliseconds(200)).count());
+  cr_assert(decoded->Services.at(0).IsKeyed);
+  cr_assert_float_eq(decoded->Accounts.at(0).Rate.Burst, 50.0, 1e-9);
+}
+
+ACACIA_TABLE_TEST(Adapter, DecodesHeartbeats, BeatRows) {
+  const auto decoded = decodeHeartbeat("i-1", row.Text);
+  cr_assert_eq(decoded.has_value(), row.IsGood, "%s: %s", row.Name,
+               decoded ? "" : decoded.error().Detail.c_str());
+}
+
+Test(Adapter, KeepsTheFieldsOfAHeartbeat) {
+  const auto decoded = decodeHeartbeat("i-1", BeatText);
+  cr_assert(decoded.has_value());
+  cr_assert_eq(decoded->Life.Born, 17);
+  cr_assert_eq(decoded->ColdRemaining.count(),
+               core::Duration(milliseconds(1500)).count());
+  cr_assert_eq(decoded->Holds.at(0).Token, 7U);
+  cr_assert_eq(decoded->Freed.at(0).Handover, "abc");
+}
+
+Test(Adapter, EncodesGrants) {
+  cr_assert_eq(encodeGrant(std::nullopt), "{}");
+  holdings::Grant grant;
+  grant.Length = milliseconds(2500);
+  grant.Rows.push_back({{0, 9}, "n", {"u", 1}, 7, "abc"});
+  cr_assert_eq(encodeGrant(grant),
+               R"({"hold_time":"2500ms","holds":[[0,9,7,"abc"]]})");
+}
+
+ACACIA_TABLE_TEST(Adapter, ParsesUpstreamCalls, CallRows) {
+  const net::HttpRequest request{row.Method, row.Target, 11};
+  cr_assert(parseUpstreamCall(request).What == row.What, "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(Adapter, ReadsLoads, LoadRows) {
+  net::HttpFields fields;
+  if (row.Text[0] != '\0')
+    fields.set("Server-Load", row.Text);
+  const auto load = makeDialect().ReadAnswer(fields).Load;
+  cr_assert_eq(load.has_value(), row.IsKnown, "%s", row.Name);
+  if (load)
+    cr_assert_eq(load->DurationPercent, row.DurationPercent, "%s", row.Name);
+}
+
+Test(Adapter, ReplacesWhatACallerForged) {
+  net::HttpFields fields;
+  for (const char *it : {"Tenant", "Caller-Service", "Expected-Instance",
+                         "Authorization", "Deadline-Ms"})
+    fields.set(it, "forged");
+  makeDialect().WriteOrder(fields, {milliseconds(250), "i-1", "", "s"});
+  cr_assert_eq(fields.count("Tenant"), 0U);
+  cr_assert_eq(fields.count("Authorization"), 0U);
+  cr_assert_eq(net::fieldOf(fields, "Caller-Service"), "s");
+  cr_assert_eq(net::fieldOf(fields, "Expected-Instance"), "i-1");
+  cr_assert_eq(net::fieldOf(fields, "Deadline-Ms"), "250");
+}
+
+Test(Adapter, FramesRecords) {
+  const feed::KeyedRecord records[] = {{"a", "value"}, {"b", std::nullopt}};
+  std::string bytes(16, '\0');
+  bytes[7] = 12;
+  for (const auto &it : records)
+    bytes += frameRecord(it);
+  const auto tail = parseTail(bytes, 10);
+  cr_assert(tail.has_value());
+  cr_assert_eq(tail->End, 12U);
+  cr_assert_eq(tail->Next, 12U);
+  cr_assert_eq(tail->Records.at(0).Value.value(), "value");
+  cr_assert_not(tail->Records.at(1).Value.has_value());
+  for (std::size_t n = 1; n < 8; ++n)
+    cr_assert_not(parseTail(bytes.substr(0, bytes.size() - n), 10)
+                      .value_or(feed::Tail{})
+                      .Records.size() == 2);
+}
--- /dev/null
+++ b/Tests/Adapter/Headers.h
@@ -0,0 +1,13 @@
+/// \file
+/// All of the adapter. It is included before Criterion, whose macros break the
+/// headers of Boost.
+
+#ifndef ACACIAROAD_TESTS_ADAPTER_HEADERS_H
+#define ACACIAROAD_TESTS_ADAPTER_HEADERS_H
+
+#include "platform/ConfigurationDecoder.h"
+#include "platform/Dialect.h"
+#include "platform/HeartbeatCodec.h"
+#include "platform/RecordFraming.h"
+
+#endif
--- /dev/null
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -0,0 +1,159 @@
+#include "Feed/KeyedFeed.h"
+
+#include <string>
+#include <vector>
+
+#include "Feed/RelayBuffer.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::feed;
+using core::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// What the log does with one read.
+enum class ReadStep { Page, LastPage, Tail, PartOfTail, Trimmed, Unavailable };
+
+struct FeedRow {
+  const char *Name;
+  std::vector<ReadStep> Steps;
+  /// s: snapshot, r: records, +: reachable, -: not reachable.
+  const char *Calls;
+};
+
+const FeedRow FeedRows[] = {
+    {"pages, then records",
+     {ReadStep::Page, ReadStep::LastPage, ReadStep::Tail, ReadStep::Tail},
+     "s+rr"},
+    {"a part of the tail is not given on alone",
+     {ReadStep::LastPage, ReadStep::PartOfTail, ReadStep::Tail},
+     "s+r"},
+    {"starts anew when records are gone",
+     {ReadStep::LastPage, ReadStep::Tail, ReadStep::Trimmed, ReadStep::LastPage,
+      ReadStep::Tail},
+     "s+rsr"},
+    {"an outage",
+     {ReadStep::LastPage, ReadStep::Tail, ReadStep::Unavailable,
+      ReadStep::Unavailable, ReadStep::Tail},
+     "s+r-+r"},
+    {"an outage during the pages",
+     {ReadStep::Page, ReadStep::Unavailable, ReadStep::LastPage,
+      ReadStep::Tail},
+     "-s+r"},
+};
+
+/// Answers reads by a script and stops the loop at its end.
+class ScriptedLog {
+public:
+  ScriptedLog(boost::asio::io_context &loop, std::vector<ReadStep> steps)
+      : Loop(loop), Steps(std::move(steps)) {}
+
+  KeyedLog log() {
+    return {[this](std::string_view, PageHandler handler) {
+              const auto step = next();
+              if (!step)
+                return;
+              if (*step == ReadStep::Unavailable)
+                handler(core::fail(core::ErrorKind::LogUnavailable));
+              else
+                handler(NewestPage{{{"a", "1"}}, *step == ReadStep::Page, 5});
+            },
+            [this](core::Offset from, core::Duration, TailHandler handler) {
+              const auto step = next();
+              if (!step)
+                return;
+              if (*step == ReadStep::Unavailable)
+                handler(core::fail(core::ErrorKind::LogUnavailable));
+              else if (*step == ReadStep::Trimmed)
+                handler(core::fail(core::ErrorKind::LogTrimmed));
+              else
+                handler(
+                    feed::Tail{{{"a", "2"}},
+                               from + 1,
+                               from + (*step == ReadStep::PartOfTail ? 2U : 1U),
+                               {}});
+            },
+            {}};
+  }
+
+private:
+  std::optional<ReadStep> next() {
+    if (Position == Steps.size()) {
+      Loop.stop();
+      return std::nullopt;
+    }
+    return Steps[Position++];
+  }
+
+  boost::asio::io_context &Loop;
+  std::vector<ReadStep> Steps;
+  std::size_t Position = 0;
+};
+
+struct BufferRow {
+  const char *Name;
+  core::Offset From;
+  /// -1 if the buffer can't tell.
+  int Records;
+  core::Offset Next;
+};
+
+// The buffer holds the records 10 to 14.
+const BufferRow BufferRows[] = {
+    {"all", 10, 5, 15},         {"some", 13, 2, 15},        {"none", 15, 0, 15},
+    {"ahead of it", 17, 0, 17}, {"too far back", 9, -1, 0},
+};
+
+std::vector<KeyedRecord> makeRecords(std::size_t n) {
+  return std::vector<KeyedRecord>(n, KeyedRecord{"k", "v"});
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(KeyedFeed, Follows, FeedRows) {
+  boost::asio::io_context loop;
+  ScriptedLog script(loop, row.Steps);
+  std::string calls;
+  KeyedFeed feed(loop, script.log(), {},
+                 {[&](const auto &, core::Offset) { calls += 's'; },
+                  [&](const auto &, core::Offset, TimePoint) { calls += 'r'; },
+                  [&](bool isReachable, std::string_view) {
+                    calls += isReachable ? '+' : '-';
+                  }});
+  feed.start();
+  loop.run();
+  cr_assert_eq(calls, row.Calls, "%s: %s", row.Name, calls.c_str());
+}
+
+ACACIA_TABLE_TEST(RelayBuffer, Reads, BufferRows) {
+  RelayBuffer buffer(1U << 20U);
+  const TimePoint start{};
+  buffer.reset(10, start);
+  buffer.add(makeRecords(5), 15, start + seconds(1));
+  const auto tail = buffer.read(row.From, start + seconds(3));
+  cr_assert_eq(tail ? static_cast<int>(tail->Records.size()) : -1, row.Records,
+               "%s", row.Name);
+  if (!tail)
+    return;
+  cr_assert_eq(tail->Next, row.Next);
+  cr_assert_eq(tail->Age.count(), core::Duration(seconds(2)).count());
+}
+
+Test(RelayBuffer, DropsTheOldestForRoom) {
+  RelayBuffer buffer(2000);
+  buffer.reset(0, TimePoint());
+  buffer.add(makeRecords(100), 100, TimePoint());
+  cr_assert_not(buffer.read(0, TimePoint()).has_value());
+  cr_assert(buffer.read(95, TimePoint()).has_value());
+}
+
+Test(RelayBuffer, StartsAnewAfterAGap) {
+  RelayBuffer buffer(2000);
+  buffer.reset(0, TimePoint());
+  buffer.add(makeRecords(1), 5, TimePoint());
+  cr_assert_not(buffer.read(0, TimePoint()).has_value());
+  cr_assert(buffer.read(5, TimePoint()).has_value());
+}
--- a/Tests/Holdings/FleetModel.cpp
+++ b/Tests/Holdings/FleetModel.cpp
@@ -121,16 +121,15 @@
 
   core::Duration delay() {
     // Mostly some milliseconds, at times as slow as the platform's log can be.
-    return Draw.chance(0.05) ? upTo(500)
-                             : milliseconds(4) + upTo(8);
+    return Draw.chance(0.05) ? upTo(500) : milliseconds(4) + upTo(8);
   }
 
   void startNode(ModelNode &node) {
     node.IsUp = true;
     node.Incarnation = Draw.next();
     node.Agent = std::make_unique<HoldingAgent>(
-        AgentIdentity{node.Name, "here", ServiceName, {"127.0.0.1", 1},
-                      node.Incarnation},
+        AgentIdentity{
+            node.Name, "here", ServiceName, {"127.0.0.1", 1}, node.Incarnation},
         AgentTiming{HeartbeatInterval, LongestGrant}, Now);
     node.Ledger = FleetLedger();
     node.Position = 0;
@@ -216,11 +215,9 @@
       beat.Holds.push_back({it.Row.Keys, it.Row.Token});
     beat.Freed = std::exchange(upstream.Freed, {});
     const bool isLate = Options.HasFaults && Draw.chance(0.02);
-    const core::Duration way =
-        isLate ? upTo(4000) : milliseconds(1);
-    Events.at(Now + way, [this, &node, beat, sent = Now] {
-      deliver(node, beat, sent);
-    });
+    const core::Duration way = isLate ? upTo(4000) : milliseconds(1);
+    Events.at(Now + way,
+              [this, &node, beat, sent = Now] { deliver(node, beat, sent); });
   }
 
   void deliver(ModelNode &node, const Heartbeat &beat, core::TimePoint sent) {
@@ -277,8 +274,8 @@
       if (known.Token >= row.Token)
         Out.Violation = "a token does not rise";
     }
-    const bool isKnown = std::any_of(
-        Tokens.begin(), Tokens.end(), [&](const auto &it) {
+    const bool isKnown =
+        std::any_of(Tokens.begin(), Tokens.end(), [&](const auto &it) {
           return it.second == life && it.first.Token == row.Token &&
                  it.first.Keys.contains(row.Keys);
         });
@@ -310,11 +307,11 @@
 
   void finishRead(ModelNode &node, std::size_t end, bool isCut) {
     if (Now < node.FrozenUntil) {
-      Events.at(node.FrozenUntil, [this, &node, end, isCut,
-                                   incarnation = node.Incarnation] {
-        if (isAwake(node, incarnation))
-          finishRead(node, end, isCut);
-      });
+      Events.at(node.FrozenUntil,
+                [this, &node, end, isCut, incarnation = node.Incarnation] {
+                  if (isAwake(node, incarnation))
+                    finishRead(node, end, isCut);
+                });
       return;
     }
     node.IsReading = false;
@@ -387,19 +384,19 @@
         Out.Changes += record.Rows ? 1 : 0;
         Log.push_back(record);
       });
-    Events.at(answerAt, [this, &node, incarnation, isAnswered, isAccepted,
-                         isChange] {
-      if (!isAwake(node, incarnation))
-        return;
-      node.IsAppending = false;
-      if (!isChange)
-        return;
-      auto end = ChangeEnd::Unknown;
-      if (isAnswered)
-        end = *isAccepted ? ChangeEnd::Appended : ChangeEnd::Refused;
-      node.Agent->changeEnded(end, Now);
-      node.NextRead = Now;
-    });
+    Events.at(answerAt,
+              [this, &node, incarnation, isAnswered, isAccepted, isChange] {
+                if (!isAwake(node, incarnation))
+                  return;
+                node.IsAppending = false;
+                if (!isChange)
+                  return;
+                auto end = ChangeEnd::Unknown;
+                if (isAnswered)
+                  end = *isAccepted ? ChangeEnd::Appended : ChangeEnd::Refused;
+                node.Agent->changeEnded(end, Now);
+                node.NextRead = Now;
+              });
   }
 
   /// Each key stands in one row.
--- /dev/null
+++ b/Tests/Holdings/LoadMoveTest.cpp
@@ -0,0 +1,130 @@
+#include "Holdings/LoadMove.h"
+
+#include "Holdings/KeyPlacement.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::holdings;
+
+namespace {
+
+struct MoveRow {
+  const char *Name;
+  NodeLoad Own;
+  /// Requests a second of buckets of ten keys, from key 0 on.
+  std::vector<double> Rates;
+  std::vector<LoadTaker> Takers;
+  /// Empty for no move.
+  const char *Target;
+  KeyRange Keys;
+};
+
+const MoveRow MoveRows[] = {
+    {"a bearable load stays",
+     {0.5, 0.005},
+     {50, 50},
+     {{"b", {0.0, 0.005}}},
+     "",
+     {}},
+    {"a small difference stays",
+     {0.9, 0.005},
+     {90, 90},
+     {{"b", {0.8, 0.005}}},
+     "",
+     {}},
+    {"the least loaded takes",
+     {1.2, 0.01},
+     {60, 20, 38},
+     {{"b", {0.9, 0.01}}, {"c", {0.4, 0.01}}},
+     "c",
+     {20, 29}},
+    {"a single hot bucket stays, its neighbours go",
+     {1.3, 0.01},
+     {0, 15, 100, 15, 0},
+     {{"b", {0.1, 0.01}}},
+     "b",
+     {10, 19}},
+    {"one hot bucket alone has nothing to give",
+     {1.3, 0.01},
+     {0, 0, 130},
+     {{"b", {0.1, 0.01}}},
+     "",
+     {}},
+    {"nobody can take", {1.3, 0.01}, {60, 70}, {}, "", {}},
+};
+
+struct SubtractRow {
+  const char *Name;
+  KeyRange Range;
+  std::vector<KeyRange> Taken;
+  std::vector<KeyRange> Left;
+};
+
+const SubtractRow SubtractRows[] = {
+    {"nothing", {0, 9}, {}, {{0, 9}}},
+    {"all", {0, 9}, {{0, 9}}, {}},
+    {"the middle", {0, 9}, {{3, 5}}, {{0, 2}, {6, 9}}},
+    {"both ends", {0, 9}, {{0, 1}, {8, 12}}, {{2, 7}}},
+    {"elsewhere", {0, 9}, {{10, 20}}, {{0, 9}}},
+    {"overlapping cuts", {0, 9}, {{2, 5}, {4, 7}}, {{0, 1}, {8, 9}}},
+};
+
+struct SpreadRow {
+  const char *Name;
+  std::vector<Holding> Free;
+  std::vector<Holding> Rows;
+  /// Keys of a, b and c afterwards.
+  std::vector<Key> Keys;
+};
+
+Holding held(Key from, Key to, std::string node) {
+  return {{from, to}, std::move(node), {"u", 1}, 1, {}};
+}
+
+const SpreadRow SpreadRows[] = {
+    {"all keys", {held(0, 299, "")}, {}, {100, 100, 100}},
+    {"who has less gets more",
+     {held(0, 99, "")},
+     {held(100, 199, "a")},
+     {100, 50, 50}},
+    {"several pieces",
+     {held(0, 9, ""), held(20, 29, "")},
+     {held(10, 19, "b")},
+     {10, 10, 10}},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(LoadMove, Plans, MoveRows) {
+  KeyedLoad load{row.Own, row.Rates, 10};
+  const KeyRange own[] = {{0, static_cast<Key>(row.Rates.size()) * 10 - 1}};
+  const auto move = planLoadMove(load, own, row.Takers);
+  cr_assert_eq(move ? move->Target : "", row.Target, "%s", row.Name);
+  if (move)
+    cr_assert(move->Keys == row.Keys, "%s: [%u,%u]", row.Name, move->Keys.From,
+              move->Keys.To);
+}
+
+ACACIA_TABLE_TEST(KeyPlacement, Subtracts, SubtractRows) {
+  cr_assert(subtract(row.Range, row.Taken) == row.Left, "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(KeyPlacement, Spreads, SpreadRows) {
+  std::vector<Member> members;
+  for (const char *it : {"a", "b", "c"}) {
+    members.emplace_back();
+    members.back().Record.Name = it;
+    members.back().Record.Life = {"u", 1};
+  }
+  std::vector<const Member *> takers;
+  for (const Member &it : members)
+    takers.push_back(&it);
+  std::vector<Holding> rows = row.Rows;
+  for (Holding &it : spread(row.Free, row.Rows, takers, 7)) {
+    cr_assert_eq(it.Token, 7U);
+    rows.push_back(std::move(it));
+  }
+  for (std::size_t n = 0; n < members.size(); ++n)
+    cr_assert_eq(keysOf(rows, members[n].Record.Name), row.Keys[n], "%s",
+                 row.Name);
+}
--- /dev/null
+++ b/Tests/Routing/RouteTableTest.cpp
@@ -0,0 +1,124 @@
+#include "Routing/RouteTable.h"
+
+#include "Routing/TrafficSplit.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::routing;
+
+namespace {
+
+Route makeRoute(std::string name, std::string host, std::string prefix,
+                std::string service) {
+  Route out;
+  out.Name = std::move(name);
+  out.Host = std::move(host);
+  out.PathPrefix = std::move(prefix);
+  out.Parts = {{std::move(service), 1}};
+  return out;
+}
+
+ClientAccount makeAccount(std::string name, std::vector<std::string> keys) {
+  ClientAccount out;
+  out.Name = std::move(name);
+  out.Keys = std::move(keys);
+  return out;
+}
+
+Configuration makeConfiguration() {
+  Configuration out;
+  out.Services.emplace_back().Name = "s";
+  out.Routes = {makeRoute("root", "a.example", "/", "s"),
+                makeRoute("one", "a.example", "/one/", "s"),
+                makeRoute("deep", "a.example", "/one/two/", "s"),
+                makeRoute("other", "b.example", "/one/", "s")};
+  out.Accounts.push_back(makeAccount("first", {"k1", "k2"}));
+  return out;
+}
+
+struct FindRow {
+  const char *Name;
+  const char *Host;
+  const char *Path;
+  /// Empty for none.
+  const char *Route;
+};
+
+const FindRow FindRows[] = {
+    {"longest prefix", "a.example", "/one/two/x", "deep"},
+    {"shorter prefix", "a.example", "/one/x", "one"},
+    {"a prefix ends with a slash", "a.example", "/one", "root"},
+    {"the prefix itself", "a.example", "/one/", "one"},
+    {"a query is passed over", "a.example", "/x?y=/one/two/", "root"},
+    {"a port is passed over", "a.example:80", "/one/x", "one"},
+    {"hosts compare without case", "A.Example", "/one/x", "one"},
+    {"no route of the host", "b.example", "/two/", ""},
+    {"unknown host", "c.example", "/one/", ""},
+    {"no path", "a.example", "*", ""},
+};
+
+struct InvalidRow {
+  const char *Name;
+  void (*Break)(Configuration &);
+};
+
+const InvalidRow InvalidRows[] = {
+    {"unknown service",
+     [](Configuration &it) { it.Routes[0].Parts[0].Service = "t"; }},
+    {"no service", [](Configuration &it) { it.Routes[0].Parts.clear(); }},
+    {"same place",
+     [](Configuration &it) { it.Routes[0].PathPrefix = "/one/"; }},
+    {"a key of two accounts",
+     [](Configuration &it) {
+       it.Accounts.push_back(makeAccount("second", {"k1"}));
+     }},
+};
+
+struct SplitRow {
+  const char *Name;
+  std::vector<double> Weights;
+};
+
+const SplitRow SplitRows[] = {
+    {"even", {1, 1}}, {"nine to one", {90, 10}}, {"three parts", {5, 3, 2}}};
+
+} // namespace
+
+ACACIA_TABLE_TEST(RouteTable, Finds, FindRows) {
+  const auto table = RouteTable::create(makeConfiguration());
+  cr_assert(table.has_value());
+  const Route *found = (*table)->findRoute(row.Host, row.Path);
+  cr_assert_str_eq(found == nullptr ? "" : found->Name.c_str(), row.Route, "%s",
+                   row.Name);
+}
+
+ACACIA_TABLE_TEST(RouteTable, RefusesInvalid, InvalidRows) {
+  Configuration configuration = makeConfiguration();
+  row.Break(configuration);
+  cr_assert_not(RouteTable::create(configuration).has_value(), "%s", row.Name);
+}
+
+Test(RouteTable, FindsAccountsByKey) {
+  const auto table = RouteTable::create(makeConfiguration());
+  cr_assert_eq((*table)->findAccount("k2")->Name, "first");
+  cr_assert_null((*table)->findAccount("k3"));
+}
+
+ACACIA_TABLE_TEST(TrafficSplit, KeepsEachShare, SplitRows) {
+  Route route = makeRoute("r", "h", "/", "s");
+  route.Parts.clear();
+  double total = 0;
+  for (const double it : row.Weights) {
+    route.Parts.push_back({std::to_string(route.Parts.size()), it});
+    total += it;
+  }
+  TrafficSplit split;
+  std::vector<double> counts(row.Weights.size());
+  constexpr int Requests = 1000;
+  for (int n = 1; n <= Requests; ++n) {
+    ++counts[std::stoul(split.next(route).Service)];
+    for (std::size_t it = 0; it < counts.size(); ++it)
+      cr_assert_lt(std::abs(counts[it] - n * row.Weights[it] / total), 1.0,
+                   "%s after %d", row.Name, n);
+  }
+}
--- /dev/null
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -0,0 +1,186 @@
+#include "Upstream/OrderQueue.h"
+
+#include <string>
+#include <vector>
+
+#include "Support/Table.h"
+#include "Upstream/KeyLoad.h"
+#include "Upstream/RequestRate.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::upstream;
+using core::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A queue of two slots that has seen orders of 50 ms.
+OrderQueue makeQueue(TimePoint now) {
+  OrderQueue out;
+  out.setSlots(2);
+  for (Ticket id = 1000; id < 1010; ++id) {
+    out.offer({id, "work", 0, now + milliseconds(1000)}, now);
+    out.finished(id, true, now + milliseconds(50));
+  }
+  return out;
+}
+
+struct Offered {
+  Ticket Id;
+  std::int32_t Rank;
+  int DeadlineMs;
+};
+
+struct OfferRow {
+  const char *Name;
+  std::vector<Offered> Offers;
+  /// One letter for each offer: started, queued, refused.
+  std::string Verdicts;
+  /// Tickets in the order in which they start once slots become free.
+  std::vector<Ticket> Order;
+};
+
+const OfferRow OfferRows[] = {
+    {"slots first", {{1, 0, 500}, {2, 0, 500}}, "ss", {}},
+    {"more wait", {{1, 0, 500}, {2, 0, 500}, {3, 0, 500}}, "ssq", {3}},
+    {"rank goes first",
+     {{1, 0, 500}, {2, 0, 500}, {3, 2, 500}, {4, 1, 500}, {5, -1, 500}},
+     "ssqqq",
+     {5, 4, 3}},
+    {"then the earlier deadline",
+     {{1, 0, 500}, {2, 0, 500}, {3, 1, 500}, {4, 1, 300}},
+     "ssqq",
+     {4, 3}},
+    {"no time for the work itself", {{1, 0, 20}}, "r", {}},
+    {"no time for the wait and the work",
+     {{1, 0, 500}, {2, 0, 500}, {3, 0, 50}},
+     "ssr",
+     {}},
+    {"a short deadline is refused behind a long queue",
+     {{1, 0, 500}, {2, 0, 500}, {3, 0, 900}, {4, 0, 900}, {5, 1, 100}},
+     "ssqqr",
+     {3, 4}},
+};
+
+char letterOf(Verdict verdict) {
+  switch (verdict) {
+  case Verdict::Start:
+    return 's';
+  case Verdict::Queued:
+    return 'q';
+  case Verdict::Refused:
+    return 'r';
+  }
+  return '?';
+}
+
+struct RateRow {
+  const char *Name;
+  std::uint32_t Bound;
+  int IntervalMs;
+};
+
+const RateRow RateRows[] = {
+    {"a burst", 38, 0}, {"a steady stream", 38, 5}, {"one a second", 1, 100}};
+
+} // namespace
+
+ACACIA_TABLE_TEST(OrderQueue, Offers, OfferRows) {
+  const TimePoint now{};
+  OrderQueue queue = makeQueue(now);
+  std::string verdicts;
+  std::vector<Ticket> running;
+  for (const Offered &it : row.Offers) {
+    const auto decision = queue.offer(
+        {it.Id, "work", it.Rank, now + milliseconds(it.DeadlineMs)}, now);
+    verdicts += letterOf(decision.What);
+    if (decision.What == Verdict::Start)
+      running.push_back(it.Id);
+  }
+  cr_assert_eq(verdicts, row.Verdicts, "%s: %s", row.Name, verdicts.c_str());
+  std::vector<Ticket> order;
+  while (!running.empty()) {
+    queue.finished(running.front(), true, now + milliseconds(50));
+    running.erase(running.begin());
+    for (const Dequeued &it : queue.advance(now)) {
+      order.push_back(it.Id);
+      running.push_back(it.Id);
+    }
+  }
+  cr_assert(order == row.Order, "%s", row.Name);
+}
+
+Test(OrderQueue, RefusesWhatCanNoLongerEnd) {
+  const TimePoint now{};
+  OrderQueue queue = makeQueue(now);
+  for (const Ticket it : {1U, 2U, 3U})
+    queue.offer({it, "work", 0, now + milliseconds(300)}, now);
+  const auto out = queue.advance(now + milliseconds(290));
+  cr_assert_eq(out.size(), 1U);
+  cr_assert(out[0].What == Verdict::Refused);
+  cr_assert_eq(out[0].Id, 3U);
+}
+
+Test(OrderQueue, TakesNothingWithoutSlots) {
+  OrderQueue queue;
+  const TimePoint now{};
+  const auto decision =
+      queue.offer({1, "work", 0, now + milliseconds(100)}, now);
+  cr_assert(decision.What == Verdict::Refused);
+  cr_assert(decision.Reason == core::ErrorKind::NoUpstream);
+}
+
+Test(OrderQueue, KeepsTheRateOfAColdUpstream) {
+  OrderQueue queue;
+  queue.setSlots(100);
+  queue.setColdRate(3);
+  const TimePoint now{};
+  int started = 0;
+  for (Ticket id = 1; id <= 10; ++id)
+    if (queue.offer({id, "work", 0, now + milliseconds(500)}, now).What ==
+        Verdict::Start)
+      ++started;
+  cr_assert_eq(started, 3);
+}
+
+ACACIA_TABLE_TEST(RequestRate, HoldsInAnySecond, RateRows) {
+  RequestRate rate;
+  rate.setBound(row.Bound);
+  std::vector<TimePoint> starts;
+  TimePoint now{};
+  for (int n = 0; n < 1000; ++n) {
+    if (rate.mayStart(now)) {
+      rate.started(now);
+      starts.push_back(now);
+    }
+    now += milliseconds(std::max(1, row.IntervalMs));
+  }
+  for (std::size_t n = row.Bound; n < starts.size(); ++n)
+    cr_assert_geq((starts[n] - starts[n - row.Bound]).count(),
+                  core::Duration(std::chrono::seconds(1)).count(), "%s",
+                  row.Name);
+  cr_assert_gt(starts.size(), 0U);
+}
+
+Test(RequestRate, CountsWhatWasSentWithoutABound) {
+  RequestRate rate;
+  const TimePoint now{};
+  for (int n = 0; n < 50; ++n)
+    rate.started(now);
+  rate.setBound(10);
+  cr_assert_not(rate.mayStart(now + milliseconds(900)));
+  cr_assert(rate.mayStart(now + milliseconds(1100)));
+}
+
+Test(KeyLoad, FollowsRates) {
+  KeyLoad load(64);
+  TimePoint now{};
+  load.fade(now);
+  for (int n = 0; n < 500; ++n) {
+    load.arrived(17);
+    now += milliseconds(10);
+    load.fade(now);
+  }
+  cr_assert_float_eq(load.rates()[1], 100.0, 5.0);
+  cr_assert_float_eq(load.rates()[0], 0.0, 1e-9);
+}
