Apply own appends without a read; let nodes without keys read through relays

Nodes that lapsed still count for the shares of accounts for 30 s, since one that only can't reach the store goes on serving.

--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -85,6 +85,9 @@
   Failures = 0;
   if (!std::exchange(IsReachable, true))
     Hooks.OnReachable(true, {});
+  // An append of this node may have been applied meanwhile.
+  if (tail->Next < Position)
+    *tail = {{}, Position, Position, tail->Age};
   Position = tail->Next;
   std::move(tail->Records.begin(), tail->Records.end(),
             std::back_inserter(Collected));
@@ -101,6 +104,18 @@
     schedule(Pace.Pause);
 }
 
+void KeyedFeed::appended(KeyedRecord record, core::Offset at,
+                         core::TimePoint asked) {
+  if (!IsFollowing || at != Position || !Collected.empty()) {
+    readNow();
+    return;
+  }
+  ++Position;
+  std::vector<KeyedRecord> records;
+  records.push_back(std::move(record));
+  Hooks.OnRecords(std::move(records), Position, asked);
+}
+
 void KeyedFeed::onFailure(const core::Error &error) {
   if (std::exchange(IsReachable, false) || Failures == 0)
     Hooks.OnReachable(false, error.Detail);
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -14,6 +14,10 @@
 /// A third of the lease, so that two lost renewals are borne.
 constexpr core::Duration RenewInterval = NodeLease / 3;
 
+/// Of nodes whose upstream holds no keys; within the lease, so that they count
+/// as present.
+constexpr core::Duration PresenceInterval = NodeLease * 5 / 7;
+
 /// Between two attempts at a record that has not been read back; several round
 /// trips of the log.
 constexpr core::Duration RecordRetry = milliseconds(400);
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -21,7 +21,12 @@
 /// Of the nodes that read the fleet's log. Nodes renew their leases all the
 /// time, so that a waiting read would return at once; the pause bounds the
 /// calls.
-constexpr feed::FeedPace FleetPace{milliseconds(0), milliseconds(600)};
+constexpr feed::FeedPace FleetPace{milliseconds(0), milliseconds(900)};
+
+/// A node without a record for this long has gone for good. Until then it counts
+/// for the shares of accounts, since one that only can't reach the log still
+/// serves callers, and it is tried: what it refuses goes elsewhere.
+constexpr core::Duration MemberRetention = std::chrono::seconds(30);
 
 /// Of the nodes that read through others.
 constexpr feed::FeedPace RelayPace{milliseconds(0), milliseconds(500)};
@@ -207,6 +212,7 @@
                 {"before", before},
                 {"routes", (*table)->configuration().Routes.size()}});
   Routes = std::move(*table);
+  Agent.setKeyed(isKeyed());
 }
 
 void Control::applyFleet(const std::vector<feed::KeyedRecord> &records,
@@ -373,7 +379,7 @@
 
 std::optional<std::string> Control::chooseRelay(RelayedLog log) {
   // A proposal needs the true end of the log.
-  if (log == RelayedLog::Fleet &&
+  if (log == RelayedLog::Fleet && isKeyed() &&
       Agent.wantsChange(Ledger, core::BootClock::now()))
     return std::nullopt;
   if (log == RelayedLog::Fleet)
@@ -508,22 +514,33 @@
               {"rows", change.Rows.size()},
               {"at", change.At},
               {"reason", change.Reason}});
-  Logs.Fleet.Append(
-      {codec::holdingsKey(change.Service), codec::encodeHoldings(change.Rows)},
-      change.At, [this](const core::Result<core::Offset> &result) {
-        IsAppending = false;
-        auto end = holdings::ChangeEnd::Appended;
-        if (!result)
-          end = result.error().Kind == core::ErrorKind::LogOutcomeUnknown
-                    ? holdings::ChangeEnd::Unknown
-                    : holdings::ChangeEnd::Refused;
-        Log->write(logging::Level::Info, "holdings_proposal_ended",
-                   {{"accepted", result.has_value()},
-                    {"detail", result ? "" : result.error().Detail}});
-        Agent.changeEnded(end, core::BootClock::now());
-        HasNews = HasNews || result.has_value();
-        Fleet->readNow();
-      });
+  feed::KeyedRecord record{codec::holdingsKey(change.Service),
+                           codec::encodeHoldings(change.Rows)};
+  const auto sent = core::BootClock::now();
+  Logs.Fleet.Append(record, change.At,
+                    [this, record, sent](core::Result<core::Offset> result) {
+                      changeAppended(record, sent, std::move(result));
+                    });
+}
+
+void Control::changeAppended(const feed::KeyedRecord &record,
+                             core::TimePoint sent,
+                             core::Result<core::Offset> result) {
+  IsAppending = false;
+  auto end = holdings::ChangeEnd::Appended;
+  if (!result)
+    end = result.error().Kind == core::ErrorKind::LogOutcomeUnknown
+              ? holdings::ChangeEnd::Unknown
+              : holdings::ChangeEnd::Refused;
+  Log->write(logging::Level::Info, "holdings_proposal_ended",
+             {{"accepted", result.has_value()},
+              {"detail", result ? "" : result.error().Detail}});
+  Agent.changeEnded(end, core::BootClock::now());
+  HasNews = HasNews || result.has_value();
+  if (result)
+    Fleet->appended(record, *result, sent);
+  else
+    Fleet->readNow();
 }
 
 bool Control::isKeyed() const {
@@ -563,13 +580,14 @@
   view->Own = describeOwn(now);
   view->Nodes = 0;
   for (const auto &[name, it] : Ledger.members()) {
-    if (it.isLapsed(now))
+    if (now - it.ReadAt > MemberRetention)
       continue;
     ++view->Nodes;
     view->Services[it.Record.Service].Peers.push_back(
         {name, it.Record.DataCentre, it.Record.Peer,
          core::InstanceId{core::hashOf(name)}, it.Record.Life,
-         Ledger.isEligible(it, now)});
+         it.Record.State == holdings::UpstreamState::Ready &&
+             !Ledger.isOut(it.Record.DataCentre)});
   }
   if (Routes)
     for (const routing::Service &it : Routes->configuration().Services) {
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -95,6 +95,8 @@
   void appendDue(core::TimePoint now);
   void appendRecord(const holdings::NodeRecord &record);
   void appendChange(const holdings::HoldingChange &change);
+  void changeAppended(const feed::KeyedRecord &record, core::TimePoint sent,
+                      core::Result<core::Offset> result);
   void publish(core::TimePoint now);
   proxy::OwnUpstream describeOwn(core::TimePoint now) const;
   bool isKeyed() const;
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t MostConnections = 4;
 
 /// What a relay has not asked for within this time is asked for directly: it
-/// may be cut off from the log.
-constexpr core::Duration LargestAge = milliseconds(1800);
+/// may be cut off from the log. Two reads that wait for a second each, and room.
+constexpr core::Duration LargestAge = milliseconds(2400);
 
 constexpr std::string_view PathPrefix = "/relay/";
 
