--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -30,6 +30,7 @@
   IsFollowing = false;
   Snapshot.clear();
   Collected.clear();
+  SnapshotAsked = core::BootClock::now();
   readPage();
 }
 
@@ -59,7 +60,7 @@
   }
   Position = SnapshotEnd;
   IsFollowing = true;
-  Hooks.OnSnapshot(std::exchange(Snapshot, {}), SnapshotEnd);
+  Hooks.OnSnapshot(std::exchange(Snapshot, {}), SnapshotEnd, SnapshotAsked);
   readTail();
 }
 
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -16,8 +16,11 @@
 namespace acaciaroad::feed {
 
 struct FeedHooks {
-  /// The newest record of every key; others no longer exist.
-  std::function<void(std::vector<KeyedRecord>, core::Offset end)> OnSnapshot;
+  /// The newest record of every key; others no longer exist. It holds all that
+  /// the log held at some moment after \p asked.
+  std::function<void(std::vector<KeyedRecord>, core::Offset end,
+                     core::TimePoint asked)>
+      OnSnapshot;
   /// Further records up to the end of the log, perhaps none. All up to \p end
   /// was known to the log at some moment after \p asked.
   std::function<void(std::vector<KeyedRecord>, core::Offset end,
@@ -70,6 +73,7 @@
   /// Read, but not up to the end of the log.
   std::vector<KeyedRecord> Collected;
   core::Offset SnapshotEnd = 0;
+  core::TimePoint SnapshotAsked{};
   core::Offset Position = 0;
   bool IsFollowing = false;
   bool IsReading = false;
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace acaciaroad::proxy {
 
 using core::ErrorKind;
@@ -198,7 +200,11 @@
 
 void EntryRun::fail(ErrorKind reason) {
   finish();
-  Entry.refuse(*Exchange, reason, RetryAfter, Service);
+  const std::string detail =
+      Attempt == 0 ? Service
+                   : fmt::format("{} at {}, attempt {}", Service, TargetNode,
+                                 Attempt);
+  Entry.refuse(*Exchange, reason, RetryAfter, detail);
 }
 
 void EntryRun::abandon() {
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -123,10 +123,11 @@
 
 feed::FeedHooks Control::operatorHooks() {
   return {
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end) {
-        // How old the pages are isn't known here; the next read tells.
-        Relay->buffer(RelayedLog::Operators).reset(end, core::TimePoint());
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
+             core::TimePoint asked) {
+        Relay->buffer(RelayedLog::Operators).reset(end, asked);
         applyOperators(records, true);
+        Hooks.OnConfirmed(asked);
       },
       [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
              core::TimePoint asked) {
@@ -140,19 +141,19 @@
 }
 
 feed::FeedHooks Control::fleetHooks() {
-  return {
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end) {
-        Relay->buffer(RelayedLog::Fleet).reset(end, core::TimePoint());
-        applyFleet(records, end, true);
-      },
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
-             core::TimePoint asked) {
-        Relay->buffer(RelayedLog::Fleet).add(records, end, asked);
-        applyFleet(records, end, false);
-      },
-      [this](bool isReachable, std::string_view detail) {
-        noteReachable("fleet", isReachable, detail);
-      }};
+  return {[this](const std::vector<feed::KeyedRecord> &records,
+                 core::Offset end, core::TimePoint asked) {
+            Relay->buffer(RelayedLog::Fleet).reset(end, asked);
+            applyFleet(records, end, true);
+          },
+          [this](const std::vector<feed::KeyedRecord> &records,
+                 core::Offset end, core::TimePoint asked) {
+            Relay->buffer(RelayedLog::Fleet).add(records, end, asked);
+            applyFleet(records, end, false);
+          },
+          [this](bool isReachable, std::string_view detail) {
+            noteReachable("fleet", isReachable, detail);
+          }};
 }
 
 void Control::noteReachable(std::string_view log, bool isReachable,
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -118,7 +118,7 @@
   ScriptedLog script(loop, row.Steps);
   std::string calls;
   KeyedFeed feed(loop, script.log(), {},
-                 {[&](const auto &, core::Offset) { calls += 's'; },
+                 {[&](const auto &, core::Offset, TimePoint) { calls += 's'; },
                   [&](const auto &, core::Offset, TimePoint) { calls += 'r'; },
                   [&](bool isReachable, std::string_view) {
                     calls += isReachable ? '+' : '-';
