Refuse on arrival what would end well after its target

Load pattern: more arrives than the upstreams of a service can do. The rows of OrderQueueTest replay the waiting.

--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -79,6 +79,11 @@
   out.WorkClass = Route.Name;
   out.Kind = Route.Kind;
   out.Deadline = Deadline;
+  // A call that comes late still serves the work that waits for it.
+  out.Target =
+      Route.IsPublic
+          ? Deadline
+          : std::min(Deadline, Exchange->Received + Route.LatencyTarget);
   out.ExpectedUpstream = peer.Life.Id;
   out.Key = Key;
   if (Route.IsPublic)
@@ -201,9 +206,9 @@
 void EntryRun::fail(ErrorKind reason) {
   finish();
   const std::string detail =
-      Attempt == 0 ? Service
-                   : fmt::format("{} at {}, attempt {}", Service, TargetNode,
-                                 Attempt);
+      Attempt == 0
+          ? Service
+          : fmt::format("{} at {}, attempt {}", Service, TargetNode, Attempt);
   Entry.refuse(*Exchange, reason, RetryAfter, detail);
 }
 
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -83,9 +83,7 @@
       if (!choice || !budget)
         continue; // Not with the arguments above.
       found =
-          Services
-              .emplace(name,
-                       ServiceState{{}, std::move(*choice), *budget})
+          Services.emplace(name, ServiceState{{}, std::move(*choice), *budget})
               .first;
     }
     found->second.Choice.setCandidates(open);
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -97,7 +97,8 @@
               const routing::ClientAccount &account);
   /// \p view holds route and account; it may no longer be the newest.
   void run(const std::shared_ptr<net::Exchange> &exchange,
-           std::shared_ptr<const TrafficView> view, const routing::Route &route, const routing::ClientAccount *account);
+           std::shared_ptr<const TrafficView> view, const routing::Route &route,
+           const routing::ClientAccount *account);
   ServiceState *stateOf(std::string_view service);
   void refreshCandidates(core::TimePoint now);
 
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -65,10 +65,12 @@
 std::shared_ptr<net::ClientCall>
 PeerClients::send(const core::Endpoint &address, Order order,
                   const Dialect &dialect, OrderHandler handler) {
-  writeForward(order.Request, {order.WorkClass, order.Rank, order.Kind});
-  dialect.WriteOrder(order.Request, {order.Deadline - core::BootClock::now(),
-                                     order.ExpectedUpstream, order.Account,
-                                     order.CallerService});
+  const auto now = core::BootClock::now();
+  writeForward(order.Request,
+               {order.WorkClass, order.Rank, order.Kind, order.Target - now});
+  dialect.WriteOrder(order.Request,
+                     {order.Deadline - now, order.ExpectedUpstream,
+                      order.Account, order.CallerService});
   return clientFor(address)->send(
       std::move(order.Request),
       [handler = std::move(handler)](net::CallResult result) {
--- a/Source/Proxy/PeerFields.cpp
+++ b/Source/Proxy/PeerFields.cpp
@@ -8,16 +8,18 @@
 namespace acaciaroad::proxy {
 
 using net::toBeast;
+using std::chrono::milliseconds;
 
 namespace {
 
 constexpr std::string_view ClassField = "Acacia-Class";
 constexpr std::string_view RankField = "Acacia-Rank";
 constexpr std::string_view KindField = "Acacia-Kind";
+constexpr std::string_view TargetField = "Acacia-Target";
 constexpr std::string_view OutcomeField = "Acacia-Outcome";
 constexpr std::string_view LoadField = "Acacia-Load";
-constexpr std::array AllFields{ClassField, RankField, KindField, OutcomeField,
-                               LoadField};
+constexpr std::array AllFields{ClassField,  RankField,    KindField,
+                               TargetField, OutcomeField, LoadField};
 
 void set(net::HttpFields &fields, std::string_view name,
          std::string_view value) {
@@ -45,6 +47,9 @@
   set(fields, ClassField, forward.WorkClass);
   set(fields, RankField, fmt::to_string(forward.Rank));
   set(fields, KindField, fmt::to_string(static_cast<int>(forward.Kind)));
+  const auto target =
+      std::chrono::duration_cast<milliseconds>(forward.TargetLeft);
+  set(fields, TargetField, fmt::to_string(target.count()));
 }
 
 ForwardFields readForward(const net::HttpFields &fields) {
@@ -56,6 +61,8 @@
   if (kind == static_cast<int>(routing::WorkKind::Idempotent) &&
       !net::fieldOf(fields, KindField).empty())
     out.Kind = routing::WorkKind::Idempotent;
+  out.TargetLeft =
+      milliseconds(numbersOf<1>(net::fieldOf(fields, TargetField))[0]);
   return out;
 }
 
--- a/Source/Proxy/PeerFields.h
+++ b/Source/Proxy/PeerFields.h
@@ -21,6 +21,8 @@
   std::string_view WorkClass;
   std::int32_t Rank = 0;
   routing::WorkKind Kind = routing::WorkKind::AtMostOnce;
+  /// Time left in which an answer is worth most.
+  core::Duration TargetLeft{};
 };
 
 void writeForward(net::HttpFields &fields, const ForwardFields &forward);
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -19,6 +19,7 @@
   order.Kind = forward.Kind;
   order.Key = caller.Key;
   order.Deadline = exchange->Received + fields.TimeLeft;
+  order.Target = exchange->Received + forward.TargetLeft;
   net::eraseConnectionFields(request);
   order.Request = std::move(request);
   const auto ticket =
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -146,7 +146,8 @@
   const auto reason = whyNot(order, now);
   if (IsKeyed && order.Key && reason != ErrorKind::NoOwner)
     Keys.arrived(*order.Key);
-  upstream::QueuedOrder queued{id, order.WorkClass, order.Rank, order.Deadline};
+  upstream::QueuedOrder queued{id, order.WorkClass, order.Rank, order.Deadline,
+                               order.Target};
   Orders.emplace(id, Running{std::move(order), std::move(handler), {}, {}, {}});
   if (reason) {
     refuse(id, *reason);
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -37,6 +37,7 @@
   std::int32_t Rank = 0;
   routing::WorkKind Kind = routing::WorkKind::AtMostOnce;
   core::TimePoint Deadline{};
+  core::TimePoint Target{};
   std::string ExpectedUpstream;
   std::optional<holdings::Key> Key;
 };
--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -14,6 +14,10 @@
 /// half of all orders take less than the mean.
 constexpr int NeededPercent = 60;
 
+/// A waiting order may be expected to end later than its target by this part of
+/// the target: the expectation is a mean.
+constexpr int LatePercent = 25;
+
 /// The shortest time after which a refused caller is asked to come back; about
 /// two round trips to it.
 constexpr core::Duration ShortestRetry = std::chrono::milliseconds(50);
@@ -49,7 +53,10 @@
   }
   core::TimePoint begin = std::max(now, Rate.nextStart(now));
   begin += waitBefore(order);
-  if (order.Deadline <= begin + needed)
+  const core::TimePoint latest =
+      order.Target + (order.Target - now) * LatePercent / 100;
+  if (order.Deadline <= begin + needed ||
+      latest < begin + expected(order.WorkClass))
     return {Verdict::Refused, core::ErrorKind::QueueFull};
   Waiting.insert({order.Rank, order.Deadline, order.Id});
   Orders.emplace(order.Id, order);
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -26,6 +26,8 @@
   std::int32_t Rank = 0;
   /// The answer is worthless after it.
   core::TimePoint Deadline{};
+  /// The answer is worth most up to it; not after the deadline.
+  core::TimePoint Target{};
 };
 
 /// An order that left the queue.
@@ -38,7 +40,9 @@
 /// Keeps the orders of one upstream within its slots and, while it is cold,
 /// within its rate. Others wait by rank, then by deadline, for as long as they
 /// can still end in time by what their class of work usually takes; an order
-/// that cannot is refused on arrival. Pure; the caller serialises all calls.
+/// that cannot is refused on arrival. An order that would wait until it ends
+/// well after its target is refused too: while more comes than can be done, the
+/// slot serves one that is in time. Pure; the caller serialises all calls.
 class OrderQueue {
 public:
   /// Orders that may run at once; 0 takes none.
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -19,7 +19,9 @@
   OrderQueue out;
   out.setSlots(2);
   for (Ticket id = 1000; id < 1010; ++id) {
-    out.offer({id, "work", 0, now + milliseconds(1000)}, now);
+    out.offer(
+        {id, "work", 0, now + milliseconds(1000), now + milliseconds(1000)},
+        now);
     out.finished(id, true, now + milliseconds(50));
   }
   return out;
@@ -29,6 +31,8 @@
   Ticket Id;
   std::int32_t Rank;
   int DeadlineMs;
+  /// The deadline if 0.
+  int TargetMs = 0;
 };
 
 struct OfferRow {
@@ -56,6 +60,11 @@
      {{1, 0, 500}, {2, 0, 500}, {3, 0, 50}},
      "ssr",
      {}},
+    {"no wait far beyond the target",
+     {{1, 0, 500, 200}, {2, 0, 500, 200}, {3, 0, 500, 200}, {4, 0, 500, 60}},
+     "ssqr",
+     {3}},
+    {"a free slot is used whatever the target", {{1, 0, 500, 10}}, "s", {}},
     {"a short deadline is refused behind a long queue",
      {{1, 0, 500}, {2, 0, 500}, {3, 0, 900}, {4, 0, 900}, {5, 1, 100}},
      "ssqqr",
@@ -91,8 +100,11 @@
   std::string verdicts;
   std::vector<Ticket> running;
   for (const Offered &it : row.Offers) {
-    const auto decision = queue.offer(
-        {it.Id, "work", it.Rank, now + milliseconds(it.DeadlineMs)}, now);
+    const int target = it.TargetMs == 0 ? it.DeadlineMs : it.TargetMs;
+    const auto decision =
+        queue.offer({it.Id, "work", it.Rank, now + milliseconds(it.DeadlineMs),
+                     now + milliseconds(target)},
+                    now);
     verdicts += letterOf(decision.What);
     if (decision.What == Verdict::Start)
       running.push_back(it.Id);
@@ -114,7 +126,8 @@
   const TimePoint now{};
   OrderQueue queue = makeQueue(now);
   for (const Ticket it : {1U, 2U, 3U})
-    queue.offer({it, "work", 0, now + milliseconds(300)}, now);
+    queue.offer(
+        {it, "work", 0, now + milliseconds(300), now + milliseconds(300)}, now);
   const auto out = queue.advance(now + milliseconds(290));
   cr_assert_eq(out.size(), 1U);
   cr_assert(out[0].What == Verdict::Refused);
@@ -124,8 +137,8 @@
 Test(OrderQueue, TakesNothingWithoutSlots) {
   OrderQueue queue;
   const TimePoint now{};
-  const auto decision =
-      queue.offer({1, "work", 0, now + milliseconds(100)}, now);
+  const auto decision = queue.offer(
+      {1, "work", 0, now + milliseconds(100), now + milliseconds(100)}, now);
   cr_assert(decision.What == Verdict::Refused);
   cr_assert(decision.Reason == core::ErrorKind::NoUpstream);
 }
@@ -137,8 +150,11 @@
   const TimePoint now{};
   int started = 0;
   for (Ticket id = 1; id <= 10; ++id)
-    if (queue.offer({id, "work", 0, now + milliseconds(500)}, now).What ==
-        Verdict::Start)
+    if (queue
+            .offer({id, "work", 0, now + milliseconds(500),
+                    now + milliseconds(500)},
+                   now)
+            .What == Verdict::Start)
       ++started;
   cr_assert_eq(started, 3);
 }
