--- /dev/null
+++ b/Tests/Net/HttpTest.cpp
@@ -0,0 +1,271 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::net;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+enum class AfterAnswer { Keep, Close, Reset };
+
+/// Accepts one connection, reads what comes, and answers with fixed bytes.
+class ScriptedServer {
+public:
+  ScriptedServer(boost::asio::io_context &loop, std::string bytes,
+                 AfterAnswer after)
+      : Acceptor(loop,
+                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        Socket(loop), Bytes(std::move(bytes)), After(after) {
+    Acceptor.async_accept(Socket, [this](error_code ec) {
+      if (!ec)
+        read();
+    });
+  }
+
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+  std::size_t received() const { return Received; }
+
+private:
+  void read() {
+    Socket.async_read_some(boost::asio::buffer(Buffer),
+                           [this](error_code ec, std::size_t n) {
+                             Received += n;
+                             if (ec)
+                               return;
+                             if (!std::exchange(HasAnswered, true))
+                               answer();
+                             read();
+                           });
+  }
+
+  void answer() {
+    error_code ignored; // The client may have gone.
+    boost::asio::write(Socket, boost::asio::buffer(Bytes), ignored);
+    if (After == AfterAnswer::Keep)
+      return;
+    if (After == AfterAnswer::Reset)
+      Socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    Socket.close(ignored);
+  }
+
+  tcp::acceptor Acceptor;
+  tcp::socket Socket;
+  std::string Bytes;
+  AfterAnswer After;
+  std::array<char, 65536> Buffer{};
+  std::size_t Received = 0;
+  bool HasAnswered = false;
+};
+
+ClientOptions makeOptions() {
+  ClientOptions out{milliseconds(500), seconds(1), seconds(5),
+                    1U << 20U,         4,          {}};
+  out.Belongs = [](const HttpRequest &request, const HttpResponse &response) {
+    const auto id = fieldOf(response, "id");
+    return id.empty() || id == fieldOf(request, "id");
+  };
+  return out;
+}
+
+struct AnswerRow {
+  const char *Name;
+  const char *Bytes;
+  AfterAnswer After;
+  CallEnd End;
+  const char *Body;
+};
+
+const AnswerRow AnswerRows[] = {
+    {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Keep, CallEnd::Answered, "ok"},
+    {"chunked",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nid: 1\r\n\r\n"
+     "2\r\nok\r\n0\r\n\r\n",
+     AfterAnswer::Keep, CallEnd::Answered, "ok"},
+    {"to the end of the connection", "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Close, CallEnd::Answered, "ok"},
+    {"reset before the end of the connection",
+     "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok", AfterAnswer::Reset, CallEnd::Broken,
+     ""},
+    {"shorter than its length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Close, CallEnd::Broken, ""},
+    {"chunks without an end",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nid: "
+     "1\r\n\r\n2\r\nok\r\n",
+     AfterAnswer::Close, CallEnd::Broken, ""},
+    {"no HTTP", "garbage\r\n\r\n", AfterAnswer::Keep, CallEnd::Broken, ""},
+    {"nothing", "", AfterAnswer::Close, CallEnd::Broken, ""},
+    {"another request's answer first",
+     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nid: 0\r\n\r\nold"
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Keep, CallEnd::Answered, "ok"},
+    {"only another request's answer",
+     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nid: 0\r\n\r\nold",
+     AfterAnswer::Close, CallEnd::Broken, ""},
+    {"an interim answer first",
+     "HTTP/1.1 100 Continue\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Keep, CallEnd::Answered, "ok"},
+};
+
+struct RequestRow {
+  const char *Name;
+  const char *Bytes;
+  /// Requests that the handler gets.
+  int Requests;
+  /// First line of what comes back; empty if the connection just ends.
+  const char *Status;
+};
+
+const RequestRow RequestRows[] = {
+    {"plain", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1, "HTTP/1.1 200 OK"},
+    {"two at once",
+     "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", 2,
+     "HTTP/1.1 200 OK"},
+    {"chunked body",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nab\r\n0\r\n\r\n",
+     1, "HTTP/1.1 200 OK"},
+    {"two lengths that differ",
+     "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 0,
+     "HTTP/1.1 400 Bad Request"},
+    {"length and chunks",
+     "POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+     "\r\n0\r\n\r\n",
+     0, "HTTP/1.1 400 Bad Request"},
+    {"chunks and length",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n"
+     "\r\n0\r\n\r\n",
+     0, "HTTP/1.1 400 Bad Request"},
+    {"a length that is no number",
+     "POST / HTTP/1.1\r\nContent-Length: -2\r\n\r\nab", 0,
+     "HTTP/1.1 400 Bad Request"},
+    {"a space before the colon", "GET / HTTP/1.1\r\nHost : h\r\n\r\n", 0,
+     "HTTP/1.1 400 Bad Request"},
+    {"a folded line", "GET / HTTP/1.1\r\nA: b\r\n Content-Length: 9\r\n\r\n", 1,
+     "HTTP/1.1 200 OK"},
+    {"a body above the limit",
+     "POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 0,
+     "HTTP/1.1 413 Payload Too Large"},
+    {"a body that breaks off",
+     "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", 0, ""},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(HttpClient, ReadsAnswers, AnswerRows) {
+  boost::asio::io_context loop;
+  ScriptedServer server(loop, row.Bytes, row.After);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  HttpRequest request{http::verb::get, "/", 11};
+  request.set("id", "1");
+  CallResult result;
+  const auto call = client->send(std::move(request), [&](CallResult it) {
+    result = std::move(it);
+    loop.stop();
+  });
+  loop.run_for(seconds(2));
+  cr_assert(result.End == row.End, "%s: %s", row.Name, result.Detail.c_str());
+  if (row.End == CallEnd::Answered)
+    cr_assert_eq(result.Response.body(), row.Body, "%s", row.Name);
+  client->dropIdle();
+}
+
+Test(HttpClient, SendsTheRestAfterAnEarlyAnswer) {
+  constexpr std::size_t BodyBytes = 8U << 20U;
+  boost::asio::io_context loop;
+  ScriptedServer server(loop, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                        AfterAnswer::Keep);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  HttpRequest request{http::verb::post, "/", 11};
+  request.body().assign(BodyBytes, 'x');
+  unsigned status = 0;
+  const auto call = client->send(std::move(request), [&](const CallResult &it) {
+    status = it.Response.result_int();
+  });
+  loop.run_for(seconds(2));
+  cr_assert_eq(status, 503U);
+  cr_assert_geq(server.received(), BodyBytes);
+  client->dropIdle();
+}
+
+Test(HttpClient, TellsThatNothingWasSent) {
+  boost::asio::io_context loop;
+  std::uint16_t port = 0;
+  {
+    const ScriptedServer closed(loop, "", AfterAnswer::Close);
+    port = closed.port();
+  }
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", port}, makeOptions());
+  CallResult result;
+  result.End = CallEnd::Answered;
+  const auto call =
+      client->send({http::verb::get, "/", 11},
+                   [&](CallResult it) { result = std::move(it); });
+  loop.run_for(seconds(2));
+  cr_assert(result.End == CallEnd::NotSent);
+  cr_assert(result.IsRefused);
+}
+
+ACACIA_TABLE_TEST(HttpServer, ReadsRequests, RequestRows) {
+  boost::asio::io_context loop;
+  int requests = 0;
+  const auto server = HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        ++requests;
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  cr_assert(server.has_value());
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
+  boost::asio::write(socket, boost::asio::buffer(std::string(row.Bytes)));
+  socket.shutdown(tcp::socket::shutdown_send);
+  std::string answer;
+  boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer),
+                          [&](error_code, std::size_t) { loop.stop(); });
+  loop.run_for(seconds(3));
+  cr_assert_eq(requests, row.Requests, "%s: %d", row.Name, requests);
+  cr_assert_eq(answer.substr(0, answer.find("\r\n")), row.Status, "%s: %s",
+               row.Name, answer.c_str());
+}
+
+Test(HttpServer, TellsThatAClientHasLeft) {
+  boost::asio::io_context loop;
+  bool hasLeft = false;
+  std::shared_ptr<Exchange> kept;
+  const auto server = HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        kept = exchange;
+        exchange->setOnAbandoned([&] {
+          hasLeft = true;
+          loop.stop();
+        });
+      });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", (*server)->port()}, makeOptions());
+  const auto call =
+      client->send({http::verb::get, "/", 11}, [](const CallResult &) {});
+  boost::asio::steady_timer timer(loop, milliseconds(50));
+  timer.async_wait([&](error_code) { call->cancel(); });
+  loop.run_for(seconds(2));
+  cr_assert(hasLeft);
+}
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -80,22 +80,22 @@
 
   explicit Fixture(Behaviour behaviour) {
     constexpr net::ServerLimits Limits{4096, 4096, seconds(1), seconds(5)};
-    UpstreamServer = *net::HttpServer::create(
-        Loop, {"127.0.0.1", 0}, Limits, std::move(behaviour));
+    UpstreamServer = *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
+                                              std::move(behaviour));
     logging::LoggerOptions options;
     options.Sink = [](std::string_view) {};
     Log = *logging::Logger::create(std::move(options));
     Upstream = std::make_unique<UpstreamService>(
         Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
-        makeDialect(), Log,
-        Counters, UpstreamHooks{[] {}, [](const auto &) {}});
+        makeDialect(), Log, Counters,
+        UpstreamHooks{[] {}, [](const auto &) {}});
     Entry = std::make_unique<EntryService>(
         Loop, EntryIdentity{NodeName, "dc", "service"},
         EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeDialect(), Log,
         Counters, *Upstream);
-    Server = *net::HttpServer::create(
-        Loop, {"127.0.0.1", 0}, Limits,
-        [this](const auto &it) { Entry->handle(it); });
+    Server =
+        *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
+                                 [this](const auto &it) { Entry->handle(it); });
   }
 
   void setView(std::shared_ptr<const routing::RouteTable> table) {
@@ -104,9 +104,12 @@
     view->Own.Life = {"u", 1};
     view->Own.IsOpen = true;
     view->Own.Slots = 2;
-    view->Services["service"].Peers.push_back(
-        {NodeName, "dc", {"127.0.0.1", 1}, core::InstanceId{1}, {"u", 1},
-         true});
+    view->Services["service"].Peers.push_back({NodeName,
+                                               "dc",
+                                               {"127.0.0.1", 1},
+                                               core::InstanceId{1},
+                                               {"u", 1},
+                                               true});
     view->Services["service"].Peers.push_back(
         {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
     const auto *service =
@@ -228,8 +231,7 @@
     wasAlive = !before.expired();
     answerWith(*exchange, 200, "signed");
   });
-  cr_assert(
-      fixture.Entry->openCredit({"127.0.0.1", CreditPort}).has_value());
+  cr_assert(fixture.Entry->openCredit({"127.0.0.1", CreditPort}).has_value());
   accounts::AccountShares lent((seconds(5)));
   const auto start = core::BootClock::now() - seconds(5);
   lent.prepare("account", {10, 10}, start);
@@ -241,8 +243,8 @@
   before = table;
   fixture.setView(std::move(table));
   fixture.Server = *net::HttpServer::create(
-      fixture.Loop, {"127.0.0.1", 0},
-      {4096, 4096, seconds(1), seconds(5)}, [&](const auto &it) {
+      fixture.Loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [&](const auto &it) {
         fixture.Entry->handle(it);
         fixture.setView(makeTable());
       });
