Bound the bytes of bodies that are held for all requests together

Bodies are read whole; a caller with several large ones could end the process by its memory limit. Beyond 64 MB in all, a request is answered 503 before its body is read. The row of net_test fails without it.

--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -29,6 +29,9 @@
   std::uint64_t BodyBytes = 0;
   core::Duration HeaderTimeout{};
   core::Duration IdleTimeout{};
+  /// Bytes of bodies that are held for all requests together; more are answered
+  /// 503 before their body is read.
+  std::uint64_t HeldBytes = 64U << 20U;
 };
 
 /// One request and the answer to it. Keeps its session alive.
@@ -103,6 +106,8 @@
   ExchangeHandler Handler;
   std::unordered_set<ServerSession *> Sessions;
   std::size_t InFlight = 0;
+  /// Bytes of bodies that sessions hold or have room reserved for.
+  std::uint64_t Held = 0;
   bool Draining = false;
 };
 
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -1,5 +1,6 @@
 #include "Net/ServerSession.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -12,6 +13,14 @@
 using boost::asio::ip::tcp;
 using boost::beast::error_code;
 
+namespace {
+
+/// Reserved for a body in chunks, whose length isn't known; above the mean of
+/// uploads.
+constexpr std::uint64_t ChunkedReserve = 256U << 10U;
+
+} // namespace
+
 void Exchange::respond(HttpResponse response) {
   if (std::exchange(Answered, true))
     return;
@@ -97,6 +106,46 @@
   Parser.emplace();
   Parser->header_limit(Server->Limits.HeaderBytes);
   Parser->body_limit(Server->Limits.BodyBytes);
+  http::async_read_header(
+      Socket, Buffer, *Parser,
+      [self = shared_from_this()](error_code ec, std::size_t) {
+        self->onHeader(ec);
+      });
+}
+
+void ServerSession::onHeader(error_code ec) {
+  if (State == Phase::Closed || !Server)
+    return;
+  if (ec)
+    refuse(ec);
+  else if (!reserveBody())
+    answerAndClose(http::status::service_unavailable);
+  else if (Parser->is_done())
+    onRead({});
+  else
+    readBody();
+}
+
+bool ServerSession::reserveBody() {
+  const std::uint64_t wanted =
+      Parser->chunked() ? ChunkedReserve : Parser->content_length().value_or(0);
+  if (Server->Held + wanted > Server->Limits.HeldBytes)
+    return false;
+  if (Parser->chunked())
+    Parser->body_limit(std::min(Server->Limits.BodyBytes,
+                                Server->Limits.HeldBytes - Server->Held));
+  Reserved = wanted;
+  Server->Held += Reserved;
+  return true;
+}
+
+void ServerSession::releaseBody() {
+  if (Server)
+    Server->Held -= Reserved;
+  Reserved = 0;
+}
+
+void ServerSession::readBody() {
   http::async_read(Socket, Buffer, *Parser,
                    [self = shared_from_this()](error_code ec, std::size_t) {
                      self->onRead(ec);
@@ -133,6 +182,10 @@
     status = http::status::request_header_fields_too_large;
   else if (ec == http::error::body_limit)
     status = http::status::payload_too_large;
+  answerAndClose(status);
+}
+
+void ServerSession::answerAndClose(http::status status) {
   KeepAlive = false;
   enter(Phase::Handling);
   respond(HttpResponse(status, 11));
@@ -155,6 +208,7 @@
 
 void ServerSession::onWritten(error_code ec, bool close) {
   Response.reset();
+  releaseBody();
   if (ec || close || State == Phase::Closed) {
     if (!ec && State != Phase::Closed) {
       error_code ignored; // The connection ends in any case.
@@ -191,6 +245,7 @@
   if (State == Phase::Closed)
     return;
   enter(Phase::Closed);
+  releaseBody();
   error_code ignored; // Nothing is left to do on a failed close.
   Socket.close(ignored);
 }
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -40,6 +40,12 @@
   void onReadable();
   void checkAbandoned();
   void read();
+  void onHeader(boost::beast::error_code ec);
+  void readBody();
+  /// Reserves room for the body; returns false if there is none.
+  bool reserveBody();
+  void releaseBody();
+  void answerAndClose(http::status status);
   void onRead(boost::beast::error_code ec);
   void refuse(boost::beast::error_code ec);
   void onWritten(boost::beast::error_code ec, bool close);
@@ -55,6 +61,8 @@
   core::TimePoint Since;
   bool KeepAlive = true;
   bool WaitPending = false;
+  /// Bytes reserved for the body of the present request.
+  std::uint64_t Reserved = 0;
 };
 
 } // namespace acaciaroad::net
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -159,8 +159,11 @@
     {"a folded line", "GET / HTTP/1.1\r\nA: b\r\n Content-Length: 9\r\n\r\n", 1,
      "HTTP/1.1 200 OK"},
     {"a body above the limit",
-     "POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 0,
+     "POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", 0,
      "HTTP/1.1 413 Payload Too Large"},
+    {"a body beyond what is held",
+     "POST / HTTP/1.1\r\nContent-Length: 550000\r\n\r\n", 0,
+     "HTTP/1.1 503 Service Unavailable"},
     {"a body that breaks off",
      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", 0, ""},
 };
@@ -228,7 +231,7 @@
   boost::asio::io_context loop;
   int requests = 0;
   const auto server = HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      loop, {"127.0.0.1", 0}, {4096, 600'000, seconds(1), seconds(2), 512U << 10U},
       [&](const std::shared_ptr<Exchange> &exchange) {
         ++requests;
         exchange->respond(HttpResponse(http::status::ok, 11));
