Test the sidecar as processes against stand-ins of store and upstream

Rows: calm, a killed node that comes back (same token), a lost node, an upstream that starts anew (higher token), a store outage with truthful refusals, a withdrawn key.

--- /dev/null
+++ b/Tests/Processes/sidecar_test.py
@@ -0,0 +1,215 @@
+#!/usr/bin/env python3
+"""Runs acacia-sidecar as processes against stand-ins of the platform.
+
+sidecar_test.py ROW BIN_FOLDER PORT, where PORT is the first of 40 free ports.
+"""
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from standin_platform import Store, Upstream
+
+SERVICE = "scripts"
+KEYS = range(0, 65536, 4096)
+CONFIGURATION = {
+    "version": "00000001",
+    "routes": [{"name": "r", "host": "h", "pathPrefix": "/s/", "kind": "safe",
+                "timeout": "800ms", "latencySlo": "300ms", "priority": 1,
+                "service": SERVICE, "maxAttempts": 2, "public": False}],
+    "services": [{"name": SERVICE, "healthPath": "/healthz",
+                  "maxConnections": 100, "coldStart": "0s", "coldPerS": 0,
+                  "sharded": True, "warmup": "0s"}],
+    "tenants": [{"name": "account", "apiKeys": ["secret-key"]}],
+}
+
+
+class Node:
+    def __init__(self, binary, folder, index, first_port):
+        self.binary, self.index = binary, index
+        ports = [first_port + n for n in range(8)]
+        self.host = "127.0.0.%d" % (index + 1)
+        at = lambda n: (self.host, ports[n])
+        self.callers, self.health, self.control = at(0), at(3), at(2)
+        self.upstream = Upstream("u-%d" % index, SERVICE, at(7), self.control)
+        text = lambda n: '"%s:%d"' % at(n)
+        self.file = folder / ("node-%d.toml" % index)
+        self.file.write_text(f"""[node]
+name = "node-{index}"
+data_centre = "here"
+service = "{SERVICE}"
+[callers]
+listen = {text(0)}
+[peers]
+listen = {text(1)}
+[control]
+listen = {text(2)}
+[health]
+listen = {text(3)}
+[gossip]
+listen = {text(4)}
+[credit]
+listen = {text(5)}
+[relay]
+listen = {text(6)}
+[upstream]
+address = {text(7)}
+heartbeat = "300ms"
+[store]
+address = "127.0.0.1:{first_port + 10}"
+[limits]
+drain = "5s"
+""")
+        self.log = (folder / ("node-%d.log" % index)).open("w")
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [str(self.binary), "--settings", str(self.file)], stdout=self.log)
+
+    def ask(self, key, account_key="secret-key", path="/s/x"):
+        link = http.client.HTTPConnection(*self.callers, timeout=2)
+        try:
+            link.request("GET", path, headers={
+                "Host": "h", "Request-Id": os.urandom(8).hex(),
+                "Deadline-Ms": "800", "Shard-Key": str(key),
+                "Tenant": "forged",
+                "Authorization": "Bearer " + account_key})
+            answer = link.getresponse()
+            return answer.status, answer.read()
+        except OSError:
+            return 0, b""
+        finally:
+            link.close()
+
+
+class Fleet:
+    def __init__(self, binary, first_port):
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.store = Store(("127.0.0.1", first_port + 10))
+        self.store.put("keyed.op", "config", json.dumps(CONFIGURATION).encode())
+        self.nodes = [Node(binary, self.folder, n, first_port)
+                      for n in range(3)]
+
+    def served(self, nodes=None):
+        """Returns the part of the keys that all given entries serve."""
+        nodes = nodes or self.nodes
+        good = sum(node.ask(key) == (200, b"whole")
+                   for node in nodes for key in KEYS)
+        return good / (len(nodes) * len(KEYS))
+
+    def wait_served(self, seconds, nodes=None):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if self.served(nodes) == 1:
+                return True
+            time.sleep(0.1)
+        return False
+
+    def check_holders(self):
+        """No key is held twice at this moment."""
+        now = time.monotonic()
+        rows = sorted((row[0], row[1]) for node in self.nodes
+                      if node.upstream.is_up and now < node.upstream.until
+                      for row in node.upstream.held)
+        for first, second in zip(rows, rows[1:]):
+            assert first[1] < second[0], rows
+
+    def stop(self):
+        for node in self.nodes:
+            node.process.send_signal(signal.SIGTERM)
+        codes = [node.process.wait(8) for node in self.nodes]
+        assert codes == [0, 0, 0], codes
+
+
+def calm(fleet):
+    node = fleet.nodes[0]
+    assert node.ask(1, account_key="wrong")[0] == 401
+    assert node.ask(1, path="/none/")[0] == 404
+    for it in fleet.nodes:
+        for headers in it.upstream.seen_headers:
+            assert "Authorization" not in headers, headers
+            assert headers["Tenant"] == "account", headers
+            assert headers["Caller-Service"] == SERVICE, headers
+
+
+def killed_node(fleet):
+    node = fleet.nodes[1]
+    token = max(node.upstream.tokens)
+    node.process.kill()
+    node.process.wait()
+    time.sleep(0.3)
+    node.start()
+    assert fleet.wait_served(6), fleet.served()
+    assert max(node.upstream.tokens) == token, "the keys were moved"
+
+
+def lost_node(fleet):
+    node = fleet.nodes[1]
+    node.process.kill()
+    node.process.wait()
+    others = [fleet.nodes[0], fleet.nodes[2]]
+    # The lease, the wait of the second in turn, and a heartbeat.
+    assert fleet.wait_served(12, others), fleet.served(others)
+    node.start()
+    assert fleet.wait_served(10), fleet.served()
+
+
+def restarted_upstream(fleet):
+    upstream = fleet.nodes[1].upstream
+    token = max(upstream.tokens)
+    upstream.crash()
+    time.sleep(0.5)
+    upstream.start()
+    assert fleet.wait_served(6), fleet.served()
+    assert not upstream.tokens or min(upstream.tokens) > token
+
+
+def store_outage(fleet):
+    fleet.store.is_down = True
+    time.sleep(2)
+    assert fleet.served() == 1, fleet.served()
+    # A withdrawn key could not be known of any more.
+    time.sleep(3.5)
+    assert fleet.nodes[0].ask(1)[0] == 503
+    fleet.store.is_down = False
+    assert fleet.wait_served(6), fleet.served()
+
+
+def withdrawn_key(fleet):
+    changed = dict(CONFIGURATION, version="00000002", tenants=[])
+    changed["tenants"] = [{"name": "account", "apiKeys": ["other-key"]}]
+    fleet.store.put("keyed.op", "config", json.dumps(changed).encode())
+    time.sleep(2)
+    for node in fleet.nodes:
+        assert node.ask(1)[0] == 401
+        assert node.ask(1, account_key="other-key")[0] == 200
+
+
+ROWS = {row.__name__: row for row in (calm, killed_node, lost_node,
+                                      restarted_upstream, store_outage,
+                                      withdrawn_key)}
+
+
+def main():
+    row, binaries, first_port = sys.argv[1:]
+    fleet = Fleet(pathlib.Path(binaries) / "acacia-sidecar", int(first_port))
+    try:
+        assert fleet.wait_served(10), fleet.served()
+        ROWS[row](fleet)
+        fleet.check_holders()
+        fleet.stop()
+    finally:
+        for node in fleet.nodes:
+            if node.process.poll() is None:
+                node.process.kill()
+    print("1 passed, 0 failed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/Tests/Processes/standin_platform.py
@@ -0,0 +1,213 @@
+"""Stand-ins of the platform's store and of an upstream that holds keys."""
+import base64
+import http.client
+import json
+import struct
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        try:
+            self.end_headers()
+            self.wfile.write(body)
+        except OSError:
+            self.close_connection = True  # The caller was killed.
+
+    def read_body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+
+class Server:
+    def __init__(self, address, handler):
+        class Listener(ThreadingHTTPServer):
+            daemon_threads = True
+            allow_reuse_address = True
+
+        self.http = Listener(address, handler)
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class Store:
+    """Keyed topics with conditional appends, long polls and outages."""
+
+    def __init__(self, address):
+        self.topics = {}
+        self.changed = threading.Condition()
+        self.is_down = False
+        store = self
+
+        class StoreHandler(Handler):
+            def do_GET(self):
+                store.dispatch(self)
+
+            def do_POST(self):
+                store.dispatch(self)
+
+        self.server = Server(address, StoreHandler)
+
+    def put(self, topic, key, value):
+        with self.changed:
+            self.topics.setdefault(topic, []).append((key, value))
+            self.changed.notify_all()
+
+    def records(self, topic, prefix):
+        with self.changed:
+            return [it for it in self.topics.get(topic, [])
+                    if it[0].startswith(prefix)]
+
+    def dispatch(self, call):
+        body = call.read_body()
+        if self.is_down:
+            call.answer(503)
+            return
+        url = urllib.parse.urlparse(call.path)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        work = {"/log-append": self.append, "/log-read": self.read,
+                "/log-newest": self.newest}.get(url.path)
+        if work is None:
+            call.answer(404)
+        else:
+            call.answer(*work(query, body))
+
+    def append(self, query, body):
+        with self.changed:
+            log = self.topics.setdefault(query["topic"], [])
+            if "at" in query and int(query["at"]) != len(log):
+                return 412, json.dumps({"end": len(log)}).encode()
+            offset = len(log)
+            while body:
+                size = struct.unpack(">I", body[:4])[0]
+                record, body = body[4:4 + size], body[4 + size:]
+                key = record[1:1 + record[0]].decode()
+                log.append((key, record[1 + record[0]:]))
+            self.changed.notify_all()
+            return 200, json.dumps({"offset": offset,
+                                    "end": len(log)}).encode()
+
+    def read(self, query, _):
+        start = int(query["from"])
+        end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        with self.changed:
+            log = self.topics.setdefault(query["topic"], [])
+            while len(log) <= start and time.monotonic() < end:
+                self.changed.wait(end - time.monotonic())
+            out = struct.pack(">QQ", len(log), 0)
+            for key, value in log[start:]:
+                record = bytes([len(key)]) + key.encode() + value
+                out += struct.pack(">I", len(record)) + record
+            return 200, out
+
+    def newest(self, query, _):
+        with self.changed:
+            log = self.topics.setdefault(query["topic"], [])
+            newest = {key: (value, n) for n, (key, value) in enumerate(log)}
+            items = [{"key": key, "offset": n,
+                      "value": base64.b64encode(value).decode()}
+                     for key, (value, n) in sorted(newest.items()) if value]
+            return 200, json.dumps({"items": items, "hasMore": False,
+                                    "end": len(log)}).encode()
+
+
+class Upstream:
+    """Holds keys as its node grants them and runs requests for them alone."""
+
+    HEARTBEAT_S = 0.3
+
+    def __init__(self, name, service, address, control):
+        self.name, self.service = name, service
+        self.address, self.control = address, control
+        self.lock = threading.Lock()
+        self.start()
+
+    def start(self):
+        self.born = int(time.time() * 1000)
+        self.held, self.until, self.freed = [], 0.0, []
+        self.tokens, self.runs, self.seen_headers = [], [], []
+        self.is_up, self.sequence = True, 0
+        upstream = self
+
+        class UpstreamHandler(Handler):
+            def do_GET(self):
+                upstream.serve(self)
+
+            def do_POST(self):
+                upstream.serve(self)
+
+        self.server = Server(self.address, UpstreamHandler)
+        threading.Thread(target=self.beat, args=(self.born,),
+                         daemon=True).start()
+
+    def crash(self):
+        self.is_up = False
+        self.server.close()
+
+    def serve(self, call):
+        call.read_body()
+        self.seen_headers.append(dict(call.headers))
+        key = int(call.headers.get("Shard-Key", -1))
+        with self.lock:
+            holds = time.monotonic() < self.until and any(
+                row[0] <= key <= row[1] for row in self.held)
+        meant = call.headers.get("Expected-Instance") == self.name
+        common = [("Request-Id", call.headers.get("Request-Id", ""))]
+        if not self.is_up:
+            call.close_connection = True
+        elif not holds or not meant:
+            call.answer(421, b"", common + [("Not-Executed", "1")])
+        else:
+            self.runs.append(call.headers["Request-Id"])
+            call.answer(200, b"whole", common + [("Response-Signature", "s")])
+
+    def beat(self, born):
+        while self.is_up and self.born == born:
+            sent = time.monotonic()
+            try:
+                self.exchange(sent)
+            except (OSError, http.client.HTTPException, ValueError):
+                pass  # The node is away; the next heartbeat tells again.
+            time.sleep(self.HEARTBEAT_S)
+
+    def exchange(self, sent):
+        self.sequence += 1
+        with self.lock:
+            if sent >= self.until:
+                self.held = []
+            body = {"address": "%s:%d" % self.address, "born": self.born,
+                    "info": {"service": self.service, "version": "v1",
+                             "zone": "here", "slots": 8},
+                    "status": {"state": "ready", "seq": self.sequence,
+                               "coldRemaining": "0ms"},
+                    "holds": [row[:3] for row in self.held],
+                    "freed": self.freed}
+        link = http.client.HTTPConnection(*self.control, timeout=1)
+        link.request("PUT", "/instances/" + self.name, json.dumps(body))
+        answer = json.loads(link.getresponse().read() or b"{}")
+        link.close()
+        if "holds" not in answer:
+            return
+        with self.lock:
+            rows = answer["holds"]
+            self.freed = [[row[0], row[1], "handover"] for row in self.held
+                          if row[:2] not in [it[:2] for it in rows]]
+            self.held = rows
+            self.tokens += [row[2] for row in rows]
+            length = float(answer["hold_time"].removesuffix("ms")) / 1000
+            self.until = sent + length
