--- a/Source/Accounts/AccountShares.cpp
+++ b/Source/Accounts/AccountShares.cpp
@@ -49,8 +49,7 @@
   auto bucket = TokenBucket::create(part(rate), now);
   if (!bucket)
     return nullptr;
-  const auto added =
-      Shares.emplace(std::string(account), Share{rate, *bucket});
+  const auto added = Shares.emplace(std::string(account), Share{rate, *bucket});
   return &added.first->second;
 }
 
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -25,6 +25,10 @@
 /// An upstream that was silent for so many heartbeats takes no new work.
 constexpr int SilentHeartbeats = 3;
 
+/// An upstream that has said that it leaves is gone after it; late heartbeats
+/// of it may still come.
+constexpr core::Duration LeaveLength = std::chrono::seconds(20);
+
 /// A heartbeat is late after this part of the interval, in percent.
 constexpr int LateHeartbeatPercent = 125;
 
@@ -93,7 +97,7 @@
     Life = heartbeat.Life;
     Leaving.clear();
     Freed.clear();
-    LifeLeaves = false;
+    LifeLeaves = Life.Id == LeftId && now - LeftAt < LeaveLength;
     // Nothing of a former life is held any more; this one holds nothing, unless
     // a former incarnation of the node granted it keys.
     if (HasHeard)
@@ -131,9 +135,12 @@
   }
 }
 
-void HoldingAgent::upstreamLeaves(std::string_view id) {
-  if (Life.Id != id)
+void HoldingAgent::upstreamLeaves(std::string_view id, core::TimePoint now) {
+  if (Life.Id != id) {
+    LeftId = id;
+    LeftAt = now;
     return;
+  }
   LifeLeaves = true;
   State = UpstreamState::Leaving;
 }
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -67,8 +67,9 @@
   /// which is acknowledged and not used.
   bool heard(const Heartbeat &heartbeat, core::TimePoint now);
 
-  /// The upstream says that it leaves.
-  void upstreamLeaves(std::string_view id);
+  /// The upstream \p id says that it leaves. It may be heard of only later: a
+  /// node that has just started is bound by what it acknowledges too.
+  void upstreamLeaves(std::string_view id, core::TimePoint now);
 
   /// The upstream's address refuses connections. Returns whether it is taken as
   /// absent: only if its heartbeats are missing too.
@@ -179,6 +180,9 @@
   bool Draining = false;
   /// The upstream has said that its present life leaves.
   bool LifeLeaves = false;
+  /// An upstream that left before the node heard of it, and when.
+  std::string LeftId;
+  core::TimePoint LeftAt{};
   core::TimePoint HeardAt{};
   /// The upstream may hold keys up to it.
   core::TimePoint HeldUntil{};
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -122,22 +122,21 @@
 }
 
 feed::FeedHooks Control::operatorHooks() {
-  return {
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
-             core::TimePoint asked) {
-        Relay->buffer(RelayedLog::Operators).reset(end, asked);
-        applyOperators(records, true);
-        Hooks.OnConfirmed(asked);
-      },
-      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
-             core::TimePoint asked) {
-        Relay->buffer(RelayedLog::Operators).add(records, end, asked);
-        applyOperators(records, false);
-        Hooks.OnConfirmed(asked);
-      },
-      [this](bool isReachable, std::string_view detail) {
-        noteReachable("operators", isReachable, detail);
-      }};
+  return {[this](const std::vector<feed::KeyedRecord> &records,
+                 core::Offset end, core::TimePoint asked) {
+            Relay->buffer(RelayedLog::Operators).reset(end, asked);
+            applyOperators(records, true);
+            Hooks.OnConfirmed(asked);
+          },
+          [this](const std::vector<feed::KeyedRecord> &records,
+                 core::Offset end, core::TimePoint asked) {
+            Relay->buffer(RelayedLog::Operators).add(records, end, asked);
+            applyOperators(records, false);
+            Hooks.OnConfirmed(asked);
+          },
+          [this](bool isReachable, std::string_view detail) {
+            noteReachable("operators", isReachable, detail);
+          }};
 }
 
 feed::FeedHooks Control::fleetHooks() {
@@ -282,7 +281,7 @@
   case UpstreamCall::Kind::Leaves:
     Log->write(logging::Level::Info, "upstream_leaves",
                {{"upstream", call.UpstreamId}});
-    Agent.upstreamLeaves(call.UpstreamId);
+    Agent.upstreamLeaves(call.UpstreamId, core::BootClock::now());
     IsChanged = true;
     exchange->respond(net::HttpResponse(net::http::status::ok, 11));
     appendDue(core::BootClock::now());
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -231,7 +231,8 @@
   boost::asio::io_context loop;
   int requests = 0;
   const auto server = HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 600'000, seconds(1), seconds(2), 512U << 10U},
+      loop, {"127.0.0.1", 0},
+      {4096, 600'000, seconds(1), seconds(2), 512U << 10U},
       [&](const std::shared_ptr<Exchange> &exchange) {
         ++requests;
         exchange->respond(HttpResponse(http::status::ok, 11));
