--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -567,10 +567,14 @@
 }
 
 void Control::publish(core::TimePoint now) {
+  if (Agent.state() == holdings::UpstreamState::Ready)
+    ReadyLife = Agent.life();
+  // A former incarnation of the node may have acknowledged earlier that an
+  // upstream leaves which this one has never seen ready.
   if (Agent.state() != holdings::UpstreamState::Leaving)
     LeavingSince.reset();
   else if (!LeavingSince)
-    LeavingSince = now;
+    LeavingSince = ReadyLife == Agent.life() ? now : now - 2 * LeavingGrace;
   const bool isTimed = LeavingSince || OutSince;
   if (!IsChanged && !isTimed)
     return;
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -137,6 +137,8 @@
   core::TimePoint GrantedUntil{};
   core::TimePoint HeardAt{};
   core::TimePoint ColdUntil{};
+  /// The life of the upstream that was ready last.
+  holdings::UpstreamLife ReadyLife;
   std::optional<core::TimePoint> LeavingSince;
   std::optional<core::TimePoint> OutSince;
 };
