--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -5,7 +5,6 @@
 #define ACACIAROAD_HOLDINGS_HOLDINGAGENT_H
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <span>
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -22,6 +22,10 @@
 /// Upstreams that state no keep-alive time close idle connections after 10 s.
 constexpr core::Duration IdleLimit = std::chrono::seconds(7);
 
+/// Below what the platform's upstreams accept (120); the slots keep the
+/// connections far lower.
+constexpr std::size_t MostConnections = 100;
+
 /// Largest body of an answer; all of it is held in memory.
 constexpr std::uint64_t LargestAnswer = 16U << 20U;
 
@@ -36,10 +40,6 @@
 /// the connection; the bound is half a second.
 constexpr core::Duration AbandonGrace = milliseconds(300);
 
-/// Share of a cold upstream's rate that is used, so that requests which arrive
-/// closer together than they were sent stay within it.
-constexpr double ColdRateShare = 1.0;
-
 /// Interval at which the control thread is told the load.
 constexpr core::Duration LoadInterval = milliseconds(250);
 
@@ -63,8 +63,7 @@
   options.SendTimeout = SendTimeout;
   options.IdleLimit = IdleLimit;
   options.BodyBytes = LargestAnswer;
-  // The bound of the service, once known, is kept by the slots.
-  options.MostConnections = 100;
+  options.MostConnections = MostConnections;
   options.Belongs = [read = Speech.ReadCaller, answer = Speech.ReadAnswer](
                         const net::HttpRequest &request,
                         const net::HttpResponse &response) {
@@ -118,9 +117,8 @@
     SuspectSince.reset();
   const bool isCold =
       now < View->Own.ColdUntil || SuspectSince || !View->Own.Life.isKnown();
-  Queue.setColdRate(
-      isCold ? static_cast<std::uint32_t>(std::floor(ColdRate * ColdRateShare))
-             : 0);
+  Queue.setColdRate(isCold ? static_cast<std::uint32_t>(std::floor(ColdRate))
+                           : 0);
 }
 
 std::optional<ErrorKind> UpstreamService::whyNot(const Order &order,
--- a/Source/Settings/FieldReader.h
+++ b/Source/Settings/FieldReader.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <span>
 #include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 #include <toml++/toml.h>
@@ -125,6 +126,45 @@
   return {};
 }
 
+/// Refuses tables that no field of \p fields stands in.
+template <typename Target>
+core::Result<void> refuseUnknownTables(std::span<const Field<Target>> fields,
+                                       std::string_view file,
+                                       const toml::table &root) {
+  for (const auto &[key, node] : root) {
+    const std::string_view name = key.str();
+    const bool isNamed =
+        std::any_of(fields.begin(), fields.end(),
+                    [name](const auto &it) { return it.Table == name; });
+    if (!isNamed || !node.is_table())
+      return failAt(placeOf(file, key), fmt::format("unknown table {}", name));
+  }
+  return {};
+}
+
+/// Parses the file at \p path and reads it by \p readRoot(path, table).
+template <typename ReadRoot>
+auto readSettingsFile(std::string_view path, ReadRoot readRoot)
+    -> decltype(readRoot(path, std::declval<const toml::table &>())) {
+  try {
+    return readRoot(path, toml::parse_file(path));
+  } catch (const toml::parse_error &ec) {
+    return failAt(placeOf(path, ec), ec.description());
+  }
+}
+
+/// As readSettingsFile, for \p text; \p fileName only appears in errors.
+template <typename ReadRoot>
+auto readSettingsText(std::string_view text, std::string_view fileName,
+                      ReadRoot readRoot)
+    -> decltype(readRoot(fileName, std::declval<const toml::table &>())) {
+  try {
+    return readRoot(fileName, toml::parse(text, fileName));
+  } catch (const toml::parse_error &ec) {
+    return failAt(placeOf(fileName, ec), ec.description());
+  }
+}
+
 } // namespace acaciaroad::settings
 
 #endif
--- a/Source/Settings/SettingsFile.cpp
+++ b/Source/Settings/SettingsFile.cpp
@@ -47,20 +47,6 @@
   return {};
 }
 
-core::Result<void> refuseUnknownTables(std::string_view file,
-                                       const toml::table &root) {
-  for (const auto &[key, node] : root) {
-    const std::string_view name = key.str();
-    const auto fields = nodeFields();
-    const bool isNamed =
-        std::any_of(fields.begin(), fields.end(),
-                    [name](const auto &it) { return it.Table == name; });
-    if (!isNamed || !node.is_table())
-      return failAt(placeOf(file, key), fmt::format("unknown table {}", name));
-  }
-  return {};
-}
-
 core::Result<void> readTable(std::string_view name, std::string_view file,
                              const toml::table &root, NodeSettings &settings) {
   static const toml::table empty;
@@ -96,7 +82,7 @@
 core::Result<NodeSettings> readRoot(std::string_view file,
                                     const toml::table &root) {
   NodeSettings out;
-  if (auto done = refuseUnknownTables(file, root); !done)
+  if (auto done = refuseUnknownTables(nodeFields(), file, root); !done)
     return tl::unexpected(done.error());
   std::string_view last;
   for (const Field<NodeSettings> &it : nodeFields()) {
@@ -116,20 +102,12 @@
 } // namespace
 
 core::Result<NodeSettings> loadNodeSettings(std::string_view path) {
-  try {
-    return readRoot(path, toml::parse_file(path));
-  } catch (const toml::parse_error &ec) {
-    return failAt(placeOf(path, ec), ec.description());
-  }
+  return readSettingsFile(path, readRoot);
 }
 
 core::Result<NodeSettings> parseNodeSettings(std::string_view text,
                                              std::string_view fileName) {
-  try {
-    return readRoot(fileName, toml::parse(text, fileName));
-  } catch (const toml::parse_error &ec) {
-    return failAt(placeOf(fileName, ec), ec.description());
-  }
+  return readSettingsText(text, fileName, readRoot);
 }
 
 } // namespace acaciaroad::settings
