--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -52,31 +52,31 @@
       : Loop(loop), Steps(std::move(steps)) {}
 
   KeyedLog log() {
-    return {[this](std::string_view, PageHandler handler) {
-              const auto step = next();
-              if (!step)
-                return;
-              if (*step == ReadStep::Unavailable)
-                handler(core::fail(core::ErrorKind::LogUnavailable));
-              else
-                handler(NewestPage{{{"a", "1"}}, *step == ReadStep::Page, 5});
-            },
-            [this](core::Offset from, core::Duration, TailHandler handler) {
-              const auto step = next();
-              if (!step)
-                return;
-              if (*step == ReadStep::Unavailable)
-                handler(core::fail(core::ErrorKind::LogUnavailable));
-              else if (*step == ReadStep::Trimmed)
-                handler(core::fail(core::ErrorKind::LogTrimmed));
-              else
-                handler(
-                    feed::Tail{{{"a", "2"}},
+    return {
+        [this](std::string_view, const PageHandler &handler) {
+          const auto step = next();
+          if (!step)
+            return;
+          if (*step == ReadStep::Unavailable)
+            handler(core::fail(core::ErrorKind::LogUnavailable));
+          else
+            handler(NewestPage{{{"a", "1"}}, *step == ReadStep::Page, 5});
+        },
+        [this](core::Offset from, core::Duration, const TailHandler &handler) {
+          const auto step = next();
+          if (!step)
+            return;
+          if (*step == ReadStep::Unavailable)
+            handler(core::fail(core::ErrorKind::LogUnavailable));
+          else if (*step == ReadStep::Trimmed)
+            handler(core::fail(core::ErrorKind::LogTrimmed));
+          else
+            handler(feed::Tail{{{"a", "2"}},
                                from + 1,
                                from + (*step == ReadStep::PartOfTail ? 2U : 1U),
                                {}});
-            },
-            {}};
+        },
+        {}};
   }
 
 private:
--- a/Tests/Holdings/LoadMoveTest.cpp
+++ b/Tests/Holdings/LoadMoveTest.cpp
@@ -117,6 +117,7 @@
     members.back().Record.Life = {"u", 1};
   }
   std::vector<const Member *> takers;
+  takers.reserve(members.size());
   for (const Member &it : members)
     takers.push_back(&it);
   std::vector<Holding> rows = row.Rows;
