--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -14,10 +14,6 @@
 /// A third of the lease, so that two lost renewals are borne.
 constexpr core::Duration RenewInterval = NodeLease / 3;
 
-/// Of nodes whose upstream holds no keys; within the lease, so that they count
-/// as present.
-constexpr core::Duration PresenceInterval = NodeLease * 5 / 7;
-
 /// Between two attempts at a record that has not been read back; several round
 /// trips of the log.
 constexpr core::Duration RecordRetry = milliseconds(400);
@@ -347,19 +343,24 @@
 
 bool HoldingAgent::wantsChange(const FleetLedger &ledger,
                                core::TimePoint now) const {
+  return planChange(ledger, now).has_value();
+}
+
+std::optional<HoldingChange>
+HoldingAgent::planChange(const FleetLedger &ledger, core::TimePoint now) const {
   const bool isPending = Pending && now - Pending->Since <= PendingTimeout;
   if (isPending || Draining || now >= AuthorityUntil)
-    return false;
-  return planOwn(ledger, now) || planOrphans(ledger, now);
+    return std::nullopt;
+  if (auto out = planOwn(ledger, now))
+    return out;
+  return planOrphans(ledger, now);
 }
 
 std::optional<HoldingChange> HoldingAgent::nextChange(const FleetLedger &ledger,
                                                       core::TimePoint now) {
-  if (!wantsChange(ledger, now))
-    return std::nullopt;
-  auto out = planOwn(ledger, now);
+  auto out = planChange(ledger, now);
   if (!out)
-    out = planOrphans(ledger, now);
+    return std::nullopt;
   withhold(ledger.holdingsOf(Identity.Service), out->Rows);
   Pending = PendingChange{ledger.end(), now};
   return out;
@@ -458,13 +459,7 @@
   const auto takers = ledger.eligible(Identity.Service, now);
   if (takers.empty())
     return std::nullopt;
-  Rows kept;
-  for (const Holding &row : rows)
-    for (const KeyRange &it : subtract(row.Keys, gone)) {
-      kept.push_back(row);
-      kept.back().Keys = it;
-    }
-  Rows out = kept;
+  Rows out = without(rows, gone);
   Rows open;
   for (Holding &it : released) {
     const auto target =
@@ -546,12 +541,7 @@
   std::vector<KeyRange> gone;
   for (const Holding &it : open)
     gone.push_back(it.Keys);
-  Rows out;
-  for (const Holding &row : rows)
-    for (const KeyRange &it : subtract(row.Keys, gone)) {
-      out.push_back(row);
-      out.back().Keys = it;
-    }
+  Rows out = without(rows, gone);
   for (Holding &it : spread(open, out, takers, ledger.end() + 1))
     out.push_back(std::move(it));
   return propose(ledger, std::move(out),
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -86,10 +86,6 @@
   /// called once for each heartbeat that `heard` has taken.
   std::optional<Grant> grant(const FleetLedger &ledger, core::TimePoint now);
 
-  /// Whether the service's upstreams hold keys; others need no lease and renew
-  /// their record less often.
-  void setKeyed(bool isKeyed) { IsKeyed = isKeyed; }
-
   /// Returns the node's record if it is to be appended now.
   std::optional<NodeRecord> nextRecord(const FleetLedger &ledger,
                                        core::TimePoint now);
@@ -139,6 +135,8 @@
   void watchOrphans(const FleetLedger &ledger, core::TimePoint now);
   HoldingChange propose(const FleetLedger &ledger, Rows rows,
                         std::string_view reason) const;
+  std::optional<HoldingChange> planChange(const FleetLedger &ledger,
+                                          core::TimePoint now) const;
   std::optional<HoldingChange> planOwn(const FleetLedger &ledger,
                                        core::TimePoint now) const;
   std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
@@ -175,7 +173,6 @@
   std::uint64_t HeartbeatSequence = 0;
   std::uint32_t Slots = 0;
   bool HasHeard = false;
-  bool IsKeyed = true;
   bool Draining = false;
   /// The upstream has said that its present life leaves.
   bool LifeLeaves = false;
--- a/Source/Holdings/KeyPlacement.cpp
+++ b/Source/Holdings/KeyPlacement.cpp
@@ -68,6 +68,17 @@
   return out;
 }
 
+std::vector<Holding> without(std::span<const Holding> rows,
+                             std::span<const KeyRange> taken) {
+  std::vector<Holding> out;
+  for (const Holding &row : rows)
+    for (const KeyRange &it : subtract(row.Keys, taken)) {
+      out.push_back(row);
+      out.back().Keys = it;
+    }
+  return out;
+}
+
 Key keysOf(std::span<const Holding> rows, std::string_view node) {
   Key out = 0;
   for (const Holding &it : rows)
--- a/Source/Holdings/KeyPlacement.h
+++ b/Source/Holdings/KeyPlacement.h
@@ -16,6 +16,10 @@
 std::vector<KeyRange> subtract(const KeyRange &range,
                                std::span<const KeyRange> taken);
 
+/// Returns the parts of \p rows that no range of \p taken covers.
+std::vector<Holding> without(std::span<const Holding> rows,
+                             std::span<const KeyRange> taken);
+
 /// Number of keys that \p node holds in \p rows.
 Key keysOf(std::span<const Holding> rows, std::string_view node);
 
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -212,7 +212,6 @@
                 {"before", before},
                 {"routes", (*table)->configuration().Routes.size()}});
   Routes = std::move(*table);
-  Agent.setKeyed(isKeyed());
 }
 
 void Control::applyFleet(const std::vector<feed::KeyedRecord> &records,
