Give several ranges away at once, tell hot keys apart by fours, return credit of refused requests

A holder of hot keys gave one range to one node every two seconds, in steps of 16 keys, while the hot keys lie side by side; its load still counted keys that it had given away. A request that was refused by its holder had used up credit of its account, so that accounts within their rate were refused later. Tests: LoadMove Plans (several takers), AccountShares TakesBackWhatHasNotRun.

--- a/Source/Accounts/AccountShares.h
+++ b/Source/Accounts/AccountShares.h
@@ -46,6 +46,11 @@
   void receive(std::string_view account, std::uint32_t lent,
                core::TimePoint now);
 
+  /// Puts a request back that was taken and has not run.
+  void giveBack(std::string_view account, core::TimePoint now) {
+    receive(account, 1, now);
+  }
+
   /// Returns how many requests a node that has used up its share asks for: a
   /// part of what the share has room for.
   std::uint32_t wanted(std::string_view account) const;
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -302,11 +302,10 @@
   for (const Holding &row : rows)
     if (owns(row))
       own.push_back(row.Keys);
-  const auto move = planLoadMove(Load, own, takers);
-  if (!move)
-    return;
-  Leaving.push_back({move->Keys, move->Target, false, false});
-  NextMove = now + MoveInterval;
+  for (const LoadMove &it : planLoadMoves(Load, own, takers)) {
+    Leaving.push_back({it.Keys, it.Target, false, false});
+    NextMove = now + MoveInterval;
+  }
 }
 
 void HoldingAgent::planForNewcomer(const FleetLedger &ledger,
--- a/Source/Holdings/LoadMove.cpp
+++ b/Source/Holdings/LoadMove.cpp
@@ -1,6 +1,9 @@
 #include "Holdings/LoadMove.h"
 
 #include <algorithm>
+#include <optional>
+
+#include "Holdings/KeyPlacement.h"
 
 namespace acaciaroad::holdings {
 
@@ -9,6 +12,13 @@
 /// Below it, requests seldom wait for a slot.
 constexpr double BearableUtilization = 0.55;
 
+/// Takers are added to a move until it brings the node down to this.
+constexpr double WantedUtilization = 0.5;
+
+/// Ranges that one node gives away at once: each one is without a holder for
+/// about a heartbeat.
+constexpr std::size_t MostTakers = 8;
+
 /// Smaller differences come from chance; moving keys back and forth costs more
 /// than it gains.
 constexpr double LeastDifference = 0.2;
@@ -50,34 +60,75 @@
   return best;
 }
 
+/// What one taker is to get.
+struct Share {
+  std::string Node;
+  /// Requests a second.
+  double Rate = 0;
+};
+
+/// Returns what brings \p own and the least loaded takers to one level. Takers
+/// are added until the level is low enough.
+std::vector<Share> shareOut(const NodeLoad &own,
+                            std::span<const LoadTaker> takers) {
+  if (own.Cost <= 0)
+    return {};
+  std::vector<LoadTaker> sorted(takers.begin(), takers.end());
+  std::sort(sorted.begin(), sorted.end(),
+            [](const LoadTaker &a, const LoadTaker &b) {
+              return a.Load.Utilization < b.Load.Utilization;
+            });
+  // At one level, a node takes level / cost requests a second.
+  double rate = own.Utilization / own.Cost;
+  double capacity = 1 / own.Cost;
+  double level = own.Utilization;
+  std::size_t n = 0;
+  for (LoadTaker &it : sorted) {
+    const bool isUseful =
+        own.Utilization - it.Load.Utilization >= LeastDifference &&
+        it.Load.Utilization < level;
+    if (!isUseful || n == MostTakers || level <= WantedUtilization)
+      break;
+    if (it.Load.Cost <= 0)
+      it.Load.Cost = own.Cost;
+    rate += it.Load.Utilization / it.Load.Cost;
+    capacity += 1 / it.Load.Cost;
+    level = rate / capacity;
+    ++n;
+  }
+  std::vector<Share> out;
+  for (const LoadTaker &it : std::span(sorted).first(n))
+    out.push_back(
+        {it.Node, (level - it.Load.Utilization) / it.Load.Cost * MoveShare});
+  return out;
+}
+
 } // namespace
 
-std::optional<LoadMove> planLoadMove(const KeyedLoad &load,
-                                     std::span<const KeyRange> own,
-                                     std::span<const LoadTaker> takers) {
-  if (load.Node.Utilization < BearableUtilization || takers.empty())
-    return std::nullopt;
-  const auto taker = std::min_element(
-      takers.begin(), takers.end(), [](const LoadTaker &a, const LoadTaker &b) {
-        return a.Load.Utilization < b.Load.Utilization;
-      });
-  const double difference = load.Node.Utilization - taker->Load.Utilization;
-  if (difference < LeastDifference)
-    return std::nullopt;
-  const double cost = load.Node.Cost + (taker->Load.Cost > 0 ? taker->Load.Cost
-                                                             : load.Node.Cost);
-  if (cost <= 0)
-    return std::nullopt;
-  const double wanted = difference / cost * MoveShare;
-  std::optional<Window> best;
-  for (const KeyRange &it : own) {
-    const auto window = bestWindow(load, it, wanted * MostOvershoot);
-    if (window && (!best || window->Rate > best->Rate))
-      best = window;
+std::vector<LoadMove> planLoadMoves(const KeyedLoad &load,
+                                    std::span<const KeyRange> own,
+                                    std::span<const LoadTaker> takers) {
+  if (load.Node.Utilization < BearableUtilization)
+    return {};
+  std::vector<KeyRange> left(own.begin(), own.end());
+  std::vector<LoadMove> out;
+  for (const Share &it : shareOut(load.Node, takers)) {
+    std::optional<Window> best;
+    for (const KeyRange &range : left) {
+      const auto window = bestWindow(load, range, it.Rate * MostOvershoot);
+      if (window && (!best || window->Rate > best->Rate))
+        best = window;
+    }
+    if (!best || best->Rate < it.Rate * LeastPart)
+      continue;
+    out.push_back({best->Keys, it.Node});
+    std::vector<KeyRange> rest;
+    for (const KeyRange &range : left)
+      for (const KeyRange &piece : subtract(range, {{best->Keys}}))
+        rest.push_back(piece);
+    left = std::move(rest);
   }
-  if (!best || best->Rate < wanted * LeastPart)
-    return std::nullopt;
-  return LoadMove{best->Keys, taker->Node};
+  return out;
 }
 
 } // namespace acaciaroad::holdings
--- a/Source/Holdings/LoadMove.h
+++ b/Source/Holdings/LoadMove.h
@@ -4,7 +4,6 @@
 #ifndef ACACIAROAD_HOLDINGS_LOADMOVE_H
 #define ACACIAROAD_HOLDINGS_LOADMOVE_H
 
-#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -41,12 +40,13 @@
   std::string Target;
 };
 
-/// Returns a range out of \p own, the ranges that the node holds, that brings
-/// the node and the least loaded taker closer together; nothing while the load
-/// is bearable, the difference small, or no range fits.
-std::optional<LoadMove> planLoadMove(const KeyedLoad &load,
-                                     std::span<const KeyRange> own,
-                                     std::span<const LoadTaker> takers);
+/// Returns ranges out of \p own, the ranges that the node holds, that bring the
+/// node and the least loaded takers closer together, one range for each of as
+/// few takers as are needed; nothing while the load is bearable, the difference
+/// small, or no range fits.
+std::vector<LoadMove> planLoadMoves(const KeyedLoad &load,
+                                    std::span<const KeyRange> own,
+                                    std::span<const LoadTaker> takers);
 
 } // namespace acaciaroad::holdings
 
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -205,6 +205,8 @@
 
 void EntryRun::fail(ErrorKind reason) {
   finish();
+  if (core::answerFor(reason).HasRan == core::Ran::No)
+    Entry.giveBack(Account);
   const std::string detail =
       Attempt == 0
           ? Service
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -182,13 +182,16 @@
                        std::shared_ptr<const TrafficView> view,
                        const routing::Route &route,
                        const routing::ClientAccount *account) {
-  if (exchange->isAnswered())
-    return; // The caller left while credit was asked for.
+  if (exchange->isAnswered()) {
+    giveBack(account); // The caller left while credit was asked for.
+    return;
+  }
   const auto now = core::BootClock::now();
   const CallerFields caller = Speech.ReadCaller(exchange->request());
   const std::string service = Split.next(route).Service;
   const routing::Service *target = view->Routes->findService(service);
   if (target != nullptr && target->IsKeyed && !caller.Key) {
+    giveBack(account);
     refuse(*exchange, ErrorKind::RoutingKeyMissing, {}, service);
     return;
   }
@@ -198,6 +201,7 @@
   auto plan = AttemptPlan::create(policyOf(route), deadline, now);
   ServiceState *state = stateOf(service);
   if (!plan || state == nullptr) {
+    giveBack(account);
     refuse(*exchange,
            plan ? ErrorKind::NoUpstream : ErrorKind::DeadlineTooShort,
            DefaultRetryAfter, service);
@@ -209,6 +213,11 @@
       ->start();
 }
 
+void EntryService::giveBack(const routing::ClientAccount *account) {
+  if (account != nullptr)
+    Shares.giveBack(account->Name, core::BootClock::now());
+}
+
 void EntryService::refuse(net::Exchange &exchange, ErrorKind reason,
                           core::Duration retryAfter, std::string_view detail) {
   const core::Answer &answer = core::answerFor(reason);
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -91,6 +91,8 @@
   core::Result<const routing::ClientAccount *>
   authenticate(const routing::Route &route, const CallerFields &caller,
                core::TimePoint now) const;
+  /// A request of \p account, which may be null, is refused and has not run.
+  void giveBack(const routing::ClientAccount *account);
   /// Asks other nodes for credit before it refuses.
   void borrow(const std::shared_ptr<net::Exchange> &exchange,
               const routing::Route &route,
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -88,8 +87,10 @@
   out.Rates.assign(Keys.rates().begin(), Keys.rates().end());
   const std::chrono::duration<double> mean = Queue.meanService();
   out.Node.Cost = mean.count() / std::max(1U, Queue.slots());
-  out.Node.Utilization =
-      out.Node.Cost * std::accumulate(out.Rates.begin(), out.Rates.end(), 0.0);
+  // What was given away fades from the rates only after a second.
+  for (const holdings::Holding &it : View->Own.Granted)
+    out.Node.Utilization +=
+        out.Node.Cost * Keys.rateOf(it.Keys.From, it.Keys.To);
   Hooks.OnLoad(std::move(out));
 }
 
--- a/Source/Upstream/KeyLoad.cpp
+++ b/Source/Upstream/KeyLoad.cpp
@@ -1,5 +1,6 @@
 #include "Upstream/KeyLoad.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace acaciaroad::upstream {
@@ -31,4 +32,13 @@
     it = it < LeastRate ? 0 : it * factor;
 }
 
+double KeyLoad::rateOf(std::uint32_t from, std::uint32_t to) const {
+  const std::size_t end =
+      std::min<std::size_t>(to / KeysPerBucket + 1, Rates.size());
+  double out = 0;
+  for (std::size_t n = from / KeysPerBucket; n < end; ++n)
+    out += Rates[n];
+  return out;
+}
+
 } // namespace acaciaroad::upstream
--- a/Source/Upstream/KeyLoad.h
+++ b/Source/Upstream/KeyLoad.h
@@ -16,7 +16,7 @@
 /// second.
 class KeyLoad {
 public:
-  static constexpr std::uint32_t KeysPerBucket = 16;
+  static constexpr std::uint32_t KeysPerBucket = 4;
 
   /// \p keys is the number of keys.
   explicit KeyLoad(std::uint32_t keys);
@@ -27,6 +27,10 @@
   /// Lets what is old fade; to be called several times a second.
   void fade(core::TimePoint now);
 
+  /// Requests a second of the keys from \p from to \p to, both included, to
+  /// whole buckets.
+  double rateOf(std::uint32_t from, std::uint32_t to) const;
+
   /// Requests a second of each bucket.
   std::span<const double> rates() const { return Rates; }
 
--- a/Tests/Accounts/AccountSharesTest.cpp
+++ b/Tests/Accounts/AccountSharesTest.cpp
@@ -101,6 +101,19 @@
   cr_assert_eq(left, 40);
 }
 
+// A caller that was refused for another reason may come back at once.
+Test(AccountShares, TakesBackWhatHasNotRun) {
+  const AccountRate rate{10, 10};
+  AccountShares shares(Window);
+  shares.prepare("a", rate, TimePoint());
+  const TimePoint later = TimePoint() + seconds(5);
+  while (shares.take("a", rate, later))
+    continue;
+  shares.giveBack("a", later);
+  cr_assert(shares.take("a", rate, later));
+  cr_assert_not(shares.take("a", rate, later));
+}
+
 Test(AccountShares, HasNoLimitWithoutARate) {
   AccountShares shares(Window);
   for (int n = 0; n < 1000; ++n)
--- a/Tests/Holdings/LoadMoveTest.cpp
+++ b/Tests/Holdings/LoadMoveTest.cpp
@@ -14,9 +14,7 @@
   /// Requests a second of buckets of ten keys, from key 0 on.
   std::vector<double> Rates;
   std::vector<LoadTaker> Takers;
-  /// Empty for no move.
-  const char *Target;
-  KeyRange Keys;
+  std::vector<LoadMove> Moves;
 };
 
 const MoveRow MoveRows[] = {
@@ -24,33 +22,37 @@
      {0.5, 0.005},
      {50, 50},
      {{"b", {0.0, 0.005}}},
-     "",
      {}},
     {"a small difference stays",
      {0.9, 0.005},
      {90, 90},
      {{"b", {0.8, 0.005}}},
-     "",
      {}},
     {"the least loaded takes",
      {1.2, 0.01},
      {60, 20, 38},
      {{"b", {0.9, 0.01}}, {"c", {0.4, 0.01}}},
-     "c",
-     {20, 29}},
+     {{{20, 29}, "c"}}},
     {"a single hot bucket stays, its neighbours go",
      {1.3, 0.01},
      {0, 15, 100, 15, 0},
      {{"b", {0.1, 0.01}}},
-     "b",
-     {10, 19}},
+     {{{10, 19}, "b"}}},
     {"one hot bucket alone has nothing to give",
      {1.3, 0.01},
      {0, 0, 130},
      {{"b", {0.1, 0.01}}},
-     "",
      {}},
-    {"nobody can take", {1.3, 0.01}, {60, 70}, {}, "", {}},
+    {"a hot range goes to as many as are needed",
+     {2.0, 0.01},
+     {35, 35, 35, 35, 35},
+     {{"b", {0.1, 0.01}},
+      {"c", {0.1, 0.01}},
+      {"d", {0.1, 0.01}},
+      {"e", {0.1, 0.01}},
+      {"f", {0.1, 0.01}}},
+     {{{0, 9}, "b"}, {{10, 19}, "c"}, {{20, 29}, "d"}, {{30, 39}, "e"}}},
+    {"nobody can take", {1.3, 0.01}, {60, 70}, {}, {}},
 };
 
 struct SubtractRow {
@@ -98,11 +100,14 @@
 ACACIA_TABLE_TEST(LoadMove, Plans, MoveRows) {
   KeyedLoad load{row.Own, row.Rates, 10};
   const KeyRange own[] = {{0, static_cast<Key>(row.Rates.size()) * 10 - 1}};
-  const auto move = planLoadMove(load, own, row.Takers);
-  cr_assert_eq(move ? move->Target : "", row.Target, "%s", row.Name);
-  if (move)
-    cr_assert(move->Keys == row.Keys, "%s: [%u,%u]", row.Name, move->Keys.From,
-              move->Keys.To);
+  const auto moves = planLoadMoves(load, own, row.Takers);
+  cr_assert_eq(moves.size(), row.Moves.size(), "%s: %zu", row.Name,
+               moves.size());
+  for (std::size_t n = 0; n < moves.size(); ++n) {
+    cr_assert_eq(moves[n].Target, row.Moves[n].Target, "%s", row.Name);
+    cr_assert(moves[n].Keys == row.Moves[n].Keys, "%s: [%u,%u]", row.Name,
+              moves[n].Keys.From, moves[n].Keys.To);
+  }
 }
 
 ACACIA_TABLE_TEST(KeyPlacement, Subtracts, SubtractRows) {
