--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -1,5 +1,9 @@
 #include "Codec/FleetRecords.h"
 
+#include <charconv>
+
+#include <fmt/format.h>
+
 #include "Codec/Generated/Fleet.pb.h"
 
 namespace acaciaroad::codec {
@@ -13,23 +17,54 @@
   return core::fail(core::ErrorKind::CorruptMessage, std::move(detail));
 }
 
+void writeRow(const holdings::Holding &from, pb::FleetHolding &to) {
+  to.set_from(from.Keys.From);
+  to.set_to(from.Keys.To);
+  to.set_node(from.Node);
+  to.set_upstream_id(from.Life.Id);
+  to.set_upstream_born(from.Life.Born);
+  to.set_token(from.Token);
+  to.set_handover(from.Handover);
+}
+
+bool isRange(const pb::FleetHolding &row) {
+  return row.from() <= row.to() && row.to() < holdings::KeyCount;
+}
+
+holdings::Holding readRow(const pb::FleetHolding &row) {
+  return {{row.from(), row.to()},
+          row.node(),
+          {row.upstream_id(), row.upstream_born()},
+          row.token(),
+          row.handover()};
+}
+
 } // namespace
 
 std::string nodeKey(std::string_view node) {
   return std::string(NodePrefix).append(node);
 }
 
-std::string holdingsKey(std::string_view service) {
-  return std::string(HoldingsPrefix).append(service);
+std::string holdingsKey(std::string_view service, holdings::Key part) {
+  return fmt::format("{}{}/{}", HoldingsPrefix, service, part);
 }
 
 FleetKey parseFleetKey(std::string_view key) {
   if (key.starts_with(NodePrefix))
-    return {FleetKey::Kind::Node, std::string(key.substr(NodePrefix.size()))};
-  if (key.starts_with(HoldingsPrefix))
-    return {FleetKey::Kind::Holdings,
-            std::string(key.substr(HoldingsPrefix.size()))};
-  return {};
+    return {FleetKey::Kind::Node, std::string(key.substr(NodePrefix.size())),
+            0};
+  if (!key.starts_with(HoldingsPrefix))
+    return {};
+  key.remove_prefix(HoldingsPrefix.size());
+  const std::size_t slash = key.rfind('/');
+  if (slash == std::string_view::npos)
+    return {};
+  FleetKey out{FleetKey::Kind::Holdings, std::string(key.substr(0, slash)), 0};
+  const char *end = key.data() + key.size();
+  const auto [it, ec] = std::from_chars(key.data() + slash + 1, end, out.Part);
+  if (ec != std::errc() || it != end || out.Part >= holdings::PartCount)
+    return {};
+  return out;
 }
 
 std::string encodeNode(const holdings::NodeRecord &record) {
@@ -73,54 +108,71 @@
 
 std::string encodeHoldings(std::span<const holdings::Holding> rows) {
   pb::FleetHoldings out;
-  for (const holdings::Holding &it : rows) {
-    pb::FleetHolding &row = *out.add_rows();
-    row.set_from(it.Keys.From);
-    row.set_to(it.Keys.To);
-    row.set_node(it.Node);
-    row.set_upstream_id(it.Life.Id);
-    row.set_upstream_born(it.Life.Born);
-    row.set_token(it.Token);
-    row.set_handover(it.Handover);
-  }
+  for (const holdings::Holding &it : rows)
+    writeRow(it, *out.add_rows());
   return out.SerializeAsString();
 }
 
-core::Result<std::vector<holdings::Holding>>
-decodeHoldings(std::string_view value) {
+core::Result<holdings::HoldingPart> decodeHoldings(std::string_view value,
+                                                   holdings::Key part) {
   pb::FleetHoldings in;
   if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
     return corrupt("a record of holdings can't be parsed");
-  std::vector<holdings::Holding> out;
+  holdings::HoldingPart out{part, {}};
+  holdings::Key from = part * holdings::PartKeys;
+  const holdings::Key end = from + holdings::PartKeys;
   for (const pb::FleetHolding &it : in.rows()) {
-    const bool isOrdered = out.empty() || out.back().Keys.To < it.from();
-    if (!isOrdered || it.from() > it.to() || it.to() >= holdings::KeyCount)
+    if (!isRange(it) || it.from() < from || it.to() >= end)
       return corrupt("a record of holdings has rows out of order");
-    out.push_back({{it.from(), it.to()},
-                   it.node(),
-                   {it.upstream_id(), it.upstream_born()},
-                   it.token(),
-                   it.handover()});
+    out.Rows.push_back(readRow(it));
+    from = it.to() + 1;
   }
   return out;
 }
 
-std::string encodeHint(const FleetHint &hint) {
-  pb::FleetHint out;
-  out.set_node(hint.Node);
-  out.set_fleet_end(hint.FleetEnd);
-  out.set_utilization(hint.Load.Utilization);
-  out.set_cost(hint.Load.Cost);
+std::string encodeDatagram(const FleetDatagram &datagram) {
+  pb::FleetDatagram out;
+  if (const auto *hint = std::get_if<FleetHint>(&datagram)) {
+    pb::FleetHint &to = *out.mutable_hint();
+    to.set_node(hint->Node);
+    to.set_fleet_end(hint->FleetEnd);
+    to.set_utilization(hint->Load.Utilization);
+    to.set_cost(hint->Load.Cost);
+  }
+  if (const auto *notice = std::get_if<holdings::ReleaseNotice>(&datagram)) {
+    pb::FleetRelease &to = *out.mutable_release();
+    to.set_node(notice->Node);
+    to.set_incarnation(notice->Incarnation);
+    for (const holdings::ReleasedKeys &it : notice->Keys) {
+      pb::FleetReleasedKeys &keys = *to.add_keys();
+      writeRow(it.Row, *keys.mutable_row());
+      keys.set_target(it.Target);
+    }
+  }
   return out.SerializeAsString();
 }
 
-core::Result<FleetHint> decodeHint(std::string_view bytes) {
-  pb::FleetHint in;
+core::Result<FleetDatagram> decodeDatagram(std::string_view bytes) {
+  pb::FleetDatagram in;
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-    return corrupt("a hint can't be parsed");
-  if (!(in.utilization() >= 0) || !(in.cost() >= 0))
-    return corrupt("a hint has a negative load");
-  return FleetHint{in.node(), in.fleet_end(), {in.utilization(), in.cost()}};
+    return corrupt("a datagram can't be parsed");
+  if (in.has_hint()) {
+    const pb::FleetHint &hint = in.hint();
+    if (!(hint.utilization() >= 0) || !(hint.cost() >= 0))
+      return corrupt("a hint has a negative load");
+    return FleetHint{
+        hint.node(), hint.fleet_end(), {hint.utilization(), hint.cost()}};
+  }
+  if (!in.has_release())
+    return corrupt("a datagram is empty");
+  holdings::ReleaseNotice out{
+      in.release().node(), in.release().incarnation(), {}};
+  for (const pb::FleetReleasedKeys &it : in.release().keys()) {
+    if (!isRange(it.row()))
+      return corrupt("a notice names no range of keys");
+    out.Keys.push_back({readRow(it.row()), it.target()});
+  }
+  return out;
 }
 
 std::string encodeCredit(const CreditDatagram &datagram) {
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -9,12 +9,14 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "Core/Error.h"
 #include "Feed/FeedTypes.h"
 #include "Holdings/HoldingTypes.h"
 #include "Holdings/LoadMove.h"
+#include "Holdings/ReleaseInbox.h"
 
 namespace acaciaroad::codec {
 
@@ -24,10 +26,12 @@
   Kind What = Kind::Unknown;
   /// Name of the node or of the service.
   std::string Name;
+  /// Number of the part of the service's keys.
+  holdings::Key Part = 0;
 };
 
 std::string nodeKey(std::string_view node);
-std::string holdingsKey(std::string_view service);
+std::string holdingsKey(std::string_view service, holdings::Key part);
 FleetKey parseFleetKey(std::string_view key);
 
 std::string encodeNode(const holdings::NodeRecord &record);
@@ -35,9 +39,10 @@
 core::Result<holdings::NodeRecord> decodeNode(std::string_view value);
 
 std::string encodeHoldings(std::span<const holdings::Holding> rows);
-/// Fails with CorruptMessage, also for rows that overlap or are out of order.
-core::Result<std::vector<holdings::Holding>>
-decodeHoldings(std::string_view value);
+/// Fails with CorruptMessage, also for rows that overlap, are out of order, or
+/// lie outside \p part.
+core::Result<holdings::HoldingPart> decodeHoldings(std::string_view value,
+                                                   holdings::Key part);
 
 /// What nodes tell each other often; a lost one is replaced by the next.
 struct FleetHint {
@@ -47,9 +52,12 @@
   holdings::NodeLoad Load;
 };
 
-std::string encodeHint(const FleetHint &hint);
+/// What one datagram between nodes carries.
+using FleetDatagram = std::variant<FleetHint, holdings::ReleaseNotice>;
+
+std::string encodeDatagram(const FleetDatagram &datagram);
 /// Fails with CorruptMessage.
-core::Result<FleetHint> decodeHint(std::string_view bytes);
+core::Result<FleetDatagram> decodeDatagram(std::string_view bytes);
 
 /// Asks another node for a part of its share of an account, or answers.
 struct CreditDatagram {
--- a/Source/Feed/FeedTypes.h
+++ b/Source/Feed/FeedTypes.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,7 +43,7 @@
 
 using PageHandler = std::function<void(core::Result<NewestPage>)>;
 using TailHandler = std::function<void(core::Result<Tail>)>;
-/// Receives the offset of the record.
+/// Receives the offset of the first record.
 using AppendHandler = std::function<void(core::Result<core::Offset>)>;
 
 /// One keyed log of the platform. Reads fail with LogUnavailable, or with
@@ -53,8 +54,9 @@
   std::function<void(std::string_view after, PageHandler)> ReadNewest;
   std::function<void(core::Offset from, core::Duration wait, TailHandler)>
       ReadFrom;
-  std::function<void(const KeyedRecord &, std::optional<core::Offset> at,
-                     AppendHandler)>
+  /// All records or none; they follow each other.
+  std::function<void(std::span<const KeyedRecord>,
+                     std::optional<core::Offset> at, AppendHandler)>
       Append;
 };
 
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -105,16 +105,14 @@
     schedule(Pace.Pause);
 }
 
-void KeyedFeed::appended(KeyedRecord record, core::Offset at,
-                         core::TimePoint asked) {
+void KeyedFeed::appended(const std::vector<KeyedRecord> &records,
+                         core::Offset at, core::TimePoint asked) {
   if (!IsFollowing || at != Position || !Collected.empty()) {
     readNow();
     return;
   }
-  ++Position;
-  std::vector<KeyedRecord> records;
-  records.push_back(std::move(record));
-  Hooks.OnRecords(std::move(records), Position, asked);
+  Position += records.size();
+  Hooks.OnRecords(records, Position, asked);
 }
 
 void KeyedFeed::onFailure(const core::Error &error) {
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -48,9 +48,10 @@
 
   void setPace(FeedPace pace) { Pace = pace; }
 
-  /// This node has appended \p record at \p at, the end of the log at some
-  /// moment after \p asked. Saves a read if all before it is known.
-  void appended(KeyedRecord record, core::Offset at, core::TimePoint asked);
+  /// This node has appended \p records at \p at, the end of the log at some
+  /// moment after \p asked. Saves a read if all before them is known.
+  void appended(const std::vector<KeyedRecord> &records, core::Offset at,
+                core::TimePoint asked);
 
   /// Reads at once, or right after the read that is under way.
   void readNow();
--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Holdings/KeyPlacement.h"
+
 namespace acaciaroad::holdings {
 
 void FleetLedger::applyNode(const NodeRecord &record, core::TimePoint readAt) {
@@ -13,9 +15,13 @@
     Members.erase(it);
 }
 
-void FleetLedger::applyHoldings(std::string_view service,
-                                std::vector<Holding> rows) {
-  Holdings[std::string(service)] = std::move(rows);
+void FleetLedger::applyHoldings(std::string_view service, HoldingPart part) {
+  ServiceHoldings &all = Holdings[std::string(service)];
+  all.Parts[part.Number] = std::move(part.Rows);
+  all.Rows.clear();
+  for (const auto &[number, it] : all.Parts)
+    all.Rows.insert(all.Rows.end(), it.begin(), it.end());
+  normalize(all.Rows);
 }
 
 const Member *FleetLedger::findMember(std::string_view name) const {
@@ -28,7 +34,7 @@
   const auto it = Holdings.find(service);
   if (it == Holdings.end())
     return {};
-  return it->second;
+  return it->second.Rows;
 }
 
 bool FleetLedger::isEligible(const Member &member, core::TimePoint now) const {
--- a/Source/Holdings/FleetLedger.h
+++ b/Source/Holdings/FleetLedger.h
@@ -39,7 +39,7 @@
 public:
   void applyNode(const NodeRecord &record, core::TimePoint readAt);
   void removeNode(std::string_view name);
-  void applyHoldings(std::string_view service, std::vector<Holding> rows);
+  void applyHoldings(std::string_view service, HoldingPart part);
   void setEnd(core::Offset end) { End = end; }
 
   /// Data centres that operators have taken out.
@@ -67,8 +67,14 @@
                                        core::TimePoint now) const;
 
 private:
+  struct ServiceHoldings {
+    std::map<Key, std::vector<Holding>> Parts;
+    /// Of all parts.
+    std::vector<Holding> Rows;
+  };
+
   std::map<std::string, Member, std::less<>> Members;
-  std::map<std::string, std::vector<Holding>, std::less<>> Holdings;
+  std::map<std::string, ServiceHoldings, std::less<>> Holdings;
   std::set<std::string, std::less<>> DataCentresOut;
   core::Offset End = 0;
 };
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -11,13 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// A third of the lease, so that two lost renewals are borne.
-constexpr core::Duration RenewInterval = NodeLease / 3;
-
-/// Between two attempts at a record that has not been read back; several round
-/// trips of the log.
-constexpr core::Duration RecordRetry = milliseconds(400);
-
 /// An upstream that was silent for so many heartbeats takes no new work.
 constexpr int SilentHeartbeats = 3;
 
@@ -38,13 +31,17 @@
 /// A shorter grant is not worth giving: the next heartbeat comes later.
 constexpr core::Duration ShortestGrant = milliseconds(100);
 
-/// Time for all upstreams of a fleet that starts to announce themselves before
-/// the keys are first divided; more than one heartbeat.
-constexpr core::Duration FirstDivisionWait = milliseconds(2500);
+/// A node proposes itself what the coordinator hasn't given on after it.
+constexpr core::Duration CoordinatorPatience = milliseconds(800);
+
+/// Between two notices to the coordinator; a lost one is made up for soon.
+constexpr core::Duration NoticeInterval = milliseconds(100);
+
+/// Released keys in one notice; it has to fit a datagram.
+constexpr std::size_t MostNoticeRows = 10;
 
-/// Each further node of a service waits so much longer before it gives orphaned
-/// keys a holder, so that mostly one does.
-constexpr core::Duration TurnStep = milliseconds(300);
+/// Between two changes of released keys, so that one carries several.
+constexpr core::Duration BatchInterval = milliseconds(100);
 
 /// A change without an outcome is proposed anew after it; the log's end
 /// decides between the two.
@@ -56,9 +53,9 @@
 /// Loads change within a second; an older one says nothing.
 constexpr core::Duration LoadLifetime = milliseconds(1500);
 
-/// Rows of a service, beyond which load moves no more keys: the answer to a
-/// heartbeat has room for about a hundred.
-constexpr std::size_t MostRows = 160;
+/// Rows of a node, beyond which load moves no more keys to or from it: the
+/// answer to a heartbeat has room for about a hundred.
+constexpr std::size_t MostRows = 60;
 
 /// A member with less than this share of a fair part counts as new.
 constexpr double NewcomerShare = 0.25;
@@ -91,8 +88,7 @@
     return false;
   if (!isSameLife) {
     Life = heartbeat.Life;
-    Leaving.clear();
-    Freed.clear();
+    Release.clear();
     LifeLeaves = Life.Id == LeftId && now - LeftAt < LeaveLength;
     // Nothing of a former life is held any more; this one holds nothing, unless
     // a former incarnation of the node granted it keys.
@@ -105,32 +101,10 @@
   Slots = heartbeat.Slots;
   LifeLeaves = LifeLeaves || heartbeat.State == UpstreamState::Leaving;
   State = LifeLeaves ? UpstreamState::Leaving : heartbeat.State;
-  noteFreed(heartbeat);
-  noteReleased(heartbeat);
+  Release.heard(heartbeat);
   return true;
 }
 
-void HoldingAgent::noteFreed(const Heartbeat &heartbeat) {
-  for (const FreedKeys &it : heartbeat.Freed)
-    Freed.push_back(it);
-  // Keys that are held again have a state newer than what was handed over.
-  std::erase_if(Freed, [&](const FreedKeys &it) {
-    return std::any_of(
-        heartbeat.Holds.begin(), heartbeat.Holds.end(),
-        [&](const HeldKeys &held) { return held.Keys.intersects(it.Keys); });
-  });
-}
-
-void HoldingAgent::noteReleased(const Heartbeat &heartbeat) {
-  for (Outgoing &it : Leaving) {
-    const bool isHeld = std::any_of(
-        heartbeat.Holds.begin(), heartbeat.Holds.end(),
-        [&](const HeldKeys &held) { return held.Keys.intersects(it.Keys); });
-    if (it.Withheld && !isHeld)
-      it.Released = true;
-  }
-}
-
 void HoldingAgent::upstreamLeaves(std::string_view id, core::TimePoint now) {
   if (Life.Id != id) {
     LeftId = id;
@@ -160,6 +134,14 @@
   return row.Node == Identity.Name && row.Life == Life;
 }
 
+std::vector<Holding> HoldingAgent::ownRows(const FleetLedger &ledger) const {
+  std::vector<Holding> out;
+  for (const Holding &it : ledger.holdingsOf(Identity.Service))
+    if (owns(it))
+      out.push_back(it);
+  return out;
+}
+
 bool HoldingAgent::isRevived(const Holding &row) const {
   return row.Node == Identity.Name && HasHeard && !(row.Life == Life) &&
          row.Life.Born <= Life.Born;
@@ -172,25 +154,14 @@
 std::optional<Grant> HoldingAgent::grant(const FleetLedger &ledger,
                                          core::TimePoint now) {
   const core::Duration lease =
-      (AuthorityUntil - now) * 100 / (100 + ClockDriftPercent);
+      (Lease.authorityUntil() - now) * 100 / (100 + ClockDriftPercent);
   const core::Duration length = std::min(fullGrant(), lease);
   if (length < ShortestGrant)
     return std::nullopt;
-  std::vector<KeyRange> withheld;
-  for (Outgoing &it : Leaving) {
-    withheld.push_back(it.Keys);
-    it.Withheld = true;
-  }
+  Release.granted();
   Grant out;
   out.Length = length;
-  for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
-    if (!owns(row))
-      continue;
-    for (const KeyRange &it : subtract(row.Keys, withheld)) {
-      out.Rows.push_back(row);
-      out.Rows.back().Keys = it;
-    }
-  }
+  out.Rows = without(ownRows(ledger), Release.ranges());
   HeldUntil = std::max(HeldUntil, now + withDrift(length));
   return out;
 }
@@ -209,54 +180,28 @@
 }
 
 std::optional<NodeRecord> HoldingAgent::nextRecord(const FleetLedger &ledger,
+                                                   bool isKeyless,
                                                    core::TimePoint now) {
   if (State == UpstreamState::Ready &&
       now - HeardAt > Timing.Heartbeat * SilentHeartbeats)
     State = UpstreamState::Absent;
-  NodeRecord record = describe();
-  const Member *self = ledger.findMember(Identity.Name);
-  NodeRecord known = self ? self->Record : NodeRecord();
-  known.Sequence = 0;
-  const bool isKnown = known == record;
-  NodeRecord last = LastRecord;
-  last.Sequence = 0;
-  const bool isSent = last == record;
-  const core::Duration age = now - LastRecordAt;
-  const bool isDue =
-      isKnown ? age >= RenewInterval : !isSent || age >= RecordRetry;
-  if (!isDue)
-    return std::nullopt;
-  record.Sequence = NextSequence++;
-  LastRecord = record;
-  LastRecordAt = now;
-  return record;
-}
-
-void HoldingAgent::recordSent(std::uint64_t sequence, core::TimePoint sent) {
-  Sent.push_back({sequence, sent});
+  return Lease.next(describe(), ledger, isKeyless, now);
 }
 
 void HoldingAgent::ledgerChanged(const FleetLedger &ledger,
                                  core::TimePoint now) {
-  if (const Member *self = ledger.findMember(Identity.Name);
-      self && self->Record.Incarnation == Identity.Incarnation) {
-    const std::uint64_t read = self->Record.Sequence;
-    for (const SentRecord &it : Sent)
-      if (it.Sequence == read)
-        AuthorityUntil = std::max(AuthorityUntil, it.Sent + NodeLease);
-    std::erase_if(Sent, [&](const auto &it) { return it.Sequence <= read; });
-  }
+  const Member *self = ledger.findMember(Identity.Name);
+  Lease.ledgerChanged(self ? &self->Record : nullptr, Identity.Incarnation);
   if (Pending && ledger.end() > Pending->At)
     Pending.reset();
   // Keys that are another's now need not be let go any more.
-  const auto rows = ledger.holdingsOf(Identity.Service);
-  std::erase_if(Leaving, [&](const Outgoing &it) {
-    return std::none_of(rows.begin(), rows.end(), [&](const Holding &row) {
-      return owns(row) && row.Keys.intersects(it.Keys);
-    });
-  });
-  watchOrphans(ledger, now);
+  Release.keepOnly(ownRows(ledger));
+  Orphans.update(ledger, Identity.Service, Identity.Name, now);
   planOutgoing(ledger, now);
+  if (ownFree(ledger, now).empty())
+    FreeSince.reset();
+  else if (!FreeSince)
+    FreeSince = now;
 }
 
 void HoldingAgent::planOutgoing(const FleetLedger &ledger,
@@ -267,15 +212,8 @@
     const auto takers = ledger.eligible(Identity.Service, now);
     if (takers.empty())
       return;
-    for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
-      if (!owns(row))
-        continue;
-      std::vector<KeyRange> known;
-      for (const Outgoing &it : Leaving)
-        known.push_back(it.Keys);
-      for (const KeyRange &it : subtract(row.Keys, known))
-        Leaving.push_back({it, {}, false, false});
-    }
+    for (const Holding &row : without(ownRows(ledger), Release.ranges()))
+      Release.plan(row, {});
     return;
   }
   planForNewcomer(ledger, now);
@@ -287,30 +225,46 @@
   PeerLoads[std::string(node)] = {load, now};
 }
 
-void HoldingAgent::planForLoad(const FleetLedger &ledger, core::TimePoint now) {
-  const auto rows = ledger.holdingsOf(Identity.Service);
-  if (!Leaving.empty() || now < NextMove || rows.size() > MostRows)
-    return;
-  std::vector<LoadTaker> takers;
+std::vector<LoadTaker> HoldingAgent::loadTakers(const FleetLedger &ledger,
+                                                core::TimePoint now) const {
+  std::map<std::string_view, std::size_t> rows;
+  for (const Holding &it : ledger.holdingsOf(Identity.Service))
+    ++rows[it.Node];
+  std::vector<LoadTaker> out;
   for (const Member *it : ledger.eligible(Identity.Service, now)) {
-    const auto load = PeerLoads.find(it->Record.Name);
-    if (it->Record.Name != Identity.Name && load != PeerLoads.end() &&
-        now - load->second.At < LoadLifetime)
-      takers.push_back({it->Record.Name, load->second.Load});
+    const std::string &name = it->Record.Name;
+    const auto load = PeerLoads.find(name);
+    if (name != Identity.Name && load != PeerLoads.end() &&
+        now - load->second.At < LoadLifetime && rows[name] < MostRows)
+      out.push_back({name, load->second.Load});
   }
+  return out;
+}
+
+void HoldingAgent::planForLoad(const FleetLedger &ledger, core::TimePoint now) {
+  if (!Release.isIdle() || now < NextMove)
+    return;
+  const auto rows = ownRows(ledger);
+  if (rows.size() > MostRows)
+    return;
   std::vector<KeyRange> own;
-  for (const Holding &row : rows)
-    if (owns(row))
-      own.push_back(row.Keys);
-  for (const LoadMove &it : planLoadMoves(Load, own, takers)) {
-    Leaving.push_back({it.Keys, it.Target, false, false});
+  for (const Holding &it : rows)
+    own.push_back(it.Keys);
+  for (const LoadMove &move :
+       planLoadMoves(Load, own, loadTakers(ledger, now))) {
+    for (Holding it : rows) {
+      if (!it.Keys.contains(move.Keys))
+        continue;
+      it.Keys = move.Keys;
+      Release.plan(it, move.Target);
+    }
     NextMove = now + MoveInterval;
   }
 }
 
 void HoldingAgent::planForNewcomer(const FleetLedger &ledger,
                                    core::TimePoint now) {
-  if (!Leaving.empty() || now < NextMove)
+  if (!Release.isIdle() || now < NextMove)
     return;
   const auto rows = ledger.holdingsOf(Identity.Service);
   const auto takers = ledger.eligible(Identity.Service, now);
@@ -329,10 +283,9 @@
       if (n == 0 || !owns(row))
         continue;
       const Key part = std::min(n, row.Keys.size());
-      Leaving.push_back({{row.Keys.To - part + 1, row.Keys.To},
-                         it->Record.Name,
-                         false,
-                         false});
+      Holding piece = row;
+      piece.Keys.From = row.Keys.To - part + 1;
+      Release.plan(piece, it->Record.Name);
       n -= part;
     }
     NextMove = now + MoveInterval;
@@ -348,9 +301,11 @@
 std::optional<HoldingChange>
 HoldingAgent::planChange(const FleetLedger &ledger, core::TimePoint now) const {
   const bool isPending = Pending && now - Pending->Since <= PendingTimeout;
-  if (isPending || Draining || now >= AuthorityUntil)
+  if (isPending || Draining || now >= Lease.authorityUntil())
     return std::nullopt;
-  if (auto out = planOwn(ledger, now))
+  if (auto out = planRevival(ledger))
+    return out;
+  if (auto out = planReleased(ledger, now))
     return out;
   return planOrphans(ledger, now);
 }
@@ -360,7 +315,7 @@
   auto out = planChange(ledger, now);
   if (!out)
     return std::nullopt;
-  withhold(ledger.holdingsOf(Identity.Service), out->Rows);
+  withhold(ledger, out->Rows);
   Pending = PendingChange{ledger.end(), now};
   return out;
 }
@@ -368,179 +323,139 @@
 HoldingChange HoldingAgent::propose(const FleetLedger &ledger, Rows rows,
                                     std::string_view reason) const {
   normalize(rows);
-  return {Identity.Service, std::move(rows), ledger.end(), reason};
+  auto parts = changedParts(ledger.holdingsOf(Identity.Service), rows);
+  return {Identity.Service, std::move(rows), std::move(parts), ledger.end(),
+          reason};
 }
 
-std::vector<Holding>
-HoldingAgent::releasedRows(std::span<const Holding> rows) const {
-  std::vector<Holding> out;
-  std::vector<KeyRange> done;
-  const auto give = [&](const Holding &row, const KeyRange &keys) {
-    for (const KeyRange &it : subtract(keys, done)) {
-      out.push_back(row);
-      out.back().Keys = it;
-    }
-    done.push_back(keys);
-  };
-  for (const Holding &row : rows) {
-    if (!owns(row))
-      continue;
-    for (const Outgoing &it : Leaving) {
-      if (!it.Released || !it.Keys.intersects(row.Keys))
-        continue;
-      Holding piece = row;
-      piece.Keys = it.Keys.intersection(row.Keys);
-      piece.Node = it.Target;
-      // What was freed last is the newest state of the keys.
-      for (auto freed = Freed.rbegin(); freed != Freed.rend(); ++freed) {
-        if (!freed->Keys.intersects(piece.Keys))
-          continue;
-        piece.Handover = freed->Handover;
-        give(piece, freed->Keys.intersection(piece.Keys));
-      }
-      piece.Handover.clear();
-      give(piece, piece.Keys);
-    }
-  }
-  return out;
-}
-
-void HoldingAgent::withhold(std::span<const Holding> rows,
+void HoldingAgent::withhold(const FleetLedger &ledger,
                             std::span<const Holding> proposed) {
   // The change may be in the log before this node reads of it.
-  std::vector<KeyRange> kept;
+  std::vector<KeyRange> kept = Release.withheld();
   for (const Holding &it : proposed)
     if (owns(it))
       kept.push_back(it.Keys);
-  for (const Outgoing &it : Leaving)
-    if (it.Withheld)
-      kept.push_back(it.Keys);
-  for (const Holding &row : rows)
-    if (owns(row))
-      for (const KeyRange &it : subtract(row.Keys, kept))
-        Leaving.push_back({it, {}, true, true});
+  for (const Holding &it : without(ownRows(ledger), kept))
+    Release.withhold(it);
 }
 
-std::optional<HoldingChange> HoldingAgent::planOwn(const FleetLedger &ledger,
-                                                   core::TimePoint now) const {
+std::optional<HoldingChange>
+HoldingAgent::planRevival(const FleetLedger &ledger) const {
   const auto rows = ledger.holdingsOf(Identity.Service);
-  const Fence token = ledger.end() + 1;
-  // A new life of the own upstream takes over what the former one held.
-  if (State == UpstreamState::Ready && !ledger.isOut(Identity.DataCentre) &&
-      std::any_of(rows.begin(), rows.end(),
-                  [&](const Holding &it) { return isRevived(it); })) {
-    Rows out(rows.begin(), rows.end());
-    for (Holding &it : out) {
-      if (!isRevived(it))
-        continue;
-      it.Life = Life;
-      it.Token = token;
-      it.Handover.clear();
-    }
-    return propose(ledger, std::move(out), "new life of the upstream");
+  if (mustLetGo(ledger) ||
+      std::none_of(rows.begin(), rows.end(),
+                   [&](const Holding &it) { return isRevived(it); }))
+    return std::nullopt;
+  Rows out(rows.begin(), rows.end());
+  for (Holding &it : out) {
+    if (!isRevived(it))
+      continue;
+    it.Life = Life;
+    it.Token = ledger.end() + 1;
+    it.Handover.clear();
   }
-  Rows released = releasedRows(rows);
+  return propose(ledger, std::move(out), "new life of the upstream");
+}
+
+std::vector<ReleasedKeys> HoldingAgent::ownFree(const FleetLedger &ledger,
+                                                core::TimePoint now) const {
+  std::vector<ReleasedKeys> out = Release.released(ownRows(ledger));
+  std::vector<KeyRange> known;
+  for (const ReleasedKeys &it : out)
+    known.push_back(it.Row.Keys);
+  Rows gone;
   const bool isOver = isLifeOver(now);
-  std::vector<KeyRange> gone;
-  for (const Holding &it : released)
-    gone.push_back(it.Keys);
-  for (const Holding &row : rows) {
+  for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
     const bool isDead = row.Node == Identity.Name && isOver;
-    if (!isDead && !(isRevived(row) && mustLetGo(ledger)))
-      continue;
-    for (const KeyRange &it : subtract(row.Keys, gone)) {
-      released.push_back({it, {}, {}, 0, {}});
-      gone.push_back(it);
-    }
+    if (isDead || (isRevived(row) && mustLetGo(ledger)))
+      gone.push_back(row);
+  }
+  for (Holding &it : without(gone, known)) {
+    it.Handover.clear();
+    out.push_back({std::move(it), {}});
   }
-  if (released.empty())
+  return out;
+}
+
+std::optional<AddressedNotice>
+HoldingAgent::nextNotice(const FleetLedger &ledger, core::TimePoint now) {
+  if (!FreeSince || Draining || now - NoticeAt < NoticeInterval)
     return std::nullopt;
   const auto takers = ledger.eligible(Identity.Service, now);
-  if (takers.empty())
+  if (takers.empty() || takers.front()->Record.Name == Identity.Name)
     return std::nullopt;
-  Rows out = without(rows, gone);
+  AddressedNotice out{
+      takers.front()->Record.Name,
+      {Identity.Name, Identity.Incarnation, ownFree(ledger, now)}};
+  if (out.Notice.Keys.size() > MostNoticeRows)
+    out.Notice.Keys.resize(MostNoticeRows);
+  // The coordinator may give them on from now on.
+  for (const ReleasedKeys &it : out.Notice.Keys)
+    if (owns(it.Row))
+      for (const Holding &piece : without({{it.Row}}, Release.withheld()))
+        Release.withhold(piece);
+  NoticeAt = now;
+  return out;
+}
+
+std::optional<HoldingChange>
+HoldingAgent::planReleased(const FleetLedger &ledger,
+                           core::TimePoint now) const {
+  const auto takers = ledger.eligible(Identity.Service, now);
+  if (takers.empty() || now < NextBatch)
+    return std::nullopt;
+  const bool isCoordinator = takers.front()->Record.Name == Identity.Name;
+  const bool isOverdue = FreeSince && now - *FreeSince >= CoordinatorPatience;
+  std::vector<ReleasedKeys> free;
+  if (isCoordinator || isOverdue)
+    free = ownFree(ledger, now);
+  if (isCoordinator)
+    for (ReleasedKeys &it : Inbox.valid(ledger, Identity.Service, now))
+      free.push_back(std::move(it));
+  if (free.empty())
+    return std::nullopt;
+  const Fence token = ledger.end() + 1;
+  std::vector<KeyRange> gone;
+  Rows given;
   Rows open;
-  for (Holding &it : released) {
+  for (const ReleasedKeys &it : free) {
     const auto target =
         std::find_if(takers.begin(), takers.end(), [&](const Member *member) {
-          return member->Record.Name == it.Node;
+          return member->Record.Name == it.Target;
         });
-    if (target == takers.end()) {
-      open.push_back(std::move(it));
-      continue;
+    for (const KeyRange &keys : subtract(it.Row.Keys, gone)) {
+      Holding piece{keys, {}, {}, token, it.Row.Handover};
+      if (target == takers.end()) {
+        open.push_back(std::move(piece));
+        continue;
+      }
+      piece.Node = (*target)->Record.Name;
+      piece.Life = (*target)->Record.Life;
+      given.push_back(std::move(piece));
     }
-    it.Life = (*target)->Record.Life;
-    it.Token = token;
-    out.push_back(std::move(it));
+    gone.push_back(it.Row.Keys);
   }
+  Rows out = without(ledger.holdingsOf(Identity.Service), gone);
+  out.insert(out.end(), given.begin(), given.end());
   for (Holding &it : spread(open, out, takers, token))
     out.push_back(std::move(it));
   return propose(ledger, std::move(out), "keys given on");
 }
 
-std::vector<Holding> HoldingAgent::orphans(const FleetLedger &ledger,
-                                           std::span<const Holding> rows,
-                                           core::TimePoint now) const {
-  if (rows.empty())
-    return {Holding{}};
-  Rows out;
-  for (const Holding &it : rows) {
-    const Member *owner = ledger.findMember(it.Node);
-    if (owner && !owner->isLapsed(now))
-      continue;
-    // The own node's keys are dealt with by planOwn.
-    if (it.Node == Identity.Name)
-      continue;
-    out.push_back(it);
-    out.back().Handover.clear();
-  }
-  return out;
-}
-
-bool HoldingAgent::isMyTurn(std::span<const Member *const> takers,
-                            core::TimePoint now) const {
-  int rank = 0;
-  for (const Member *it : takers) {
-    if (it->Record.Name == Identity.Name)
-      return OrphansSince && now - *OrphansSince >= TurnStep * rank;
-    ++rank;
-  }
-  return false;
-}
-
-void HoldingAgent::watchOrphans(const FleetLedger &ledger,
-                                core::TimePoint now) {
-  const auto rows = ledger.holdingsOf(Identity.Service);
-  if (ledger.eligible(Identity.Service, now).empty()) {
-    FirstTakerSince.reset();
-    OrphansSince.reset();
-    return;
-  }
-  if (!FirstTakerSince)
-    FirstTakerSince = now;
-  if (orphans(ledger, rows, now).empty())
-    OrphansSince.reset();
-  else if (!OrphansSince)
-    OrphansSince = now;
-}
-
 std::optional<HoldingChange>
 HoldingAgent::planOrphans(const FleetLedger &ledger,
                           core::TimePoint now) const {
-  const auto rows = ledger.holdingsOf(Identity.Service);
-  const auto takers = ledger.eligible(Identity.Service, now);
-  const bool isEarly =
-      rows.empty() &&
-      (!FirstTakerSince || now - *FirstTakerSince < FirstDivisionWait);
-  if (isEarly || !isMyTurn(takers, now))
+  if (!Orphans.isTurn(ledger, Identity.Service, Identity.Name, now))
     return std::nullopt;
-  const Rows open = orphans(ledger, rows, now);
+  const Rows open = findOrphans(ledger, Identity.Service, Identity.Name, now);
   if (open.empty())
     return std::nullopt;
+  const auto rows = ledger.holdingsOf(Identity.Service);
   std::vector<KeyRange> gone;
   for (const Holding &it : open)
     gone.push_back(it.Keys);
   Rows out = without(rows, gone);
+  const auto takers = ledger.eligible(Identity.Service, now);
   for (Holding &it : spread(open, out, takers, ledger.end() + 1))
     out.push_back(std::move(it));
   return propose(ledger, std::move(out),
@@ -550,10 +465,12 @@
 void HoldingAgent::changeEnded(ChangeEnd end, core::TimePoint now) {
   if (!Pending)
     return;
-  if (end == ChangeEnd::Refused)
+  if (end == ChangeEnd::Refused) {
     Pending.reset();
-  else
-    Pending->Since = now;
+    return;
+  }
+  Pending->Since = now;
+  NextBatch = now + BatchInterval;
 }
 
 bool HoldingAgent::awaitsChange(const FleetLedger &ledger) const {
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -10,12 +10,17 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "Core/Clock.h"
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingTypes.h"
+#include "Holdings/KeyRelease.h"
+#include "Holdings/LeaseRenewal.h"
 #include "Holdings/LoadMove.h"
+#include "Holdings/OrphanWatch.h"
+#include "Holdings/ReleaseInbox.h"
 
 namespace acaciaroad::holdings {
 
@@ -35,10 +40,13 @@
   core::Duration LongestGrant{};
 };
 
-/// New rows for all keys of a service, valid only at one end of the log.
+/// New holders, valid only at one end of the log.
 struct HoldingChange {
   std::string Service;
+  /// All keys of the service.
   std::vector<Holding> Rows;
+  /// What differs from the log.
+  std::vector<HoldingPart> Parts;
   core::Offset At = 0;
   /// Why, for the log.
   std::string_view Reason;
@@ -53,10 +61,20 @@
   Unknown,
 };
 
+/// What one node tells the coordinator of its service.
+struct AddressedNotice {
+  /// Name of the coordinator.
+  std::string To;
+  ReleaseNotice Notice;
+};
+
 /// Grants keys to the own upstream within the node's lease, lets keys go that
 /// move away, and proposes new holders. Only a record in the log changes a
-/// holder. A pure aggregate: the caller appends what it proposes, and feeds the
-/// ledger.
+/// holder. The first eligible node of a service is its coordinator: it proposes
+/// what the others have released, since proposals of many nodes would mostly
+/// find the log's end moved. Whoever finds it idle proposes itself. A pure
+/// aggregate: the caller appends what it proposes, passes its notices on, and
+/// feeds the ledger.
 class HoldingAgent {
 public:
   HoldingAgent(AgentIdentity identity, AgentTiming timing,
@@ -86,12 +104,24 @@
   /// called once for each heartbeat that `heard` has taken.
   std::optional<Grant> grant(const FleetLedger &ledger, core::TimePoint now);
 
-  /// Returns the node's record if it is to be appended now.
+  /// Returns the node's record if it is to be appended now. A node that
+  /// \p isKeyless has a service without keys.
   std::optional<NodeRecord> nextRecord(const FleetLedger &ledger,
-                                       core::TimePoint now);
+                                       bool isKeyless, core::TimePoint now);
 
   /// The record was appended; its lease counts from \p sent once it is read.
-  void recordSent(std::uint64_t sequence, core::TimePoint sent);
+  void recordSent(std::uint64_t sequence, core::TimePoint sent) {
+    Lease.sent(sequence, sent);
+  }
+
+  /// Returns what the coordinator is to be told now, if anything.
+  std::optional<AddressedNotice> nextNotice(const FleetLedger &ledger,
+                                            core::TimePoint now);
+
+  /// Another node takes this one for the coordinator.
+  void takeNotice(ReleaseNotice notice, core::TimePoint now) {
+    Inbox.take(std::move(notice), now);
+  }
 
   /// Whether `nextChange` has something to propose, on the records read so far.
   bool wantsChange(const FleetLedger &ledger, core::TimePoint now) const;
@@ -109,36 +139,33 @@
 
   const UpstreamLife &life() const { return Life; }
   UpstreamState state() const { return State; }
-  core::TimePoint authorityUntil() const { return AuthorityUntil; }
+  core::TimePoint authorityUntil() const { return Lease.authorityUntil(); }
 
 private:
   using Rows = std::vector<Holding>;
 
   core::Duration fullGrant() const;
   bool owns(const Holding &row) const;
+  std::vector<Holding> ownRows(const FleetLedger &ledger) const;
   bool isRevived(const Holding &row) const;
   bool mustLetGo(const FleetLedger &ledger) const;
   bool isLifeOver(core::TimePoint now) const;
   void planOutgoing(const FleetLedger &ledger, core::TimePoint now);
   void planForNewcomer(const FleetLedger &ledger, core::TimePoint now);
   void planForLoad(const FleetLedger &ledger, core::TimePoint now);
-  void noteReleased(const Heartbeat &heartbeat);
-  void noteFreed(const Heartbeat &heartbeat);
-  void withhold(std::span<const Holding> rows,
-                std::span<const Holding> proposed);
-  std::vector<Holding> releasedRows(std::span<const Holding> rows) const;
-  std::vector<Holding> orphans(const FleetLedger &ledger,
-                               std::span<const Holding> rows,
-                               core::TimePoint now) const;
-  bool isMyTurn(std::span<const Member *const> takers,
-                core::TimePoint now) const;
-  void watchOrphans(const FleetLedger &ledger, core::TimePoint now);
+  std::vector<LoadTaker> loadTakers(const FleetLedger &ledger,
+                                    core::TimePoint now) const;
+  /// Keys of the own upstream that may be given on.
+  std::vector<ReleasedKeys> ownFree(const FleetLedger &ledger,
+                                    core::TimePoint now) const;
+  void withhold(const FleetLedger &ledger, std::span<const Holding> proposed);
   HoldingChange propose(const FleetLedger &ledger, Rows rows,
                         std::string_view reason) const;
   std::optional<HoldingChange> planChange(const FleetLedger &ledger,
                                           core::TimePoint now) const;
-  std::optional<HoldingChange> planOwn(const FleetLedger &ledger,
-                                       core::TimePoint now) const;
+  std::optional<HoldingChange> planRevival(const FleetLedger &ledger) const;
+  std::optional<HoldingChange> planReleased(const FleetLedger &ledger,
+                                            core::TimePoint now) const;
   std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
                                            core::TimePoint now) const;
   NodeRecord describe() const;
@@ -148,26 +175,17 @@
     core::Offset At = 0;
     core::TimePoint Since{};
   };
-  /// Keys that the upstream is to let go.
-  struct Outgoing {
-    KeyRange Keys;
-    /// Whom they go to; empty for whoever has the fewest.
-    std::string Target;
-    /// A grant without them has been given.
-    bool Withheld = false;
-    bool Released = false;
-  };
   struct KnownLoad {
     NodeLoad Load;
     core::TimePoint At{};
   };
-  struct SentRecord {
-    std::uint64_t Sequence = 0;
-    core::TimePoint Sent{};
-  };
 
   AgentIdentity Identity;
   AgentTiming Timing;
+  LeaseRenewal Lease;
+  KeyRelease Release;
+  ReleaseInbox Inbox;
+  OrphanWatch Orphans;
   UpstreamLife Life;
   UpstreamState State = UpstreamState::Absent;
   std::uint64_t HeartbeatSequence = 0;
@@ -182,16 +200,11 @@
   core::TimePoint HeardAt{};
   /// The upstream may hold keys up to it.
   core::TimePoint HeldUntil{};
-  core::TimePoint AuthorityUntil{};
-  std::vector<Outgoing> Leaving;
-  std::vector<FreedKeys> Freed;
-  std::vector<SentRecord> Sent;
-  std::uint64_t NextSequence = 1;
-  NodeRecord LastRecord;
-  core::TimePoint LastRecordAt{};
   std::optional<PendingChange> Pending;
-  std::optional<core::TimePoint> OrphansSince;
-  std::optional<core::TimePoint> FirstTakerSince;
+  /// Since when the own upstream has keys that may be given on.
+  std::optional<core::TimePoint> FreeSince;
+  core::TimePoint NoticeAt{};
+  core::TimePoint NextBatch{};
   core::TimePoint NextMove{};
   KeyedLoad Load;
   std::map<std::string, KnownLoad, std::less<>> PeerLoads;
--- a/Source/Holdings/HoldingTypes.h
+++ b/Source/Holdings/HoldingTypes.h
@@ -43,6 +43,10 @@
   }
 };
 
+/// Keys are recorded in parts of this size, so that a move is a small record.
+inline constexpr Key PartKeys = 1024;
+inline constexpr Key PartCount = KeyCount / PartKeys;
+
 /// One run of an upstream's process.
 struct UpstreamLife {
   std::string Id;
@@ -64,6 +68,14 @@
   bool operator==(const Holding &) const = default;
 };
 
+/// The holders of the keys from Number * PartKeys on.
+struct HoldingPart {
+  Key Number = 0;
+  /// In the order of keys, all within the part.
+  std::vector<Holding> Rows;
+  bool operator==(const HoldingPart &) const = default;
+};
+
 enum class UpstreamState : std::uint8_t {
   /// None is known to run beside the node.
   Absent,
--- a/Source/Holdings/KeyPlacement.cpp
+++ b/Source/Holdings/KeyPlacement.cpp
@@ -115,6 +115,29 @@
   return out;
 }
 
+std::vector<HoldingPart> changedParts(std::span<const Holding> before,
+                                      std::span<const Holding> after) {
+  const auto split = [](std::span<const Holding> rows) {
+    std::vector<HoldingPart> out(PartCount);
+    for (Key n = 0; n < PartCount; ++n)
+      out[n].Number = n;
+    for (const Holding &row : rows)
+      for (Key from = row.Keys.From; from <= row.Keys.To;) {
+        HoldingPart &part = out[from / PartKeys];
+        const Key to = std::min(row.Keys.To, (part.Number + 1) * PartKeys - 1);
+        part.Rows.push_back(row);
+        part.Rows.back().Keys = {from, to};
+        from = to + 1;
+      }
+    return out;
+  };
+  const auto known = split(before);
+  auto out = split(after);
+  std::erase_if(out,
+                [&](const HoldingPart &it) { return it == known[it.Number]; });
+  return out;
+}
+
 void normalize(std::vector<Holding> &rows) {
   std::sort(rows.begin(), rows.end(), [](const Holding &a, const Holding &b) {
     return a.Keys.From < b.Keys.From;
--- a/Source/Holdings/KeyPlacement.h
+++ b/Source/Holdings/KeyPlacement.h
@@ -30,6 +30,10 @@
                             std::span<const Holding> rows,
                             std::span<const Member *const> takers, Fence token);
 
+/// Returns the parts of \p after that differ from those of \p before.
+std::vector<HoldingPart> changedParts(std::span<const Holding> before,
+                                      std::span<const Holding> after);
+
 /// Sorts rows by key and joins neighbours that differ in nothing else.
 void normalize(std::vector<Holding> &rows);
 
--- /dev/null
+++ b/Source/Holdings/LeaseRenewal.cpp
@@ -0,0 +1,64 @@
+#include "Holdings/LeaseRenewal.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace acaciaroad::holdings {
+
+namespace {
+
+/// A third of the lease, so that two lost renewals are borne.
+constexpr core::Duration RenewInterval = NodeLease / 3;
+
+/// Of nodes without keys, whose record only tells that they are there; within
+/// the lease, so that they stay among the nodes that others read from.
+constexpr core::Duration KeylessRenewInterval = std::chrono::seconds(5);
+
+/// Between two attempts at a record that has not been read back; several round
+/// trips of the log.
+constexpr core::Duration RecordRetry = std::chrono::milliseconds(400);
+
+bool isSame(NodeRecord a, NodeRecord b) {
+  a.Sequence = 0;
+  b.Sequence = 0;
+  return a == b;
+}
+
+} // namespace
+
+std::optional<NodeRecord> LeaseRenewal::next(const NodeRecord &present,
+                                             const FleetLedger &ledger,
+                                             bool isKeyless,
+                                             core::TimePoint now) {
+  const Member *self = ledger.findMember(present.Name);
+  const bool isKnown = self && isSame(self->Record, present);
+  const core::Duration age = now - LastRecordAt;
+  const core::Duration interval =
+      isKeyless ? KeylessRenewInterval : RenewInterval;
+  const bool isDue = isKnown
+                         ? age >= interval
+                         : !isSame(LastRecord, present) || age >= RecordRetry;
+  if (!isDue)
+    return std::nullopt;
+  LastRecord = present;
+  LastRecord.Sequence = NextSequence++;
+  LastRecordAt = now;
+  return LastRecord;
+}
+
+void LeaseRenewal::sent(std::uint64_t sequence, core::TimePoint at) {
+  Sent.push_back({sequence, at});
+}
+
+void LeaseRenewal::ledgerChanged(const NodeRecord *read,
+                                 std::uint64_t incarnation) {
+  if (read == nullptr || read->Incarnation != incarnation)
+    return;
+  for (const SentRecord &it : Sent)
+    if (it.Sequence == read->Sequence)
+      AuthorityUntil = std::max(AuthorityUntil, it.Sent + NodeLease);
+  std::erase_if(Sent,
+                [&](const auto &it) { return it.Sequence <= read->Sequence; });
+}
+
+} // namespace acaciaroad::holdings
--- /dev/null
+++ b/Source/Holdings/ReleaseInbox.cpp
@@ -0,0 +1,48 @@
+#include "Holdings/ReleaseInbox.h"
+
+#include <chrono>
+#include <utility>
+
+namespace acaciaroad::holdings {
+
+namespace {
+
+/// Nodes repeat their notices several times within it.
+constexpr core::Duration NoticeLifetime = std::chrono::seconds(1);
+
+bool hasSameHolder(const Holding &row, const Holding &released) {
+  return row.Node == released.Node && row.Life == released.Life &&
+         row.Token == released.Token && row.Keys.intersects(released.Keys);
+}
+
+} // namespace
+
+void ReleaseInbox::take(ReleaseNotice notice, core::TimePoint now) {
+  std::erase_if(Notices, [&](const auto &it) {
+    return now - it.second.At > NoticeLifetime;
+  });
+  std::string node = notice.Node;
+  Notices.insert_or_assign(std::move(node), Entry{std::move(notice), now});
+}
+
+std::vector<ReleasedKeys> ReleaseInbox::valid(const FleetLedger &ledger,
+                                              std::string_view service,
+                                              core::TimePoint now) const {
+  std::vector<ReleasedKeys> out;
+  for (const auto &[node, it] : Notices) {
+    const Member *sender = ledger.findMember(node);
+    if (now - it.At > NoticeLifetime || sender == nullptr ||
+        sender->Record.Incarnation != it.Notice.Incarnation)
+      continue;
+    for (const ReleasedKeys &released : it.Notice.Keys)
+      for (const Holding &row : ledger.holdingsOf(service)) {
+        if (row.Node != node || !hasSameHolder(row, released.Row))
+          continue;
+        out.push_back(released);
+        out.back().Row.Keys = row.Keys.intersection(released.Row.Keys);
+      }
+  }
+  return out;
+}
+
+} // namespace acaciaroad::holdings
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -260,11 +260,11 @@
     return;
   case codec::FleetKey::Kind::Holdings:
     if (!record.Value)
-      Ledger.applyHoldings(key.Name, {});
-    else if (auto rows = codec::decodeHoldings(*record.Value))
-      Ledger.applyHoldings(key.Name, std::move(*rows));
+      Ledger.applyHoldings(key.Name, {key.Part, {}});
+    else if (auto part = codec::decodeHoldings(*record.Value, key.Part))
+      Ledger.applyHoldings(key.Name, std::move(*part));
     else
-      complain(rows.error());
+      complain(part.error());
     return;
   case codec::FleetKey::Kind::Unknown:
     return;
@@ -329,6 +329,8 @@
   HeardAt = now;
   ColdUntil = now + heartbeat->ColdRemaining;
   IsChanged = true;
+  Agent.ledgerChanged(Ledger, now);
+  sendNotice(now);
   appendDue(now);
   if (isKeyed() && Agent.awaitsChange(Ledger))
     Waiting.push_back(exchange);
@@ -418,13 +420,22 @@
 }
 
 void Control::onDatagram(std::string_view bytes) {
-  const auto hint = codec::decodeHint(bytes);
-  if (!hint) {
-    Log->write(logging::Level::Warning, "hint_unreadable",
-               {{"detail", hint.error().Detail}});
+  auto datagram = codec::decodeDatagram(bytes);
+  if (!datagram) {
+    Log->write(logging::Level::Warning, "datagram_unreadable",
+               {{"detail", datagram.error().Detail}});
     return;
   }
-  Agent.setPeerLoad(hint->Node, hint->Load, core::BootClock::now());
+  const auto now = core::BootClock::now();
+  if (auto *notice = std::get_if<holdings::ReleaseNotice>(&*datagram)) {
+    Agent.takeNotice(std::move(*notice), now);
+    appendDue(now);
+    return;
+  }
+  const auto *hint = std::get_if<codec::FleetHint>(&*datagram);
+  if (hint == nullptr)
+    return;
+  Agent.setPeerLoad(hint->Node, hint->Load, now);
   if (!IsFleetKnown || hint->FleetEnd <= Ledger.end())
     return;
   const auto *member = Ledger.findMember(hint->Node);
@@ -436,8 +447,8 @@
 void Control::tellPeers(bool isNews) {
   ToldAt = core::BootClock::now();
   // Renewals of leases move the end all the time; only news is told.
-  const std::string bytes = codec::encodeHint(
-      {Identity.Agent.Name, isNews ? Ledger.end() : 0, OwnLoad});
+  const std::string bytes = codec::encodeDatagram(codec::FleetHint{
+      Identity.Agent.Name, isNews ? Ledger.end() : 0, OwnLoad});
   std::vector<const holdings::Member *> told;
   for (const auto &[name, it] : Ledger.members()) {
     const bool isConcerned =
@@ -453,12 +464,27 @@
   }
 }
 
+void Control::sendNotice(core::TimePoint now) {
+  if (!isKeyed() || !IsFleetKnown)
+    return;
+  const auto notice = Agent.nextNotice(Ledger, now);
+  const auto *to = notice ? Ledger.findMember(notice->To) : nullptr;
+  if (to == nullptr)
+    return;
+  Log->write(
+      logging::Level::Debug, "release_told",
+      {{"coordinator", notice->To}, {"ranges", notice->Notice.Keys.size()}});
+  Gossip->send({to->Record.Peer.Host, Identity.Gossip.Port},
+               codec::encodeDatagram(notice->Notice));
+}
+
 void Control::tick() {
   const auto now = core::BootClock::now();
   if (isKeyed() && now - ToldAt >= TellInterval)
     tellPeers(false);
   Agent.ledgerChanged(Ledger, now);
   answerWaiting(now);
+  sendNotice(now);
   appendDue(now);
   publish(now);
   Timer.expires_after(TickInterval);
@@ -471,7 +497,7 @@
 void Control::appendDue(core::TimePoint now) {
   if (IsAppending || !IsFleetKnown)
     return;
-  if (const auto record = Agent.nextRecord(Ledger, now)) {
+  if (const auto record = Agent.nextRecord(Ledger, !isKeyed(), now)) {
     appendRecord(*record);
     return;
   }
@@ -491,19 +517,21 @@
   const bool isNews =
       !(Ledger.findMember(record.Name) &&
         Ledger.findMember(record.Name)->Record.State == record.State);
-  Logs.Fleet.Append(
-      {codec::nodeKey(record.Name), codec::encodeNode(record)}, std::nullopt,
-      [this, isNews](const core::Result<core::Offset> &result) {
-        IsAppending = false;
-        if (!result)
-          Log->write(logging::Level::Warning, "record_not_appended",
-                     {{"detail", result.error().Detail}});
-        else if (isNews) {
-          HasNews = true;
-          Fleet->readNow();
-        }
-        appendDue(core::BootClock::now());
-      });
+  const feed::KeyedRecord records[] = {
+      {codec::nodeKey(record.Name), codec::encodeNode(record)}};
+  Logs.Fleet.Append(records, std::nullopt,
+                    [this, isNews](const core::Result<core::Offset> &result) {
+                      IsAppending = false;
+                      if (!result)
+                        Log->write(logging::Level::Warning,
+                                   "record_not_appended",
+                                   {{"detail", result.error().Detail}});
+                      else if (isNews) {
+                        HasNews = true;
+                        Fleet->readNow();
+                      }
+                      appendDue(core::BootClock::now());
+                    });
 }
 
 void Control::appendChange(const holdings::HoldingChange &change) {
@@ -511,18 +539,21 @@
   Log->write(logging::Level::Info, "holdings_proposed",
              {{"service", change.Service},
               {"rows", change.Rows.size()},
+              {"parts", change.Parts.size()},
               {"at", change.At},
               {"reason", change.Reason}});
-  feed::KeyedRecord record{codec::holdingsKey(change.Service),
-                           codec::encodeHoldings(change.Rows)};
+  std::vector<feed::KeyedRecord> records;
+  for (const holdings::HoldingPart &it : change.Parts)
+    records.push_back({codec::holdingsKey(change.Service, it.Number),
+                       codec::encodeHoldings(it.Rows)});
   const auto sent = core::BootClock::now();
-  Logs.Fleet.Append(record, change.At,
-                    [this, record, sent](core::Result<core::Offset> result) {
-                      changeAppended(record, sent, std::move(result));
+  Logs.Fleet.Append(records, change.At,
+                    [this, records, sent](core::Result<core::Offset> result) {
+                      changeAppended(records, sent, std::move(result));
                     });
 }
 
-void Control::changeAppended(const feed::KeyedRecord &record,
+void Control::changeAppended(const std::vector<feed::KeyedRecord> &records,
                              core::TimePoint sent,
                              core::Result<core::Offset> result) {
   IsAppending = false;
@@ -537,7 +568,7 @@
   Agent.changeEnded(end, core::BootClock::now());
   HasNews = HasNews || result.has_value();
   if (result)
-    Fleet->appended(record, *result, sent);
+    Fleet->appended(records, *result, sent);
   else
     Fleet->readNow();
 }
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -91,12 +91,14 @@
   void onDatagram(std::string_view bytes);
   /// Tells some other nodes the end of the log and the own load.
   void tellPeers(bool isNews);
+  /// Tells the coordinator what the own upstream has released.
+  void sendNotice(core::TimePoint now);
   void tick();
   void appendDue(core::TimePoint now);
   void appendRecord(const holdings::NodeRecord &record);
   void appendChange(const holdings::HoldingChange &change);
-  void changeAppended(const feed::KeyedRecord &record, core::TimePoint sent,
-                      core::Result<core::Offset> result);
+  void changeAppended(const std::vector<feed::KeyedRecord> &records,
+                      core::TimePoint sent, core::Result<core::Offset> result);
   void publish(core::TimePoint now);
   proxy::OwnUpstream describeOwn(core::TimePoint now) const;
   bool isKeyed() const;
--- a/Tests/Holdings/FleetModel.cpp
+++ b/Tests/Holdings/FleetModel.cpp
@@ -19,10 +19,10 @@
 constexpr core::Duration TickInterval = milliseconds(50);
 constexpr core::Duration ReadInterval = milliseconds(600);
 
-/// One record of the log: a node's, or the holdings.
+/// One record of the log: a node's, or a part of the holdings.
 struct LogRecord {
   std::optional<NodeRecord> Node;
-  std::optional<std::vector<Holding>> Rows;
+  std::optional<HoldingPart> Part;
 };
 
 /// Calls functions at moments of the virtual clock.
@@ -162,6 +162,8 @@
         node.IsCut = true;
         node.HealsAt = Now + upTo(12000);
       }
+      if (node.IsUp && Draw.chance(0.01))
+        drawLoad(node);
       ModelUpstream &upstream = node.Upstream;
       // A live upstream refuses connections while its queue is long.
       if (node.IsUp && Now >= node.FrozenUntil && Draw.chance(0.002))
@@ -291,10 +293,46 @@
     if (Now >= node.NextTick) {
       node.NextTick = Now + TickInterval;
       node.Agent->ledgerChanged(node.Ledger, Now);
+      if (node.IsKnown)
+        tell(node);
       append(node);
     }
   }
 
+  /// Notices are lost, late and given twice, as datagrams are.
+  void tell(ModelNode &node) {
+    const auto notice = node.Agent->nextNotice(node.Ledger, Now);
+    if (!notice || node.IsCut)
+      return;
+    for (const auto &it : Nodes) {
+      if (it->Name != notice->To)
+        continue;
+      ModelNode &to = *it;
+      const int copies = static_cast<int>(Draw.below(3));
+      for (int n = 0; n < copies; ++n)
+        Events.at(Now + (Draw.chance(0.1) ? upTo(6000) : upTo(5)),
+                  [this, &to, notice] {
+                    if (to.IsUp)
+                      to.Agent->takeNotice(notice->Notice, Now);
+                  });
+    }
+  }
+
+  /// At times a node's upstream has more to do than the others.
+  void drawLoad(ModelNode &node) {
+    KeyedLoad load;
+    load.BucketKeys = 64;
+    load.Rates.assign(KeyCount / load.BucketKeys, 0);
+    const bool isHot = Draw.chance(0.3);
+    load.Node = {isHot ? 1.5 : 0.1, 0.01};
+    for (int n = 0; isHot && n < 40; ++n)
+      load.Rates[Draw.below(load.Rates.size())] += 4;
+    for (const auto &it : Nodes)
+      if (it->IsUp && it->Name != node.Name)
+        it->Agent->setPeerLoad(node.Name, load.Node, Now);
+    node.Agent->setLoad(std::move(load));
+  }
+
   void read(ModelNode &node) {
     node.IsReading = true;
     Events.at(Now + delay(), [this, &node, incarnation = node.Incarnation,
@@ -325,8 +363,8 @@
       const LogRecord &it = Log[node.Position];
       if (it.Node)
         node.Ledger.applyNode(*it.Node, readAt);
-      if (it.Rows)
-        node.Ledger.applyHoldings(ServiceName, *it.Rows);
+      if (it.Part)
+        node.Ledger.applyHoldings(ServiceName, *it.Part);
     }
     node.Ledger.setEnd(node.Position);
     node.IsKnown = true;
@@ -337,32 +375,36 @@
   void append(ModelNode &node) {
     if (node.IsAppending || !node.IsKnown)
       return;
-    if (const auto record = node.Agent->nextRecord(node.Ledger, Now)) {
+    if (const auto record = node.Agent->nextRecord(node.Ledger, false, Now)) {
       node.IsAppending = true;
       core::TimePoint sent = Now;
       if (Options.Broken == BrokenRule::LeaseFromAnswer)
         sent += NodeLease / 2;
       node.Agent->recordSent(record->Sequence, sent);
-      submit(node, {*record, std::nullopt}, std::nullopt);
+      submit(node, {{*record, std::nullopt}}, std::nullopt);
       return;
     }
     if (auto change = node.Agent->nextChange(node.Ledger, Now)) {
       node.IsAppending = true;
       if (Options.Broken == BrokenRule::SameToken)
-        for (Holding &it : change->Rows)
-          it.Token = 1;
+        for (HoldingPart &part : change->Parts)
+          for (Holding &it : part.Rows)
+            it.Token = 1;
       checkRows(change->Rows);
+      std::vector<LogRecord> records;
+      for (HoldingPart &it : change->Parts)
+        records.push_back({std::nullopt, std::move(it)});
       std::optional<std::size_t> at = change->At;
       if (Options.Broken == BrokenRule::Unconditional)
         at.reset();
-      submit(node, {std::nullopt, std::move(change->Rows)}, at);
+      submit(node, std::move(records), at);
     }
   }
 
   /// The platform's ways to deal with an append.
-  void submit(ModelNode &node, LogRecord record,
+  void submit(ModelNode &node, std::vector<LogRecord> records,
               std::optional<std::size_t> at) {
-    const bool isChange = record.Rows.has_value();
+    const bool isChange = records.front().Part.has_value();
     core::Duration way = delay();
     bool isAnswered = !node.IsCut;
     bool isDone = !node.IsCut;
@@ -377,13 +419,14 @@
         isAnswered ? Now + way + milliseconds(2) : Now + seconds(1);
     const auto isAccepted = std::make_shared<bool>(false);
     if (isDone)
-      Events.at(Now + way, [this, record = std::move(record), at, isAccepted] {
-        if (at && *at != Log.size())
-          return;
-        *isAccepted = true;
-        Out.Changes += record.Rows ? 1 : 0;
-        Log.push_back(record);
-      });
+      Events.at(Now + way,
+                [this, records = std::move(records), at, isAccepted, isChange] {
+                  if (at && *at != Log.size())
+                    return;
+                  *isAccepted = true;
+                  Out.Changes += isChange ? 1 : 0;
+                  Log.insert(Log.end(), records.begin(), records.end());
+                });
     Events.at(answerAt,
               [this, &node, incarnation, isAnswered, isAccepted, isChange] {
                 if (!isAwake(node, incarnation))
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "Holdings/KeyPlacement.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -22,6 +23,11 @@
           Start};
 }
 
+void applyAll(FleetLedger &ledger, const std::vector<Holding> &rows) {
+  for (HoldingPart &it : changedParts({}, rows))
+    ledger.applyHoldings("service", std::move(it));
+}
+
 Heartbeat makeBeat(const std::string &id, std::int64_t born,
                    std::uint64_t sequence,
                    UpstreamState state = UpstreamState::Ready) {
@@ -97,7 +103,7 @@
     }
     if (*it != 'r')
       now += HeartbeatInterval * 9 / 10;
-    agent.nextRecord(ledger, now);
+    agent.nextRecord(ledger, false, now);
   }
   cr_assert(agent.state() == row.State, "%s: %d", row.Name,
             static_cast<int>(agent.state()));
@@ -109,7 +115,7 @@
   FleetLedger ledger;
   agent.heard(makeBeat("u", 1, 1), Start);
   cr_assert_not(agent.grant(ledger, Start).has_value());
-  auto record = agent.nextRecord(ledger, Start);
+  auto record = agent.nextRecord(ledger, false, Start);
   cr_assert(record.has_value());
   agent.recordSent(record->Sequence, Start);
   ledger.applyNode(*record, Start + milliseconds(10));
@@ -131,10 +137,9 @@
 Test(HoldingAgent, ResumesAfterARestart) {
   HoldingAgent agent = makeAgent();
   FleetLedger ledger;
-  ledger.applyHoldings("service",
-                       {{{0, KeyCount - 1}, "node", {"u", 1}, 7, ""}});
+  applyAll(ledger, {{{0, KeyCount - 1}, "node", {"u", 1}, 7, ""}});
   agent.heard(makeBeat("u", 1, 50), Start);
-  auto record = agent.nextRecord(ledger, Start);
+  auto record = agent.nextRecord(ledger, false, Start);
   agent.recordSent(record->Sequence, Start);
   ledger.applyNode(*record, Start);
   agent.ledgerChanged(ledger, Start);
