Keys move for lasting load only, their callers wait and follow, new holders hear first

Ranges were without one for 2 to 3 s: the new holder was told by chance (24 of 78 nodes), its grant waited for the next heartbeat, callers were sent away meanwhile. Nodes that had given hot ranges away held few keys, counted as newcomers, and were given keys again. Loads rose threefold for 400 ms at a time and moved keys each time. Change: orders wait at the holder's node while their key is on its way (upstream::HandoverWait) and go on to the node that has it; the answer to a heartbeat waits up to 35% of the interval for news; new holders are told first; only nodes without any key are newcomers, four nodes give to each; promised load counts; the load of keys uses a mean over seconds, and moves begin above 0.7. Besides: a request that is given up unanswered counts against its instance, and a much slower instance of the own data centre is left (a 10 Mbit/s link was choked by uploads). Ruled out: many hot keys; the trace shows that a hot spot is one key, which one upstream can't serve.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -28,6 +28,14 @@
 /// are waited out for it.
 constexpr double GrantHeartbeats = 2.5;
 
+/// Part of the interval, in percent, for which the answer to a heartbeat waits
+/// for news; a grant has to bear one lost heartbeat and this.
+constexpr int AnswerDelayPercent = 35;
+
+/// A heartbeat has to be answered within a second; a change of holdings that
+/// its answer should tell takes two round trips of the log.
+constexpr core::Duration RevivalDelay = milliseconds(300);
+
 /// A shorter grant is not worth giving: the next heartbeat comes later.
 constexpr core::Duration ShortestGrant = milliseconds(100);
 
@@ -48,7 +56,7 @@
 constexpr core::Duration PendingTimeout = milliseconds(1500);
 
 /// Between two planned moves of one node; a move's effect shows within it.
-constexpr core::Duration MoveInterval = std::chrono::seconds(2);
+constexpr core::Duration MoveInterval = std::chrono::seconds(1);
 
 /// Loads change within a second; an older one says nothing.
 constexpr core::Duration LoadLifetime = milliseconds(1500);
@@ -57,8 +65,13 @@
 /// answer to a heartbeat has room for about a hundred.
 constexpr std::size_t MostRows = 60;
 
-/// A member with less than this share of a fair part counts as new.
-constexpr double NewcomerShare = 0.25;
+/// Nodes that give a part of their keys to one that has none; each gives a
+/// piece, and few pieces are easier to move on.
+constexpr Key GiversToNewcomer = 4;
+
+/// Until keys that were given away show in the load that their new holder
+/// tells.
+constexpr core::Duration PromiseLength = std::chrono::seconds(2);
 
 /// How long a grant of \p length may last by the clock of this node.
 core::Duration withDrift(core::Duration length) {
@@ -88,6 +101,7 @@
     return false;
   if (!isSameLife) {
     Life = heartbeat.Life;
+    GrantedRows.clear();
     Release.clear();
     LifeLeaves = Life.Id == LeftId && now - LeftAt < LeaveLength;
     // Nothing of a former life is held any more; this one holds nothing, unless
@@ -162,6 +176,7 @@
   Grant out;
   out.Length = length;
   out.Rows = without(ownRows(ledger), Release.ranges());
+  GrantedRows = out.Rows;
   HeldUntil = std::max(HeldUntil, now + withDrift(length));
   return out;
 }
@@ -222,7 +237,11 @@
 
 void HoldingAgent::setPeerLoad(std::string_view node, const NodeLoad &load,
                                core::TimePoint now) {
-  PeerLoads[std::string(node)] = {load, now};
+  KnownLoad &known = PeerLoads[std::string(node)];
+  known.Load = load;
+  known.At = now;
+  if (now >= known.PromisedUntil)
+    known.Promised = 0;
 }
 
 std::vector<LoadTaker> HoldingAgent::loadTakers(const FleetLedger &ledger,
@@ -235,16 +254,18 @@
     const std::string &name = it->Record.Name;
     const auto load = PeerLoads.find(name);
     if (name != Identity.Name && load != PeerLoads.end() &&
-        now - load->second.At < LoadLifetime && rows[name] < MostRows)
+        now - load->second.At < LoadLifetime && rows[name] < MostRows) {
       out.push_back({name, load->second.Load});
+      out.back().Load.Utilization += load->second.Promised;
+    }
   }
   return out;
 }
 
 void HoldingAgent::planForLoad(const FleetLedger &ledger, core::TimePoint now) {
-  if (!Release.isIdle() || now < NextMove)
+  if (now < NextMove)
     return;
-  const auto rows = ownRows(ledger);
+  const auto rows = without(ownRows(ledger), Release.ranges());
   if (rows.size() > MostRows)
     return;
   std::vector<KeyRange> own;
@@ -258,6 +279,9 @@
       it.Keys = move.Keys;
       Release.plan(it, move.Target);
     }
+    KnownLoad &target = PeerLoads[move.Target];
+    target.Promised += move.AddedUtilization;
+    target.PromisedUntil = now + PromiseLength;
     NextMove = now + MoveInterval;
   }
 }
@@ -268,29 +292,40 @@
     return;
   const auto rows = ledger.holdingsOf(Identity.Service);
   const auto takers = ledger.eligible(Identity.Service, now);
-  if (rows.empty() || takers.size() < 2)
+  std::vector<const Member *> newcomers;
+  // Those with the most keys first.
+  std::vector<std::pair<Key, std::string_view>> owners;
+  for (const Member *it : takers) {
+    const Key keys = keysOf(rows, it->Record.Name);
+    if (keys == 0)
+      newcomers.push_back(it);
+    else
+      owners.emplace_back(KeyCount - keys, it->Record.Name);
+  }
+  if (newcomers.empty() || owners.empty())
     return;
-  const Key fair = KeyCount / static_cast<Key>(takers.size());
-  const Key own = keysOf(rows, Identity.Name);
-  if (own <= fair)
+  std::sort(owners.begin(), owners.end());
+  const auto self =
+      std::find_if(owners.begin(), owners.end(),
+                   [&](const auto &it) { return it.second == Identity.Name; });
+  if (self == owners.end())
     return;
-  for (const Member *it : takers) {
-    const Key theirs = keysOf(rows, it->Record.Name);
-    if (it->Record.Name == Identity.Name || theirs >= fair * NewcomerShare)
-      continue;
-    Key n = std::min(own - fair, fair - theirs);
-    for (const Holding &row : rows) {
-      if (n == 0 || !owns(row))
-        continue;
-      const Key part = std::min(n, row.Keys.size());
-      Holding piece = row;
-      piece.Keys.From = row.Keys.To - part + 1;
-      Release.plan(piece, it->Record.Name);
-      n -= part;
-    }
-    NextMove = now + MoveInterval;
+  const auto rank = static_cast<std::size_t>(self - owners.begin());
+  const std::size_t turn = rank / GiversToNewcomer;
+  if (turn >= newcomers.size())
     return;
+  const Key fair = KeyCount / static_cast<Key>(takers.size());
+  Key n = std::min<Key>(fair / GiversToNewcomer, (KeyCount - self->first) / 2);
+  for (const Holding &row : ownRows(ledger)) {
+    if (n == 0)
+      break;
+    Holding piece = row;
+    const Key part = std::min(n, row.Keys.size());
+    piece.Keys.From = row.Keys.To - part + 1;
+    Release.plan(piece, newcomers[turn]->Record.Name);
+    n -= part;
   }
+  NextMove = now + MoveInterval;
 }
 
 bool HoldingAgent::wantsChange(const FleetLedger &ledger,
@@ -473,12 +508,18 @@
   NextBatch = now + BatchInterval;
 }
 
-bool HoldingAgent::awaitsChange(const FleetLedger &ledger) const {
-  if (!HasHeard || State != UpstreamState::Ready)
-    return false;
+core::Duration HoldingAgent::answerDelay(const FleetLedger &ledger) const {
+  if (!HasHeard || State != UpstreamState::Ready || !Release.isIdle())
+    return {};
   const auto rows = ledger.holdingsOf(Identity.Service);
-  return std::any_of(rows.begin(), rows.end(),
-                     [&](const Holding &it) { return isRevived(it); });
+  const bool isRevival =
+      std::any_of(rows.begin(), rows.end(),
+                  [&](const Holding &it) { return isRevived(it); });
+  if (isRevival)
+    return RevivalDelay;
+  return ownRows(ledger) == GrantedRows
+             ? Timing.Heartbeat * AnswerDelayPercent / 100
+             : core::Duration{};
 }
 
 } // namespace acaciaroad::holdings
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -134,8 +134,13 @@
   /// To be called after the ledger has read on.
   void ledgerChanged(const FleetLedger &ledger, core::TimePoint now);
 
-  /// Whether the heartbeat is worth delaying for a change that is under way.
-  bool awaitsChange(const FleetLedger &ledger) const;
+  /// How long the answer to a heartbeat is worth delaying: a grant that changes
+  /// soon needn't wait for the next heartbeat then. 0 if the upstream should
+  /// know at once what there is.
+  core::Duration answerDelay(const FleetLedger &ledger) const;
+
+  /// Ranges of keys that the own upstream is to let go.
+  std::vector<KeyRange> outgoing() const { return Release.ranges(); }
 
   const UpstreamLife &life() const { return Life; }
   UpstreamState state() const { return State; }
@@ -178,6 +183,9 @@
   struct KnownLoad {
     NodeLoad Load;
     core::TimePoint At{};
+    /// Utilization by keys that were given to it and don't show yet.
+    double Promised = 0;
+    core::TimePoint PromisedUntil{};
   };
 
   AgentIdentity Identity;
@@ -198,6 +206,8 @@
   std::string LeftId;
   core::TimePoint LeftAt{};
   core::TimePoint HeardAt{};
+  /// Rows of the last grant.
+  std::vector<Holding> GrantedRows;
   /// The upstream may hold keys up to it.
   core::TimePoint HeldUntil{};
   std::optional<PendingChange> Pending;
--- a/Source/Holdings/LoadMove.cpp
+++ b/Source/Holdings/LoadMove.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Below it, requests seldom wait for a slot.
-constexpr double BearableUtilization = 0.55;
+constexpr double BearableUtilization = 0.7;
 
 /// Takers are added to a move until it brings the node down to this.
 constexpr double WantedUtilization = 0.5;
@@ -65,6 +65,8 @@
   std::string Node;
   /// Requests a second.
   double Rate = 0;
+  /// Of the taker.
+  double Cost = 0;
 };
 
 /// Returns what brings \p own and the least loaded takers to one level. Takers
@@ -98,8 +100,9 @@
   }
   std::vector<Share> out;
   for (const LoadTaker &it : std::span(sorted).first(n))
-    out.push_back(
-        {it.Node, (level - it.Load.Utilization) / it.Load.Cost * MoveShare});
+    out.push_back({it.Node,
+                   (level - it.Load.Utilization) / it.Load.Cost * MoveShare,
+                   it.Load.Cost});
   return out;
 }
 
@@ -121,7 +124,7 @@
     }
     if (!best || best->Rate < it.Rate * LeastPart)
       continue;
-    out.push_back({best->Keys, it.Node});
+    out.push_back({best->Keys, it.Node, best->Rate * it.Cost});
     std::vector<KeyRange> rest;
     for (const KeyRange &range : left)
       for (const KeyRange &piece : subtract(range, {{best->Keys}}))
--- a/Source/Holdings/LoadMove.h
+++ b/Source/Holdings/LoadMove.h
@@ -38,6 +38,8 @@
 struct LoadMove {
   KeyRange Keys;
   std::string Target;
+  /// What the keys add to the target's utilization.
+  double AddedUtilization = 0;
 };
 
 /// Returns ranges out of \p own, the ranges that the node holds, that bring the
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -54,6 +54,8 @@
     return nullptr;
   if (Key) {
     const auto *row = findHolding(service->second.Holdings, *Key);
+    if (!Holder.empty())
+      return findPeer(service->second, Holder);
     return row == nullptr ? nullptr : findPeer(service->second, row->Node);
   }
   EntryService::ServiceState *state = Entry.stateOf(Service);
@@ -137,6 +139,13 @@
          core::BootClock::now() < Deadline;
 }
 
+bool EntryRun::hasMoved(const ForwardOutcome &outcome) const {
+  return Key && outcome.Outcome == AttemptOutcome::RefusedNotRun &&
+         !outcome.ReachedUpstream && !outcome.Holder.empty() &&
+         outcome.Holder != TargetNode && Redirects < MostRedirects &&
+         core::BootClock::now() < Deadline;
+}
+
 void EntryRun::ended(std::uint64_t number, OrderResult result) {
   if (IsOver || number != Attempt)
     return;
@@ -154,7 +163,10 @@
       outcome.Outcome == AttemptOutcome::RefusedNotRun)
     state->Choice.reported(Target, outcome.Load, now);
   RetryAfter = outcome.RetryAfter;
-  if (mayTryElsewhere(outcome)) {
+  const bool isMoved = hasMoved(outcome);
+  if (isMoved)
+    Holder = outcome.Holder;
+  if (isMoved || mayTryElsewhere(outcome)) {
     ++Redirects;
     Plan.withdrawn();
     attempt();
@@ -238,8 +250,11 @@
   if (IsOver)
     return;
   const requests::Step step = Plan.timedOut();
-  if (auto *state = Entry.stateOf(Service))
-    state->Choice.abandoned(Target);
+  const auto now = core::BootClock::now();
+  auto *state = Entry.stateOf(Service);
+  if (state != nullptr && (Call || Ticket))
+    state->Choice.ended(Target, AttemptOutcome::SentNoAnswer, now - SentAt,
+                        now);
   fail(step.Reason);
 }
 
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -35,6 +35,8 @@
   Order makeOrder(const Peer &peer);
   void ended(std::uint64_t number, OrderResult result);
   bool mayTryElsewhere(const ForwardOutcome &outcome) const;
+  /// Whether the key has another holder than the one that was asked.
+  bool hasMoved(const ForwardOutcome &outcome) const;
   void answer(net::HttpResponse response);
   void fail(core::ErrorKind reason);
   void abandon();
@@ -59,6 +61,8 @@
   std::uint64_t Attempt = 0;
   core::InstanceId Target;
   std::string TargetNode;
+  /// Where the key has moved to, as its former holder told; may be empty.
+  std::string Holder;
   core::TimePoint SentAt{};
   std::shared_ptr<net::ClientCall> Call;
   std::optional<upstream::Ticket> Ticket;
--- a/Source/Proxy/PeerFields.cpp
+++ b/Source/Proxy/PeerFields.cpp
@@ -18,8 +18,9 @@
 constexpr std::string_view TargetField = "Acacia-Target";
 constexpr std::string_view OutcomeField = "Acacia-Outcome";
 constexpr std::string_view LoadField = "Acacia-Load";
-constexpr std::array AllFields{ClassField,  RankField,    KindField,
-                               TargetField, OutcomeField, LoadField};
+constexpr std::string_view HolderField = "Acacia-Holder";
+constexpr std::array AllFields{ClassField,   RankField, KindField,  TargetField,
+                               OutcomeField, LoadField, HolderField};
 
 void set(net::HttpFields &fields, std::string_view name,
          std::string_view value) {
@@ -76,6 +77,8 @@
   set(fields, LoadField,
       fmt::format("{},{},{}", outcome.Load.InFlight, outcome.Load.Queued,
                   outcome.Load.Limit));
+  if (!outcome.Holder.empty())
+    set(fields, HolderField, outcome.Holder);
 }
 
 ForwardOutcome readOutcome(const net::HttpFields &fields) {
@@ -93,6 +96,7 @@
     out.Reason = static_cast<core::ErrorKind>(reason);
   out.ReachedUpstream = reached != 0;
   out.RetryAfter = std::chrono::milliseconds(ms);
+  out.Holder = net::fieldOf(fields, HolderField);
   const auto [running, waiting, limit] =
       numbersOf<3>(net::fieldOf(fields, LoadField));
   out.Load = {static_cast<std::uint32_t>(running),
--- a/Source/Proxy/PeerFields.h
+++ b/Source/Proxy/PeerFields.h
@@ -36,6 +36,8 @@
   /// The upstream was asked, even if it refused.
   bool ReachedUpstream = false;
   core::Duration RetryAfter{};
+  /// Node that holds the order's key now, if the asked one knows better.
+  std::string Holder;
   requests::ReportedLoad Load;
 };
 
--- a/Source/Proxy/TrafficView.h
+++ b/Source/Proxy/TrafficView.h
@@ -41,6 +41,8 @@
 
 /// The own upstream.
 struct OwnUpstream {
+  /// Name of the own node.
+  std::string Node;
   holdings::UpstreamLife Life;
   /// New work is accepted.
   bool IsOpen = false;
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -85,7 +85,7 @@
   holdings::KeyedLoad out;
   out.BucketKeys = upstream::KeyLoad::KeysPerBucket;
   out.Rates.assign(Keys.rates().begin(), Keys.rates().end());
-  const std::chrono::duration<double> mean = Queue.meanService();
+  const std::chrono::duration<double> mean = Queue.steadyService();
   out.Node.Cost = mean.count() / std::max(1U, Queue.slots());
   // What was given away fades from the rates only after a second.
   for (const holdings::Holding &it : View->Own.Granted)
@@ -103,13 +103,16 @@
     Client->dropIdle();
   if (SuspectSince && own.HeardAt > *SuspectSince)
     SuspectSince.reset();
+  ServiceName = service == nullptr ? std::string() : service->Name;
   ColdRate = service == nullptr ? 0 : service->ColdRate;
   IsKeyed = service != nullptr && service->IsKeyed;
   Queue.setSlots(own.IsOpen ? own.Slots : 0);
   if (!own.IsOpen)
     for (const upstream::Dequeued &it : Queue.refuseAll(ErrorKind::NoUpstream))
       refuse(it.Id, it.Reason);
-  applyColdRate(core::BootClock::now());
+  const auto now = core::BootClock::now();
+  applyColdRate(now);
+  settleHandovers(now);
   advance();
 }
 
@@ -122,8 +125,25 @@
                            : 0);
 }
 
-std::optional<ErrorKind> UpstreamService::whyNot(const Order &order,
-                                                 core::TimePoint now) const {
+std::span<const holdings::Holding> UpstreamService::holdingsOfService() const {
+  const auto it = View->Services.find(ServiceName);
+  if (it == View->Services.end())
+    return {};
+  return it->second.Holdings;
+}
+
+upstream::KeyStanding UpstreamService::standingOf(holdings::Key key,
+                                                  core::TimePoint now) const {
+  const OwnUpstream &own = View->Own;
+  if (now < own.GrantedUntil && findHolding(own.Granted, key))
+    return upstream::KeyStanding::Held;
+  const auto *row = findHolding(holdingsOfService(), key);
+  return row != nullptr && row->Node == own.Node
+             ? upstream::KeyStanding::Awaited
+             : upstream::KeyStanding::Elsewhere;
+}
+
+std::optional<ErrorKind> UpstreamService::whyNot(const Order &order) const {
   const OwnUpstream &own = View->Own;
   if (Draining)
     return ErrorKind::NodeStopping;
@@ -133,33 +153,65 @@
     return ErrorKind::OwnerChanged;
   if (IsKeyed && !order.Key)
     return ErrorKind::RoutingKeyMissing;
-  if (IsKeyed &&
-      (now >= own.GrantedUntil || !findHolding(own.Granted, *order.Key)))
-    return ErrorKind::NoOwner;
   return std::nullopt;
 }
 
 upstream::Ticket UpstreamService::offer(Order order, OrderHandler handler) {
   const auto now = core::BootClock::now();
   const upstream::Ticket id = NextTicket++;
-  const auto reason = whyNot(order, now);
-  if (IsKeyed && order.Key && reason != ErrorKind::NoOwner)
-    Keys.arrived(*order.Key);
-  upstream::QueuedOrder queued{id, order.WorkClass, order.Rank, order.Deadline,
-                               order.Target};
   Orders.emplace(id, Running{std::move(order), std::move(handler), {}, {}, {}});
-  if (reason) {
+  admit(id, now);
+  scheduleTick();
+  return id;
+}
+
+void UpstreamService::admit(upstream::Ticket id, core::TimePoint now) {
+  const Order &order = Orders.at(id).Data;
+  if (!IsKeyed || !order.Key) {
+    enqueue(id, now);
+    return;
+  }
+  const upstream::KeyStanding standing = standingOf(*order.Key, now);
+  if (standing == upstream::KeyStanding::Elsewhere) {
+    refuse(id, ErrorKind::NoOwner);
+    return;
+  }
+  Keys.arrived(*order.Key);
+  if (standing == upstream::KeyStanding::Held)
+    enqueue(id, now);
+  else if (Draining || !Handovers.add(id, *order.Key,
+                                      order.Target - Queue.meanService(), now))
+    refuse(id, ErrorKind::NoOwner);
+}
+
+void UpstreamService::enqueue(upstream::Ticket id, core::TimePoint now) {
+  Order &order = Orders.at(id).Data;
+  // The entry node may not know yet that the holder has started anew.
+  if (IsKeyed && order.Key)
+    order.ExpectedUpstream = View->Own.Life.Id;
+  if (const auto reason = whyNot(order)) {
     refuse(id, *reason);
-    return id;
+    return;
   }
   applyColdRate(now);
-  const upstream::Decision decision = Queue.offer(queued, now);
+  const upstream::Decision decision = Queue.offer(
+      {id, order.WorkClass, order.Rank, order.Deadline, order.Target}, now);
   if (decision.What == upstream::Verdict::Start)
     send(id);
   else if (decision.What == upstream::Verdict::Refused)
     refuse(id, decision.Reason);
-  scheduleTick();
-  return id;
+}
+
+void UpstreamService::settleHandovers(core::TimePoint now) {
+  if (Handovers.isEmpty())
+    return;
+  const auto standing = [&](std::uint32_t key) { return standingOf(key, now); };
+  for (const auto &it : Handovers.settle(standing, now)) {
+    if (it.Standing == upstream::KeyStanding::Held)
+      enqueue(it.Id, now);
+    else
+      refuse(it.Id, ErrorKind::NoOwner);
+  }
 }
 
 void UpstreamService::send(upstream::Ticket id) {
@@ -252,12 +304,17 @@
   out.Outcome.Reason = reason;
   out.Outcome.Load = load();
   out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
+  if (reason == ErrorKind::NoOwner && it->second.Data.Key)
+    if (const auto *row =
+            findHolding(holdingsOfService(), *it->second.Data.Key))
+      out.Outcome.Holder = row->Node;
   const auto ms = std::chrono::duration_cast<milliseconds>(
       it->second.Data.Deadline - core::BootClock::now());
   Log->write(logging::Level::Info, "order_refused",
              {{"request_id", it->second.Data.RequestId},
               {"reason", core::answerFor(reason).Name},
               {"time_left_ms", ms.count()},
+              {"holder", out.Outcome.Holder},
               {"running", out.Outcome.Load.InFlight},
               {"waiting", out.Outcome.Load.Queued},
               {"slots", out.Outcome.Load.Limit}});
@@ -277,7 +334,7 @@
   if (it == Orders.end())
     return;
   it->second.Handler = nullptr;
-  if (Queue.cancel(id)) {
+  if (Queue.cancel(id) || Handovers.cancel(id)) {
     Orders.erase(it);
     return;
   }
@@ -314,6 +371,7 @@
 void UpstreamService::tick() {
   const auto now = core::BootClock::now();
   applyColdRate(now);
+  settleHandovers(now);
   advance();
   std::vector<upstream::Ticket> late;
   for (const auto &[id, it] : Orders) {
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -21,6 +22,7 @@
 #include "Proxy/PeerFields.h"
 #include "Proxy/TrafficCounters.h"
 #include "Proxy/TrafficView.h"
+#include "Upstream/HandoverWait.h"
 #include "Upstream/KeyLoad.h"
 #include "Upstream/OrderQueue.h"
 
@@ -93,8 +95,15 @@
     std::optional<core::TimePoint> CutAt;
   };
 
-  std::optional<core::ErrorKind> whyNot(const Order &order,
-                                        core::TimePoint now) const;
+  upstream::KeyStanding standingOf(holdings::Key key,
+                                   core::TimePoint now) const;
+  std::optional<core::ErrorKind> whyNot(const Order &order) const;
+  /// Gives an order to the queue, lets it wait for its key, or refuses it.
+  void admit(upstream::Ticket id, core::TimePoint now);
+  void enqueue(upstream::Ticket id, core::TimePoint now);
+  /// Goes on with orders whose key has arrived or gone.
+  void settleHandovers(core::TimePoint now);
+  std::span<const holdings::Holding> holdingsOfService() const;
   void send(upstream::Ticket id);
   void ended(upstream::Ticket id, net::CallResult result);
   ForwardOutcome judge(const Running &run, const net::CallResult &result,
@@ -116,6 +125,7 @@
   std::shared_ptr<net::HttpClient> Client;
   std::shared_ptr<const TrafficView> View;
   upstream::OrderQueue Queue;
+  upstream::HandoverWait Handovers;
   upstream::KeyLoad Keys{holdings::KeyCount};
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer LoadTimer;
@@ -124,6 +134,7 @@
   std::unordered_map<upstream::Ticket, Running> Orders;
   upstream::Ticket NextTicket = 1;
   double ColdRate = 0;
+  std::string ServiceName;
   bool IsKeyed = false;
   /// Set when connections broke: the upstream may have started anew.
   std::optional<core::TimePoint> SuspectSince;
--- a/Source/Requests/CandidateChoice.cpp
+++ b/Source/Requests/CandidateChoice.cpp
@@ -8,6 +8,9 @@
 
 /// Random draws before the group is searched in order.
 constexpr int MostDraws = 4;
+/// An instance of the own data centre that takes this many times as long as one
+/// elsewhere is short of something that its load doesn't tell, as its network.
+constexpr double MostSlowdown = 3;
 /// One in this many instances of a service may be ejected at once.
 constexpr std::size_t EjectedShare = 3;
 
@@ -56,14 +59,23 @@
 std::optional<core::InstanceId>
 CandidateChoice::choose(std::span<const core::InstanceId> tried,
                         core::TimePoint now) {
-  Peer *chosen = bestOfTwo(Local, tried, now);
-  if (!chosen || chosen->Load.isBusy(now))
-    chosen = better(chosen, bestOfTwo(Remote, tried, now), now);
+  Peer *local = bestOfTwo(Local, tried, now);
+  Peer *remote = bestOfTwo(Remote, tried, now);
+  Peer *chosen = local;
+  if (!local || local->Load.isBusy(now))
+    chosen = better(local, remote, now);
+  else if (remote && isMuchSlower(*local, *remote))
+    chosen = remote;
   if (!chosen)
     return std::nullopt;
   return chosen->Id;
 }
 
+bool CandidateChoice::isMuchSlower(const Peer &local, const Peer &remote) {
+  const double other = remote.Load.observedLatency();
+  return other > 0 && local.Load.observedLatency() > other * MostSlowdown;
+}
+
 CandidateChoice::Peer *
 CandidateChoice::bestOfTwo(const Group &group,
                            std::span<const core::InstanceId> tried,
@@ -129,7 +141,7 @@
     return;
   case AttemptOutcome::NotSent:
   case AttemptOutcome::SentNoAnswer:
-    if (peer->Load.failed() &&
+    if (peer->Load.failed(latency, now) &&
         (peer->Load.isEjected() || ejected() < mostEjected()))
       peer->Load.eject(now);
     return;
--- a/Source/Requests/CandidateChoice.h
+++ b/Source/Requests/CandidateChoice.h
@@ -31,8 +31,8 @@
 using RandomFunction = std::function<std::uint64_t()>;
 
 /// Chooses among the instances of one service: the less loaded of two random
-/// ones, of the own data centre unless both are busy. Keeps what this node
-/// observes of each instance.
+/// ones, of the own data centre unless those are busy or much slower. Keeps
+/// what this node observes of each instance.
 class CandidateChoice {
 public:
   /// Fails with InvalidArgument without a source of random numbers.
@@ -81,6 +81,7 @@
   Peer *better(Peer *a, Peer *b, core::TimePoint now) const;
   Peer *bestOfTwo(const Group &group, std::span<const core::InstanceId> tried,
                   core::TimePoint now);
+  static bool isMuchSlower(const Peer &local, const Peer &remote);
   std::size_t mostEjected() const;
 
   std::string DataCentre;
--- a/Source/Requests/PeerLoad.cpp
+++ b/Source/Requests/PeerLoad.cpp
@@ -52,8 +52,14 @@
   LatencyAt = now;
 }
 
-bool PeerLoad::failed() {
+bool PeerLoad::failed(core::Duration latency, core::TimePoint now) {
   abandoned();
+  // An answer would have taken longer still.
+  const auto ns = static_cast<double>(latency.count());
+  if (ns > this->latency(now)) {
+    Latency = ns;
+    LatencyAt = now;
+  }
   ++FailuresInRow;
   // One failed probe ends the probing.
   return Ejected || FailuresInRow >= OutlierFailures;
--- a/Source/Requests/PeerLoad.h
+++ b/Source/Requests/PeerLoad.h
@@ -30,8 +30,8 @@
   void served(core::Duration latency, core::TimePoint now);
 
   /// A request under way ended without having reached the upstream, or without
-  /// its answer. Returns whether the peer is now an outlier.
-  bool failed();
+  /// its answer after \p latency. Returns whether the peer is now an outlier.
+  bool failed(core::Duration latency, core::TimePoint now);
 
   /// A request under way was given up; says nothing about the peer.
   void abandoned();
@@ -57,6 +57,9 @@
 
   std::uint32_t inFlight() const;
 
+  /// Returns the latency observed last, in nanoseconds; 0 before the first.
+  double observedLatency() const { return Latency; }
+
 private:
   double load(core::TimePoint now) const;
   double latency(core::TimePoint now) const;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -41,10 +41,6 @@
 /// Interval at which timeouts are looked at; well under a heartbeat.
 constexpr core::Duration TickInterval = milliseconds(50);
 
-/// A heartbeat has to be answered within a second; a change of holdings that
-/// its answer should tell takes two round trips of the log.
-constexpr core::Duration LongestAnswerDelay = milliseconds(300);
-
 /// An upstream that leaves serves on for two seconds after the answer; new work
 /// is given for part of it, until other nodes know.
 constexpr core::Duration LeavingGrace = milliseconds(1000);
@@ -332,7 +328,7 @@
   Agent.ledgerChanged(Ledger, now);
   sendNotice(now);
   appendDue(now);
-  if (isKeyed() && Agent.awaitsChange(Ledger))
+  if (isKeyed() && IsFleetKnown && Agent.answerDelay(Ledger).count() > 0)
     Waiting.push_back(exchange);
   else
     answerHeartbeat(exchange);
@@ -344,6 +340,8 @@
   if (isKeyed() && IsFleetKnown)
     grant = Agent.grant(Ledger, now);
   if (grant) {
+    if (!LastGrant || LastGrant->Rows != grant->Rows)
+      logGrant(*grant);
     LastGrant = grant;
     GrantedUntil = now + grant->Length;
     std::sort(
@@ -358,13 +356,26 @@
   publish(now);
 }
 
+void Control::logGrant(const holdings::Grant &grant) {
+  holdings::Key keys = 0;
+  for (const holdings::Holding &it : grant.Rows)
+    keys += it.Keys.size();
+  Log->write(logging::Level::Info, "keys_granted",
+             {{"upstream", Agent.life().Id},
+              {"rows", grant.Rows.size()},
+              {"keys", keys},
+              {"outgoing", Agent.outgoing().size()},
+              {"log_end", Ledger.end()},
+              {"utilization", OwnLoad.Utilization}});
+}
+
 void Control::answerWaiting(core::TimePoint now) {
   if (Waiting.empty())
     return;
-  const bool isSettled = !Agent.awaitsChange(Ledger);
+  const core::Duration delay = Agent.answerDelay(Ledger);
   std::vector<ExchangePointer> due;
   std::erase_if(Waiting, [&](const ExchangePointer &it) {
-    const bool isDue = isSettled || now - it->Received > LongestAnswerDelay;
+    const bool isDue = now - it->Received >= delay;
     if (isDue)
       due.push_back(it);
     return isDue;
@@ -451,17 +462,27 @@
       Identity.Agent.Name, isNews ? Ledger.end() : 0, OwnLoad});
   std::vector<const holdings::Member *> told;
   for (const auto &[name, it] : Ledger.members()) {
-    const bool isConcerned =
+    const bool isOfInterest =
         isNews || it.Record.Service == Identity.Agent.Service;
-    if (isConcerned && name != Identity.Agent.Name && !it.isLapsed(ToldAt))
+    if (isOfInterest && name != Identity.Agent.Name && !it.isLapsed(ToldAt))
       told.push_back(&it);
   }
-  const std::size_t first =
-      told.size() > MostTold ? core::randomId() % told.size() : 0;
-  for (std::size_t n = 0; n < std::min(told.size(), MostTold); ++n) {
-    const auto &peer = told[(first + n) % told.size()]->Record.Peer;
-    Gossip->send({peer.Host, Identity.Gossip.Port}, bytes);
-  }
+  if (told.size() > MostTold)
+    std::rotate(told.begin(),
+                told.begin() +
+                    static_cast<std::ptrdiff_t>(core::randomId() % told.size()),
+                told.end());
+  // New holders first: their upstreams are to be granted the keys.
+  std::stable_partition(told.begin(), told.end(),
+                        [&](const holdings::Member *it) {
+                          return isNews && Concerned.contains(it->Record.Name);
+                        });
+  if (isNews)
+    Concerned.clear();
+  if (told.size() > MostTold)
+    told.resize(MostTold);
+  for (const holdings::Member *it : told)
+    Gossip->send({it->Record.Peer.Host, Identity.Gossip.Port}, bytes);
 }
 
 void Control::sendNotice(core::TimePoint now) {
@@ -543,6 +564,10 @@
               {"at", change.At},
               {"reason", change.Reason}});
   std::vector<feed::KeyedRecord> records;
+  for (const holdings::HoldingPart &part : change.Parts)
+    for (const holdings::Holding &it : part.Rows)
+      if (it.Token == change.At + 1)
+        Concerned.insert(it.Node);
   for (const holdings::HoldingPart &it : change.Parts)
     records.push_back({codec::holdingsKey(change.Service, it.Number),
                        codec::encodeHoldings(it.Rows)});
@@ -581,6 +606,7 @@
 
 proxy::OwnUpstream Control::describeOwn(core::TimePoint now) const {
   proxy::OwnUpstream out;
+  out.Node = Identity.Agent.Name;
   out.Life = Agent.life();
   const bool isLeaving = LeavingSince && now - *LeavingSince > LeavingGrace;
   const bool isOut = OutSince && now - *OutSince > OutGrace;
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -82,6 +82,7 @@
   void handleHeartbeat(const ExchangePointer &exchange,
                        const std::string &upstreamId);
   void answerHeartbeat(const ExchangePointer &exchange);
+  void logGrant(const holdings::Grant &grant);
   void answerWaiting(core::TimePoint now);
 
   /// Returns the host through which this node reads, if it reads through one.
@@ -133,6 +134,8 @@
   bool IsChanged = false;
   /// The own node has appended what others should read soon.
   bool HasNews = false;
+  /// Nodes that a change gives keys to, to be told first.
+  std::set<std::string, std::less<>> Concerned;
   /// Heartbeats whose answer awaits a change of holdings.
   std::vector<ExchangePointer> Waiting;
   std::optional<holdings::Grant> LastGrant;
--- /dev/null
+++ b/Source/Upstream/HandoverWait.h
@@ -0,0 +1,65 @@
+/// \file
+/// Orders that wait while their key is on its way to or from the upstream.
+
+#ifndef ACACIAROAD_UPSTREAM_HANDOVERWAIT_H
+#define ACACIAROAD_UPSTREAM_HANDOVERWAIT_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "Core/Clock.h"
+#include "Upstream/Offer.h"
+
+namespace acaciaroad::upstream {
+
+/// How a key stands to the upstream beside the node.
+enum class KeyStanding : std::uint8_t {
+  /// The upstream holds it.
+  Held,
+  /// The log names this node, but the upstream holds it not yet or no more.
+  Awaited,
+  /// Another node's.
+  Elsewhere,
+};
+
+/// Answers the load pattern of keys that move while they are asked for: an
+/// order waits for a handover that is mostly over within a heartbeat, rather
+/// than send its caller away and have it come back. Pure; the caller serialises
+/// all calls.
+class HandoverWait {
+public:
+  /// Lets an order wait up to \p until; returns false if that has passed or too
+  /// many wait.
+  bool add(Ticket id, std::uint32_t key, core::TimePoint until,
+           core::TimePoint now);
+
+  /// Takes an order out; returns false if it does not wait.
+  bool cancel(Ticket id) { return Waiting.erase(id) > 0; }
+
+  /// An order that waits no more; Awaited if it has waited for too long.
+  struct Settled {
+    Ticket Id = 0;
+    KeyStanding Standing = KeyStanding::Awaited;
+  };
+
+  /// Returns the orders whose key has arrived or gone, in the order of their
+  /// coming, and those that have waited for too long.
+  std::vector<Settled>
+  settle(const std::function<KeyStanding(std::uint32_t)> &standingOf,
+         core::TimePoint now);
+
+  bool isEmpty() const { return Waiting.empty(); }
+
+private:
+  struct Entry {
+    std::uint32_t Key = 0;
+    core::TimePoint Until{};
+  };
+  std::map<Ticket, Entry> Waiting;
+};
+
+} // namespace acaciaroad::upstream
+
+#endif
--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -10,6 +10,9 @@
 /// within about ten orders.
 constexpr int MeanWeight = 8;
 
+/// The same over some seconds of moderate load.
+constexpr int SteadyWeight = 48;
+
 /// An order is let in if this share of its expected time is left, in percent:
 /// half of all orders take less than the mean.
 constexpr int NeededPercent = 60;
@@ -22,8 +25,8 @@
 /// two round trips to it.
 constexpr core::Duration ShortestRetry = std::chrono::milliseconds(50);
 
-void learn(core::Duration &mean, core::Duration sample) {
-  mean = mean.count() == 0 ? sample : mean + (sample - mean) / MeanWeight;
+void learn(core::Duration &mean, core::Duration sample, int weight) {
+  mean = mean.count() == 0 ? sample : mean + (sample - mean) / weight;
 }
 
 } // namespace
@@ -73,8 +76,10 @@
   if (it == Running.end())
     return;
   if (didRun) {
-    learn(Means[it->second.WorkClass], now - it->second.At);
-    learn(OverallMean, now - it->second.At);
+    const core::Duration taken = now - it->second.At;
+    learn(Means[it->second.WorkClass], taken, MeanWeight);
+    learn(OverallMean, taken, MeanWeight);
+    learn(SteadyMean, taken, SteadyWeight);
   }
   Running.erase(it);
 }
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -80,6 +80,8 @@
   std::uint32_t slots() const { return Slots; }
   /// Mean service time of all classes; 0 before the first.
   core::Duration meanService() const { return OverallMean; }
+  /// The same over a longer time: work is slower for moments now and then.
+  core::Duration steadyService() const { return SteadyMean; }
 
 private:
   struct Started {
@@ -106,6 +108,7 @@
   /// Mean service time of each class of work.
   std::map<std::string, core::Duration, std::less<>> Means;
   core::Duration OverallMean{};
+  core::Duration SteadyMean{};
 };
 
 } // namespace acaciaroad::upstream
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -67,8 +67,188 @@
     {"refused and silent", "bssr", UpstreamState::Absent},
 };
 
+/// What the coordinator "a" does with a notice of "node" about keys 0 to 999,
+/// which the log gives to "node" under token 7.
+struct NoticeRow {
+  const char *Name;
+  std::uint64_t Incarnation;
+  Fence Token;
+  const char *Target;
+  core::Duration Age;
+  /// Who has key 0 afterwards.
+  const char *Holder;
+};
+
+const NoticeRow NoticeRows[] = {
+    {"as wished", 1, 7, "b", milliseconds(50), "b"},
+    {"to whoever has the fewest", 1, 7, "", milliseconds(50), "c"},
+    {"to a node that isn't there", 1, 7, "x", milliseconds(50), "c"},
+    {"of another incarnation", 2, 7, "b", milliseconds(50), "node"},
+    {"of another token", 1, 6, "b", milliseconds(50), "node"},
+    {"no longer repeated", 1, 7, "b", milliseconds(1500), "node"},
+};
+
+/// A ledger with the nodes a, b, c and "node", all ready; c has the fewest
+/// keys.
+FleetLedger makeLedger() {
+  FleetLedger out;
+  for (const char *it : {"a", "b", "c", "node"}) {
+    NodeRecord record;
+    record.Name = it;
+    record.DataCentre = "dc";
+    record.Service = "service";
+    record.Incarnation = 1;
+    record.Life = {std::string("u-") + it, 1};
+    record.State = UpstreamState::Ready;
+    out.applyNode(record, Start);
+  }
+  applyAll(out, {{{0, 999}, "node", {"u-node", 1}, 7, ""},
+                 {{1000, 8999}, "a", {"u-a", 1}, 5, ""},
+                 {{9000, 9009}, "c", {"u-c", 1}, 5, ""},
+                 {{9010, KeyCount - 1}, "b", {"u-b", 1}, 5, ""}});
+  out.setEnd(100);
+  return out;
+}
+
+/// The node \p name with a ready upstream and a lease.
+HoldingAgent makeReady(const std::string &name, FleetLedger &ledger) {
+  HoldingAgent out({name, "dc", "service", {"127.0.0.1", 1}, 1},
+                   {HeartbeatInterval, seconds(10)}, Start);
+  out.heard(makeBeat("u-" + name, 1, 1), Start);
+  const auto record = out.nextRecord(ledger, false, Start);
+  cr_assert(record.has_value());
+  out.recordSent(record->Sequence, Start);
+  ledger.applyNode(*record, Start);
+  out.ledgerChanged(ledger, Start);
+  return out;
+}
+
 } // namespace
 
+ACACIA_TABLE_TEST(HoldingAgent, GivesOnWhatOthersHaveReleased, NoticeRows) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent = makeReady("a", ledger);
+  NodeRecord leaving = ledger.findMember("node")->Record;
+  leaving.State = UpstreamState::Leaving;
+  ledger.applyNode(leaving, Start);
+  const Holding released{
+      {0, 999}, "node", {"u-node", 1}, row.Token, "handover"};
+  agent.takeNotice({"node", row.Incarnation, {{released, row.Target}}}, Start);
+  const TimePoint now = Start + row.Age;
+  std::string holder = "node";
+  if (const auto change = agent.nextChange(ledger, now)) {
+    holder = change->Rows.at(0).Node;
+    cr_assert_eq(change->Rows.at(0).Handover, "handover");
+    cr_assert_eq(change->Rows.at(0).Token, 101U);
+    cr_assert_eq(change->Parts.size(), 1U);
+  }
+  cr_assert_eq(holder, row.Holder, "%s: %s", row.Name, holder.c_str());
+}
+
+// An upstream that leaves frees its keys; the coordinator is told, and only
+// if it doesn't act the node proposes itself.
+Test(HoldingAgent, TellsTheCoordinator) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent = makeReady("node", ledger);
+  TimePoint now = Start + milliseconds(10);
+  agent.heard(makeBeat("u-node", 1, 2, UpstreamState::Leaving), now);
+  agent.ledgerChanged(ledger, now);
+  cr_assert_not(agent.nextNotice(ledger, now).has_value());
+  cr_assert(agent.grant(ledger, now)->Rows.empty());
+  now += milliseconds(100);
+  Heartbeat beat = makeBeat("u-node", 1, 3, UpstreamState::Leaving);
+  beat.Freed = {{{0, 999}, "handover"}};
+  agent.heard(beat, now);
+  agent.ledgerChanged(ledger, now);
+  const auto notice = agent.nextNotice(ledger, now);
+  cr_assert(notice.has_value());
+  cr_assert_eq(notice->To, "a");
+  cr_assert_eq(notice->Notice.Keys.size(), 1U);
+  cr_assert_eq(notice->Notice.Keys[0].Row.Handover, "handover");
+  cr_assert_not(agent.nextChange(ledger, now).has_value());
+  now += seconds(1);
+  cr_assert(agent.nextChange(ledger, now).has_value());
+}
+
+// Keys that a record gives back to their holder are granted again.
+Test(HoldingAgent, TakesBackWhatItHadReleased) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent = makeReady("node", ledger);
+  TimePoint now = Start + milliseconds(10);
+  ledger.setDataCentresOut({"dc"});
+  agent.ledgerChanged(ledger, now);
+  cr_assert_not(agent.grant(ledger, now)->Rows.empty());
+  NodeRecord elsewhere = ledger.findMember("a")->Record;
+  elsewhere.DataCentre = "other";
+  ledger.applyNode(elsewhere, now);
+  agent.ledgerChanged(ledger, now);
+  cr_assert(agent.grant(ledger, now)->Rows.empty());
+  ledger.setDataCentresOut({});
+  applyAll(ledger, {{{0, 999}, "node", {"u-node", 1}, 101, "handover"}});
+  agent.ledgerChanged(ledger, now);
+  cr_assert_eq(agent.grant(ledger, now)->Rows.size(), 1U);
+}
+
+struct NewcomerRow {
+  const char *Name;
+  /// The node that is asked; x and y have no keys.
+  const char *Self;
+  Key Own;
+  /// Keys that go to x and y.
+  Key GivenX;
+  Key GivenY;
+};
+
+// The owners a to f have 10,000 keys each, g the rest; a fair part is 7,281.
+const NewcomerRow NewcomerRows[] = {
+    {"among the four with the most", "a", 10'000, 1820, 0},
+    {"the next ones give to the next newcomer", "d", 10'000, 0, 1820},
+    {"the one with the fewest gives too when owners are few", "g", 5536, 0,
+     1820},
+};
+
+ACACIA_TABLE_TEST(HoldingAgent, GivesKeysToNewcomers, NewcomerRows) {
+  FleetLedger ledger;
+  std::vector<Holding> rows;
+  Key from = 0;
+  for (const char *it : {"a", "b", "c", "d", "e", "f", "g", "x", "y"}) {
+    const std::string name = it;
+    NodeRecord record;
+    record.Name = name;
+    record.DataCentre = "dc";
+    record.Service = "service";
+    record.Incarnation = 1;
+    record.Life = {"u-" + name, 1};
+    record.State = UpstreamState::Ready;
+    ledger.applyNode(record, Start);
+    if (name >= "x")
+      continue;
+    const Key to = name == "g" ? KeyCount - 1 : from + 9'999;
+    rows.push_back({{from, to}, name, record.Life, 5, ""});
+    from = to + 1;
+  }
+  applyAll(ledger, rows);
+  ledger.setEnd(100);
+  HoldingAgent agent = makeReady(row.Self, ledger);
+  TimePoint now = Start + milliseconds(10);
+  agent.ledgerChanged(ledger, now);
+  Key own = 0;
+  const auto grant = agent.grant(ledger, now);
+  cr_assert(grant.has_value());
+  for (const Holding &it : grant->Rows)
+    own += it.Keys.size();
+  cr_assert_eq(row.Own - own, row.GivenX + row.GivenY, "%s: %u", row.Name,
+               row.Own - own);
+  agent.heard(makeBeat(std::string("u-") + row.Self, 1, 2), now);
+  now += milliseconds(1000);
+  agent.ledgerChanged(ledger, now);
+  now += milliseconds(1000);
+  const auto change = agent.nextChange(ledger, now);
+  cr_assert(change.has_value(), "%s", row.Name);
+  cr_assert_eq(keysOf(change->Rows, "x"), row.GivenX, "%s", row.Name);
+  cr_assert_eq(keysOf(change->Rows, "y"), row.GivenY, "%s", row.Name);
+}
+
 ACACIA_TABLE_TEST(HoldingAgent, FollowsTheUpstream, StateRows) {
   HoldingAgent agent = makeAgent();
   const FleetLedger ledger;
--- a/Tests/Holdings/LoadMoveTest.cpp
+++ b/Tests/Holdings/LoadMoveTest.cpp
@@ -32,12 +32,12 @@
      {1.2, 0.01},
      {60, 20, 38},
      {{"b", {0.9, 0.01}}, {"c", {0.4, 0.01}}},
-     {{{20, 29}, "c"}}},
+     {{{20, 29}, "c", 0.38}}},
     {"a single hot bucket stays, its neighbours go",
      {1.3, 0.01},
      {0, 15, 100, 15, 0},
      {{"b", {0.1, 0.01}}},
-     {{{10, 19}, "b"}}},
+     {{{10, 19}, "b", 0.15}}},
     {"one hot bucket alone has nothing to give",
      {1.3, 0.01},
      {0, 0, 130},
@@ -51,7 +51,10 @@
       {"d", {0.1, 0.01}},
       {"e", {0.1, 0.01}},
       {"f", {0.1, 0.01}}},
-     {{{0, 9}, "b"}, {{10, 19}, "c"}, {{20, 29}, "d"}, {{30, 39}, "e"}}},
+     {{{0, 9}, "b", 0.35},
+      {{10, 19}, "c", 0.35},
+      {{20, 29}, "d", 0.35},
+      {{30, 39}, "e", 0.35}}},
     {"nobody can take", {1.3, 0.01}, {60, 70}, {}, {}},
 };
 
@@ -105,6 +108,8 @@
                moves.size());
   for (std::size_t n = 0; n < moves.size(); ++n) {
     cr_assert_eq(moves[n].Target, row.Moves[n].Target, "%s", row.Name);
+    cr_assert_float_eq(moves[n].AddedUtilization, row.Moves[n].AddedUtilization,
+                       1e-9, "%s", row.Name);
     cr_assert(moves[n].Keys == row.Moves[n].Keys, "%s: [%u,%u]", row.Name,
               moves[n].Keys.From, moves[n].Keys.To);
   }
--- a/Tests/Requests/CandidateChoiceTest.cpp
+++ b/Tests/Requests/CandidateChoiceTest.cpp
@@ -43,6 +43,13 @@
     {"none", 0, {}, {}, {}},
     {"own data centre first", 2, {{}, {}, {}, {}}, {}, {1, 2}},
     {"others if both are busy", 2, {{12}, {11}, {3}, {5}}, {}, {3}},
+    {"another one if the own is much slower",
+     1,
+     {{2, 10, 400}, {2, 10, 50}},
+     {},
+     {2}},
+    {"own though it is slower", 1, {{2, 10, 100}, {2, 10, 50}}, {}, {1}},
+    {"own if nothing is known of others", 1, {{2, 10, 400}, {2}}, {}, {1}},
     {"own if only one of two is busy", 2, {{12}, {5}, {}, {}}, {}, {2}},
     {"the less busy of two", 2, {{5}, {4}}, {}, {2}},
     {"the worst of three is never taken", 3, {{5}, {4}, {3}}, {}, {2, 3}},
@@ -111,6 +118,16 @@
   cr_assert_eq(sent[2], 8);
 }
 
+// A request that is given up unanswered tells how slow its instance is.
+Test(CandidateChoiceTest, leavesTheOwnDataCentreForOneThatAnswers) {
+  Random random(1);
+  CandidateChoice choice = chooser(random, 1, {{2, 10, 100}, {2, 10, 100}});
+  cr_assert(choice.choose({}, Start) == id(1));
+  choice.sent(id(1));
+  choice.ended(id(1), AttemptOutcome::SentNoAnswer, seconds(2), Start);
+  cr_assert(choice.choose({}, Start) == id(2));
+}
+
 Test(CandidateChoiceTest, outlierReturnsAfterAProbe) {
   Random random(1);
   CandidateChoice choice = chooser(random, 3, {{0, 10, 0, 5}, {9}, {9}});
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -193,7 +193,7 @@
   TimePoint now{};
   load.fade(now);
   for (int n = 0; n < 500; ++n) {
-    load.arrived(17);
+    load.arrived(KeyLoad::KeysPerBucket + 1);
     now += milliseconds(10);
     load.fade(now);
   }
