--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -202,7 +202,7 @@
 // The owners a to f have 10,000 keys each, g the rest; a fair part is 7,281.
 const NewcomerRow NewcomerRows[] = {
     {"among the four with the most", "a", 10'000, 1820, 0},
-    {"the next ones give to the next newcomer", "d", 10'000, 0, 1820},
+    {"the next ones give to the next newcomer", "e", 10'000, 0, 1820},
     {"the one with the fewest gives too when owners are few", "g", 5536, 0,
      1820},
 };
