A soak of real processes; a timeout no longer loses the next call on its connection

The answer's handler sends the next call on the same connection; the timeout then cancelled that connection, which dropped the next call's handler and with it the only reference to its timer, so that the call never ended. The node never read the fleet's log again, but went on renewing its lease. Found with gdb: KeyedFeed::IsReading set, no call open in the store's client. Ruled out: the feed's own timer, the relays, the store's answers. Change: a timeout does nothing once its call has been answered, and keeps its own timer. Test: SendWithTimeout LeavesTheNextCallAlone fails without it. Tests/Processes/soak.py: loopback proxies (slow, silent, cut one way, closed, reset), signals, crashing upstreams, a store that is down, slow, loses answers or forgets, configurations with withdrawn keys; owners, tokens, repeats, refusals, whole answers, withdrawn keys, recovery and exit status are checked.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -87,12 +87,14 @@
           done(std::move(result));
       });
   timer->expires_after(timeout);
-  timer->async_wait([call, shared](boost::system::error_code ec) {
-    if (ec)
+  // Keeps the timer: the call drops its handler when it is cancelled.
+  timer->async_wait([call, shared, timer](boost::system::error_code ec) {
+    // An answered call's connection may be in use again.
+    if (ec || !*shared)
       return;
     call->cancel();
-    if (const auto done = std::exchange(*shared, nullptr))
-      done({CallEnd::Broken, {}, "no answer in time", false});
+    const auto done = std::exchange(*shared, nullptr);
+    done({CallEnd::Broken, {}, "no answer in time", false});
   });
 }
 
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1,5 +1,7 @@
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/read.hpp>
@@ -273,3 +275,35 @@
   loop.run_for(seconds(2));
   cr_assert(hasLeft);
 }
+
+// After a pause of the process, an answer and its timeout are due at once. The
+// timeout must not end the call that uses the connection next.
+Test(SendWithTimeout, LeavesTheNextCallAlone) {
+  boost::asio::io_context loop;
+  constexpr auto Timeout = milliseconds(30);
+  bool isFirst = true;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+        if (std::exchange(isFirst, false))
+          std::this_thread::sleep_for(2 * Timeout);
+      });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server->port()},
+                         {seconds(1), seconds(1), seconds(5), 1024, 4, {}});
+  std::vector<CallEnd> ends;
+  const HttpRequest request(http::verb::get, "/", 11);
+  sendWithTimeout(loop, *client, request, Timeout, [&](const CallResult &one) {
+    ends.push_back(one.End);
+    sendWithTimeout(loop, *client, request, 20 * Timeout,
+                    [&](const CallResult &other) {
+                      ends.push_back(other.End);
+                      loop.stop();
+                    });
+  });
+  loop.run_for(seconds(3));
+  client->dropIdle();
+  cr_assert_eq(ends.size(), 2U);
+  cr_assert(ends[1] == CallEnd::Answered);
+}
--- /dev/null
+++ b/Tests/Processes/soak.py
@@ -0,0 +1,477 @@
+#!/usr/bin/env python3
+"""Runs acacia-sidecar processes under faults drawn by a seed.
+
+soak.py BIN_FOLDER PORT [--seeds FIRST-LAST] [--seconds S], where PORT is the
+first of 40 free ports. Faults come from outside: loopback proxies on the links
+to the store, the upstreams and the callers, signals, and the stand-ins. What
+callers and upstreams see is checked while it runs; the exit status is 1 if a
+seed broke a promise, and its logs are kept.
+"""
+import argparse
+import http.client
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from standin_platform import Store, Upstream
+
+NODES = 4
+CLIENTS = 6
+SERVICE = "scripts"
+# Of the settings below: a withdrawn key is refused within it.
+WITHDRAWN_KEY_S = 5.0
+# A message that its sender's pause or a link's repair held up may arrive late.
+THAW_S = 0.3
+# The lease, a turn, and two heartbeats, after all is well again.
+RECOVERY_S = 15.0
+# Requests that are refused with these never run.
+PROMISES = (408, 421, 429, 503)
+
+
+def configuration(version, key):
+    route = {"host": "h", "timeout": "800ms", "latencySlo": "300ms",
+             "priority": 1, "service": SERVICE, "maxAttempts": 2,
+             "public": False}
+    return json.dumps({
+        "version": "%08x" % version,
+        "routes": [dict(route, name="s", pathPrefix="/s/", kind="safe"),
+                   dict(route, name="u", pathPrefix="/u/", kind="unsafe")],
+        "services": [{"name": SERVICE, "healthPath": "/healthz",
+                      "maxConnections": 100, "coldStart": "0s", "coldPerS": 0,
+                      "sharded": True, "warmup": "0s"}],
+        "tenants": [{"name": "account", "apiKeys": [key]}]}).encode()
+
+
+class Proxy:
+    """One link; its mode says what happens to the bytes."""
+
+    MODES = ("slow", "silent", "cut_out", "cut_in", "closed")
+
+    def __init__(self, listen, target):
+        self.target, self.mode, self.links = target, "open", set()
+        self.healed_at = 0.0
+        self.listener = socket.create_server(listen, reuse_port=False)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            if self.mode == "closed":
+                near.close()
+                continue
+            threading.Thread(target=self.join, args=(near,),
+                             daemon=True).start()
+
+    def join(self, near):
+        try:
+            far = socket.create_connection(self.target, timeout=2)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        self.links.add((near, far))
+        threading.Thread(target=self.pump, args=(near, far, "cut_out"),
+                         daemon=True).start()
+        self.pump(far, near, "cut_in")
+        self.links.discard((near, far))
+
+    def pump(self, source, sink, cut):
+        try:
+            while data := source.recv(65536):
+                if self.mode == "slow":
+                    time.sleep(0.2)
+                while self.mode in ("silent", cut):
+                    time.sleep(0.02)
+                sink.sendall(data)
+        except OSError:
+            pass  # One side is gone; so is the link.
+        for it in (source, sink):
+            try:
+                it.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # Closed by the other direction.
+
+    def reset(self):
+        for near, far in list(self.links):
+            for it in (near, far):
+                try:
+                    it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                  struct.pack("ii", 1, 0))
+                    it.close()
+                except OSError:
+                    pass  # Closed already.
+
+    def heal(self):
+        if self.mode != "open":
+            self.healed_at = time.monotonic()
+        self.mode = "open"
+
+    def close(self):
+        # Ends the wait for a connection, which would keep the port.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.reset()
+
+
+class Watch:
+    """Judges what upstreams and callers see."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.upstreams, self.faults = [], []
+        self.runs, self.sent, self.refused = {}, {}, {}
+        self.tokens = {}
+        self.withdrawn = {}
+        self.thawed_at = 0.0
+        self.served = 0
+
+    def fault(self, text):
+        self.faults.append(text)
+
+    def granted(self, upstream, rows, until):
+        now = time.monotonic()
+        with self.lock:
+            for other in self.upstreams:
+                if other is upstream or not other.is_up or now >= other.until:
+                    continue
+                for a in rows:
+                    if any(a[0] <= b[1] and b[0] <= a[1] for b in other.held):
+                        if now - self.thawed_at > THAW_S:
+                            self.fault("%s and %s hold keys of %s" %
+                                       (upstream.name, other.name, a))
+            for row in rows:
+                life = (upstream.name, upstream.born)
+                for key in (row[0], row[1]):
+                    token, holder = self.tokens.get(key, (0, None))
+                    if row[2] < token or row[2] == token and holder != life:
+                        if now - self.thawed_at > THAW_S:
+                            self.fault("token %d of key %d after %d" %
+                                       (row[2], key, token))
+                    self.tokens[key] = max((token, holder or life),
+                                           (row[2], life))
+
+    def ran(self, upstream, request_id, path):
+        now = time.monotonic()
+        with self.lock:
+            count = self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            if path.startswith("/u/") and count > 1:
+                self.fault("%s ran twice" % request_id)
+            if request_id in self.refused:
+                self.fault("%s ran after %d" % (request_id,
+                                                self.refused[request_id]))
+            key, sent = self.sent.get(request_id, (None, now))
+            if key is None:
+                self.fault("%s was never sent" % request_id)
+            elif sent > self.withdrawn.get(key, sent) + WITHDRAWN_KEY_S:
+                self.fault("%s ran with a withdrawn key" % request_id)
+
+    def answered(self, request_id, path, status, headers, body):
+        with self.lock:
+            ran = self.runs.get(request_id, 0)
+            if headers.get("Request-Id") not in (None, request_id):
+                self.fault("%s got another answer" % request_id)
+            if status == 200:
+                self.served += 1
+                if body != b"whole" or not headers.get("Response-Signature"):
+                    self.fault("%s got a part of an answer" % request_id)
+                if ran == 0:
+                    self.fault("%s got an answer that nobody gave" % request_id)
+            if status in PROMISES and path.startswith("/u/"):
+                self.refused[request_id] = status
+                if ran:
+                    self.fault("%s was refused with %d and ran" %
+                               (request_id, status))
+
+
+class Node:
+    def __init__(self, binary, folder, index, port, watch):
+        self.binary = binary
+        host = "127.0.0.%d" % (index + 1)
+        at = lambda n: (host, port + n)
+        text = lambda n: '"%s:%d"' % at(n)
+        self.links = {"store": Proxy(at(11), ("127.0.0.1", port + 10)),
+                      "upstream": Proxy(at(12), at(7)),
+                      "control": Proxy(at(13), at(2)),
+                      "callers": Proxy(at(14), at(0))}
+        self.entry = at(14)
+        self.upstream = Upstream("u-%d" % index, SERVICE, at(7), at(13), watch)
+        self.file = folder / ("node-%d.toml" % index)
+        self.file.write_text(f"""[node]
+name = "node-{index}"
+data_centre = "here"
+service = "{SERVICE}"
+[callers]
+listen = {text(0)}
+[peers]
+listen = {text(1)}
+[control]
+listen = {text(2)}
+[health]
+listen = {text(3)}
+[gossip]
+listen = {text(4)}
+[credit]
+listen = {text(5)}
+[relay]
+listen = {text(6)}
+[upstream]
+address = {text(12)}
+heartbeat = "300ms"
+[store]
+address = "{host}:{port + 11}"
+[limits]
+drain = "5s"
+""")
+        self.log = (folder / ("node-%d.log" % index)).open("a")
+        self.is_paused = False
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [str(self.binary), "--settings", str(self.file)], stdout=self.log)
+
+    def is_running(self):
+        return self.process.poll() is None
+
+
+class Soak:
+    def __init__(self, binary, port, seed):
+        self.draw = random.Random(seed)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-%d-" % seed))
+        self.watch = Watch()
+        self.store = Store(("127.0.0.1", port + 10))
+        self.version, self.key = 1, "key-1"
+        self.store.put("keyed.op", "config", configuration(1, self.key))
+        self.nodes = [Node(binary, self.folder, n, port, self.watch)
+                      for n in range(NODES)]
+        self.watch.upstreams = [it.upstream for it in self.nodes]
+        self.is_over = False
+        self.later = []
+
+    def call(self, link, path, key, account_key):
+        request_id = os.urandom(8).hex()
+        self.watch.sent[request_id] = (account_key, time.monotonic())
+        body = b"x" * 100 if path.startswith("/u/") else None
+        link.request("POST" if body else "GET", path, body, {
+            "Host": "h", "Request-Id": request_id, "Deadline-Ms": "800",
+            "Shard-Key": str(key), "Authorization": "Bearer " + account_key})
+        answer = link.getresponse()
+        data = answer.read()
+        self.watch.answered(request_id, path, answer.status, answer.headers,
+                            data)
+        return answer.status
+
+    def client(self, seed):
+        draw = random.Random(seed)
+        links = {}
+        while not self.is_over:
+            node = draw.choice(self.nodes)
+            link = links.get(node) or http.client.HTTPConnection(*node.entry,
+                                                                 timeout=2)
+            links[node] = link
+            try:
+                self.call(link, draw.choice(("/s/x", "/u/x")),
+                          draw.randrange(65536), self.key)
+            except (OSError, http.client.HTTPException):
+                link.close()  # Promises nothing; the next call connects anew.
+                links.pop(node)
+            time.sleep(draw.uniform(0.0, 0.1))
+
+    def after(self, seconds, what):
+        self.later.append((time.monotonic() + seconds, what))
+
+    def run_due(self):
+        now = time.monotonic()
+        due = [it for it in self.later if it[0] <= now]
+        self.later = [it for it in self.later if it[0] > now]
+        for _, what in due:
+            what()
+
+    def inject(self):
+        draw = self.draw
+        node = draw.choice(self.nodes)
+        length = draw.uniform(0.1, 4)
+        kind = draw.choice(("link", "link", "reset", "kill", "stop", "pause",
+                            "reload", "crash", "store", "change"))
+        getattr(self, "fault_" + kind)(node, length)
+        return kind
+
+    def fault_link(self, node, length):
+        link = self.draw.choice(list(node.links.values()))
+        link.mode = self.draw.choice(Proxy.MODES)
+        self.after(length, lambda: self.heal(link))
+
+    def heal(self, link):
+        link.heal()
+        self.watch.thawed_at = time.monotonic()
+
+    def fault_reset(self, node, _):
+        self.draw.choice(list(node.links.values())).reset()
+
+    def restart(self, node, length):
+        def start():
+            if node.is_running():
+                node.process.kill()  # It has outlived its time to drain.
+                node.process.wait()
+            node.start()
+        self.after(length, start)
+
+    def fault_kill(self, node, length):
+        if node.is_running() and not node.is_paused:
+            node.process.kill()
+            node.process.wait()
+            self.restart(node, length)
+
+    def fault_stop(self, node, length):
+        if node.is_running() and not node.is_paused:
+            node.process.send_signal(signal.SIGTERM)
+            self.restart(node, 6 + length)
+
+    def fault_pause(self, node, length):
+        if not node.is_running() or node.is_paused:
+            return
+        process = node.process
+        process.send_signal(signal.SIGSTOP)
+        node.is_paused = True
+
+        def resume():
+            self.watch.thawed_at = time.monotonic()
+            node.is_paused = False
+            process.send_signal(signal.SIGCONT)
+        self.after(length, resume)
+
+    def fault_reload(self, node, _):
+        if node.is_running() and not node.is_paused:
+            node.process.send_signal(signal.SIGHUP)
+
+    def fault_crash(self, node, length):
+        if node.upstream.is_up:
+            node.upstream.crash()
+            self.after(max(0.1, length), node.upstream.start)
+
+    def fault_store(self, _, length):
+        field, value = self.draw.choice((("is_down", True), ("delay_s", 0.4),
+                                         ("lost_share", 0.3), (None, None)))
+        if field is None:
+            self.store.forget()
+            return
+        setattr(self.store, field, value)
+        self.after(length, lambda: setattr(self.store, field, type(value)(0)))
+
+    def fault_change(self, *_):
+        self.version += self.draw.randrange(1, 4)
+        former = self.key
+        if self.draw.random() < 0.5:
+            self.key = "key-%d" % self.version
+        self.store.put("keyed.op", "config",
+                       configuration(self.version, self.key))
+        if former != self.key:
+            self.watch.withdrawn[former] = time.monotonic()
+
+    def run(self, seconds):
+        threads = [threading.Thread(target=self.client, args=(n,), daemon=True)
+                   for n in range(CLIENTS)]
+        time.sleep(4)
+        for it in threads:
+            it.start()
+        kinds = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            kinds.append(self.inject())
+            pause = time.monotonic() + self.draw.uniform(0.1, 1.5)
+            while time.monotonic() < pause:
+                self.run_due()
+                time.sleep(0.02)
+        while self.later:
+            self.run_due()
+            time.sleep(0.02)
+        self.check_recovery()
+        self.is_over = True
+        for it in threads:
+            it.join(5)
+        self.stop()
+        return kinds
+
+    def check_recovery(self):
+        end = time.monotonic() + RECOVERY_S
+        missing = None
+        while time.monotonic() < end and missing != 0:
+            missing = 0
+            for node in self.nodes:
+                link = http.client.HTTPConnection(*node.entry, timeout=2)
+                for key in range(0, 65536, 8192):
+                    try:
+                        missing += self.call(link, "/s/x", key,
+                                             self.key) != 200
+                    except (OSError, http.client.HTTPException):
+                        missing += 1
+                        link.close()
+                link.close()
+        if missing:
+            self.watch.fault("%d keys are not served in time" % missing)
+
+    def stop(self):
+        for node in self.nodes:
+            if node.is_running():
+                node.process.send_signal(signal.SIGTERM)
+        for node in self.nodes:
+            try:
+                code = node.process.wait(8)
+            except subprocess.TimeoutExpired:
+                code = "none"
+            if code != 0:
+                self.watch.fault("exit status %s" % code)
+
+    def close(self):
+        for node in self.nodes:
+            if node.is_running():
+                node.process.kill()
+                node.process.wait()
+            node.upstream.crash()
+            for it in node.links.values():
+                it.close()
+            node.log.close()
+        self.store.server.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("binaries", type=pathlib.Path)
+    parser.add_argument("port", type=int)
+    parser.add_argument("--seeds", default="1-1")
+    parser.add_argument("--seconds", type=float, default=20)
+    args = parser.parse_args()
+    first, last = map(int, args.seeds.split("-"))
+    failed = 0
+    for seed in range(first, last + 1):
+        soak = Soak(args.binaries / "acacia-sidecar", args.port, seed)
+        try:
+            kinds = soak.run(args.seconds)
+        finally:
+            soak.close()
+        faults = soak.watch.faults
+        failed += bool(faults)
+        print("seed %d: %s, %d served, %d faults injected%s" %
+              (seed, "FAILED" if faults else "kept", soak.watch.served,
+               len(kinds), ", logs in %s" % soak.folder if faults else ""))
+        for it in faults[:5]:
+            print("  " + it)
+        sys.stdout.flush()
+    print("%d passed, %d failed" % (last - first + 1 - failed, failed))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -2,6 +2,7 @@
 import base64
 import http.client
 import json
+import random
 import struct
 import threading
 import time
@@ -37,6 +38,9 @@
             daemon_threads = True
             allow_reuse_address = True
 
+            def handle_error(self, *_):
+                pass  # Callers reset connections; they judge what they see.
+
         self.http = Listener(address, handler)
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
 
@@ -46,12 +50,18 @@
 
 
 class Store:
-    """Keyed topics with conditional appends, long polls and outages."""
+    """Keyed topics with conditional appends, long polls and outages.
+
+    delay_s holds up each call, lost_share of the calls are done and get no
+    answer, and what was forgotten is answered 410.
+    """
 
     def __init__(self, address):
         self.topics = {}
         self.changed = threading.Condition()
         self.is_down = False
+        self.delay_s, self.lost_share = 0.0, 0.0
+        self.first = {}
         store = self
 
         class StoreHandler(Handler):
@@ -73,8 +83,13 @@
             return [it for it in self.topics.get(topic, [])
                     if it[0].startswith(prefix)]
 
+    def forget(self):
+        with self.changed:
+            self.first = {it: len(log) for it, log in self.topics.items()}
+
     def dispatch(self, call):
         body = call.read_body()
+        time.sleep(self.delay_s)
         if self.is_down:
             call.answer(503)
             return
@@ -85,7 +100,11 @@
         if work is None:
             call.answer(404)
         else:
-            call.answer(*work(query, body))
+            answer = work(query, body)
+            if random.random() < self.lost_share:
+                call.close_connection = True
+            else:
+                call.answer(*answer)
 
     def append(self, query, body):
         with self.changed:
@@ -107,6 +126,9 @@
         end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         with self.changed:
             log = self.topics.setdefault(query["topic"], [])
+            first = self.first.get(query["topic"], 0)
+            if start < first:
+                return 410, json.dumps({"first": first}).encode()
             while len(log) <= start and time.monotonic() < end:
                 self.changed.wait(end - time.monotonic())
             out = struct.pack(">QQ", len(log), 0)
@@ -131,8 +153,9 @@
 
     HEARTBEAT_S = 0.3
 
-    def __init__(self, name, service, address, control):
-        self.name, self.service = name, service
+    def __init__(self, name, service, address, control, watch=None):
+        """watch, if any, is told of grants and of requests that run."""
+        self.name, self.service, self.watch = name, service, watch
         self.address, self.control = address, control
         self.lock = threading.Lock()
         self.start()
@@ -174,6 +197,8 @@
             call.answer(421, b"", common + [("Not-Executed", "1")])
         else:
             self.runs.append(call.headers["Request-Id"])
+            if self.watch:
+                self.watch.ran(self, call.headers["Request-Id"], call.path)
             call.answer(200, b"whole", common + [("Response-Signature", "s")])
 
     def beat(self, born):
@@ -211,3 +236,5 @@
             self.tokens += [row[2] for row in rows]
             length = float(answer["hold_time"].removesuffix("ms")) / 1000
             self.until = sent + length
+        if self.watch:
+            self.watch.granted(self, rows, self.until)
