--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include <fmt/format.h>
+#include <google/protobuf/stubs/logging.h>
 
 #include "Codec/Generated/Fleet.pb.h"
 
@@ -41,6 +42,8 @@
 
 } // namespace
 
+void silenceLibrary() { google::protobuf::SetLogHandler(nullptr); }
+
 std::string nodeKey(std::string_view node) {
   return std::string(NodePrefix).append(node);
 }
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -20,6 +20,10 @@
 
 namespace acaciaroad::codec {
 
+/// Keeps the protobuf library from printing what it can't parse; the results
+/// of the functions below tell it. To be called once, before they are used.
+void silenceLibrary();
+
 /// What a record of the fleet's log is about.
 struct FleetKey {
   enum class Kind { Unknown, Node, Holdings };
--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
+#include "Codec/FleetRecords.h"
 #include "Settings/SettingsReference.h"
 #include "Settings/SidecarFields.h"
 #include "Settings/SidecarSettings.h"
@@ -54,6 +55,7 @@
     fmt::print("{}", settings::renderSidecarReference());
     return 0;
   }
+  codec::silenceLibrary();
   const auto settings = settings::loadSidecarSettings(FLAGS_settings);
   if (!settings) {
     fmt::print(stderr, "{}\n", settings.error().Detail);
--- /dev/null
+++ b/Tests/Adapter/MutationTest.cpp
@@ -0,0 +1,173 @@
+#include <cstdlib>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Adapter/Headers.h"
+#include "Codec/FleetRecords.h"
+#include "Holdings/KeyPlacement.h"
+#include "Proxy/PeerFields.h"
+#include "Support/Random.h"
+#include "Support/Table.h"
+#include "platform/RecordFraming.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::adapter;
+using namespace acaciaroad::tests;
+
+namespace {
+
+/// A parser of what strangers may send, with good inputs to start from. It
+/// must not crash, and what it accepts must be usable; it returns whether it
+/// accepted the input.
+struct ParserRow {
+  const char *Name;
+  std::vector<std::string> Corpus;
+  std::function<bool(std::string_view)> Parse;
+};
+
+const std::string Configuration =
+    R"({"version":"0000000c","routes":[{"name":"r","host":"h","pathPrefix":)"
+    R"("/p/","kind":"safe","timeout":"500ms","latencySlo":"0.2s","priority":2,)"
+    R"("trafficSplit":[{"service":"s","weight":9}],"maxAttempts":2}],)"
+    R"("services":[{"name":"s","coldStart":"3s","coldPerS":38.0,"sharded":)"
+    R"(true}],"tenants":[{"name":"t","apiKeys":["k"],"ratePerS":44,"burst":5)"
+    R"(}],"limits":{"idleTimeout":"15000ms","maxBodyBytes":1048576}})";
+
+const std::string HeartbeatBody =
+    R"({"address":"10.0.0.1:80","born":1792427007160,"info":{"service":"s",)"
+    R"("version":"v1","zone":"a","slots":18},"status":{"state":"ready",)"
+    R"("seq":4,"coldRemaining":"0ms"},"holds":[[0,4095,7]],)"
+    R"("freed":[[4096,8191,"5c0e"]]})";
+
+holdings::Holding makeRow() {
+  return {{0, 1023}, "node", {"upstream", 1}, 7, "handover"};
+}
+
+std::string makeTail() {
+  std::string out(16, '\0');
+  out[7] = 3;
+  return out + frameRecord({"node/a", "value"}) + frameRecord({"b", {}});
+}
+
+const ParserRow ParserRows[] = {
+    {"configuration",
+     {Configuration},
+     [](std::string_view text) {
+       return decodeConfiguration(text).has_value();
+     }},
+    {"heartbeat",
+     {HeartbeatBody},
+     [](std::string_view text) {
+       const auto beat = decodeHeartbeat("u", text);
+       for (const auto &it :
+            beat ? beat->Holds : std::vector<holdings::HeldKeys>())
+         cr_assert(it.Keys.From <= it.Keys.To &&
+                   it.Keys.To < holdings::KeyCount);
+       return beat.has_value();
+     }},
+    {"tail of the log",
+     {makeTail()},
+     [](std::string_view bytes) { return parseTail(bytes, 5).has_value(); }},
+    {"record of a node",
+     {codec::encodeNode({"node",
+                         "dc",
+                         "s",
+                         {"10.0.0.1", 80},
+                         1,
+                         2,
+                         {"u", 3},
+                         holdings::UpstreamState::Ready,
+                         18})},
+     [](std::string_view bytes) {
+       return codec::decodeNode(bytes).has_value();
+     }},
+    {"record of holdings",
+     {codec::encodeHoldings({{makeRow()}})},
+     [](std::string_view bytes) {
+       const auto part = codec::decodeHoldings(bytes, 0);
+       for (const auto &it :
+            part ? part->Rows : std::vector<holdings::Holding>())
+         cr_assert(it.Keys.From <= it.Keys.To &&
+                   it.Keys.To < holdings::PartKeys);
+       return part.has_value();
+     }},
+    {"datagram between nodes",
+     {codec::encodeDatagram(codec::FleetHint{"node", 9, {0.5, 0.01}}),
+      codec::encodeDatagram(
+          holdings::ReleaseNotice{"node", 1, {{makeRow(), "target"}}})},
+     [](std::string_view bytes) {
+       return codec::decodeDatagram(bytes).has_value();
+     }},
+    {"datagram about credit",
+     {codec::encodeCredit({"account", core::Endpoint{"10.0.0.1", 80}, 3, 4})},
+     [](std::string_view bytes) {
+       return codec::decodeCredit(bytes).has_value();
+     }},
+    {"relayed tail",
+     {codec::encodeTail({{{"a", "1"}, {"b", {}}}, 7, 7, core::Duration(5)})},
+     [](std::string_view bytes) {
+       return codec::decodeTail(bytes).has_value();
+     }},
+    {"outcome of a forwarded request",
+     {"0,12,1,250"},
+     [](std::string_view text) {
+       net::HttpFields fields;
+       fields.set("Acacia-Outcome", net::toBeast(text));
+       fields.set("Acacia-Load", net::toBeast(text));
+       return proxy::readOutcome(fields).RetryAfter.count() > 0;
+     }},
+    {"key of a record",
+     {"node/a", "keys/s/63"},
+     [](std::string_view text) {
+       const auto key = codec::parseFleetKey(text);
+       cr_assert_lt(key.Part, holdings::PartCount);
+       return key.What != codec::FleetKey::Kind::Unknown;
+     }},
+};
+
+/// Flips, drops, doubles and inserts bytes, and cuts the end off.
+void mutate(std::string &text, Random &draw) {
+  const std::size_t at = draw.below(text.size() + 1);
+  switch (draw.below(5)) {
+  case 0:
+    if (at < text.size())
+      text[at] = static_cast<char>(draw.below(256));
+    return;
+  case 1:
+    text.erase(at, draw.below(8));
+    return;
+  case 2:
+    text.insert(at, text.substr(at, draw.below(16)));
+    return;
+  case 3:
+    text.insert(at, 1, "0-9[]{}\",:.\xff"[draw.below(12)]);
+    return;
+  default:
+    text.resize(at);
+  }
+}
+
+/// Inputs a row; ACACIA_FUZZ_RUNS multiplies it for longer runs by hand.
+constexpr std::uint64_t Runs = 3000;
+
+std::uint64_t factor() {
+  const char *text = std::getenv("ACACIA_FUZZ_RUNS");
+  return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(Mutation, ParsersBearAnyInput, ParserRows) {
+  for (const std::string &it : row.Corpus)
+    cr_assert(row.Parse(it), "%s: a good input is refused", row.Name);
+  codec::silenceLibrary();
+  Random draw(1);
+  for (std::uint64_t n = 0; n < Runs * factor(); ++n) {
+    std::string text = row.Corpus[draw.below(row.Corpus.size())];
+    for (std::uint64_t k = draw.below(6) + 1; k > 0; --k)
+      mutate(text, draw);
+    row.Parse(text);
+  }
+}
