Large records are read from the log itself, not through relays

Two relays with links of 10 Mbit/s had some 400 KB for each of 78 nodes, and each read was given up after 150 ms. Change: relays answer up to 32 KB, larger news are read from the log; such a read may take 1.8 s. Test: LogRelay Reads, row 'a large one from the log' fails without it.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -269,6 +269,7 @@
   if (rows.size() > MostRows)
     return;
   std::vector<KeyRange> own;
+  own.reserve(rows.size());
   for (const Holding &it : rows)
     own.push_back(it.Keys);
   for (const LoadMove &move :
@@ -396,6 +397,7 @@
                                                 core::TimePoint now) const {
   std::vector<ReleasedKeys> out = Release.released(ownRows(ledger));
   std::vector<KeyRange> known;
+  known.reserve(out.size());
   for (const ReleasedKeys &it : out)
     known.push_back(it.Row.Keys);
   Rows gone;
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint64_t LargestAnswer = 4U << 20U;
 constexpr std::size_t MostConnections = 4;
 
+/// Larger answers are read from the log itself, whose network is wide: a relay
+/// with a narrow one would keep dozens of nodes waiting.
+constexpr std::size_t LargestRelayed = 32U << 10U;
+
 /// What a relay has not asked for within this time is asked for directly: it
 /// may be cut off from the log. Two reads that wait for a second each, and
 /// room.
@@ -105,10 +109,12 @@
   const auto tail =
       read ? buffer(read->Name).read(read->From, core::BootClock::now())
            : std::nullopt;
+  std::string bytes = tail ? codec::encodeTail(*tail) : std::string();
+  const bool isServed = tail && bytes.size() <= LargestRelayed;
   net::HttpResponse out(
-      tail ? net::http::status::ok : net::http::status::not_found, 11);
-  if (tail)
-    out.body() = codec::encodeTail(*tail);
+      isServed ? net::http::status::ok : net::http::status::not_found, 11);
+  if (isServed)
+    out.body() = std::move(bytes);
   exchange->respond(std::move(out));
 }
 
--- /dev/null
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -0,0 +1,70 @@
+#include "Sidecar/LogRelay.h"
+
+#include <string>
+
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::sidecar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint16_t Port = 23480;
+
+struct ReadRow {
+  const char *Name;
+  /// Bytes of the record that the relay has; none if it knows nothing.
+  std::size_t Bytes;
+  /// How old the relay's own reading is.
+  core::Duration Age;
+  /// The log itself is read.
+  bool IsDirect;
+};
+
+const ReadRow ReadRows[] = {
+    {"a small record by the relay", 100, milliseconds(300), false},
+    {"a large one from the log, whose network is wide", 400'000,
+     milliseconds(300), true},
+    {"a relay that knows nothing is passed over", 0, milliseconds(300), true},
+    {"one that is cut off is passed over", 100, seconds(3), true},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(LogRelay, Reads, ReadRows) {
+  boost::asio::io_context loop;
+  const auto nobody = [](RelayedLog) { return std::nullopt; };
+  const auto relay = LogRelay::create(loop, {"127.0.0.2", Port}, nobody);
+  const auto reader =
+      LogRelay::create(loop, {"127.0.0.1", Port}, [](RelayedLog) {
+        return std::optional<std::string>("127.0.0.2");
+      });
+  cr_assert(relay.has_value() && reader.has_value());
+  if (row.Bytes > 0) {
+    const auto asked = core::BootClock::now() - row.Age;
+    feed::RelayBuffer &buffer = (*relay)->buffer(RelayedLog::Operators);
+    const feed::KeyedRecord record{"key", std::string(row.Bytes, 'x')};
+    buffer.reset(0, asked);
+    buffer.add({&record, 1}, 1, asked);
+  }
+  bool isDirect = false;
+  feed::KeyedLog log;
+  log.ReadFrom = [&](core::Offset, core::Duration,
+                     const feed::TailHandler &handler) {
+    isDirect = true;
+    handler(feed::Tail{});
+  };
+  bool isDone = false;
+  (*reader)
+      ->wrap(RelayedLog::Operators, log)
+      .ReadFrom(0, core::Duration{}, [&](const core::Result<feed::Tail> &tail) {
+        cr_assert(tail.has_value(), "%s", row.Name);
+        isDone = true;
+        loop.stop();
+      });
+  loop.run_for(seconds(2));
+  cr_assert(isDone, "%s", row.Name);
+  cr_assert_eq(isDirect, row.IsDirect, "%s", row.Name);
+}
