--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::uint16_t Port = 23480;
+/// Rows run at the same time, each with a port of its own from here on.
+constexpr std::uint16_t FirstPort = 23480;
 
 struct ReadRow {
   const char *Name;
@@ -35,10 +36,11 @@
 
 ACACIA_TABLE_TEST(LogRelay, Reads, ReadRows) {
   boost::asio::io_context loop;
+  const auto port = static_cast<std::uint16_t>(FirstPort + (&row - ReadRows));
   const auto nobody = [](RelayedLog) { return std::nullopt; };
-  const auto relay = LogRelay::create(loop, {"127.0.0.2", Port}, nobody);
+  const auto relay = LogRelay::create(loop, {"127.0.0.2", port}, nobody);
   const auto reader =
-      LogRelay::create(loop, {"127.0.0.1", Port}, [](RelayedLog) {
+      LogRelay::create(loop, {"127.0.0.1", port}, [](RelayedLog) {
         return std::optional<std::string>("127.0.0.2");
       });
   cr_assert(relay.has_value() && reader.has_value());
