Large bodies ask for room before they are sent to another node

Change: upstream::TransferGate lets in as many large bodies as the network takes in a tenth of a second by the rate that was seen, a few wait, others are refused before they are sent and go to another node.

--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -19,6 +19,10 @@
 /// Below the idle timeout of the servers of nodes.
 constexpr core::Duration IdleLimit = std::chrono::seconds(10);
 
+/// Bodies from this size on, in bytes, ask for room: they take 13 ms through
+/// 10 Mbit/s, more than the question.
+constexpr std::size_t LargeBody = 16U << 10U;
+
 constexpr std::uint64_t LargestAnswer = 16U << 20U;
 
 /// To one peer; far above the requests under way between two nodes.
@@ -45,6 +49,58 @@
   return out;
 }
 
+/// Asks for room before it sends a large body, so that one that is refused
+/// costs no network. Keeps itself alive while it is under way.
+class LargeCall : public net::ClientCall,
+                  public std::enable_shared_from_this<LargeCall> {
+public:
+  LargeCall(std::shared_ptr<net::HttpClient> client, net::HttpRequest request,
+            OrderHandler handler)
+      : Client(std::move(client)), Request(std::move(request)),
+        Handler(std::move(handler)) {}
+
+  void start() {
+    Present = Client->send(makeRoomRequest(Request.body().size()),
+                           [self = shared_from_this()](net::CallResult result) {
+                             self->onRoom(std::move(result));
+                           });
+  }
+
+  void cancel() override {
+    Handler = nullptr;
+    if (const auto call = std::exchange(Present, nullptr))
+      call->cancel();
+  }
+
+private:
+  void onRoom(net::CallResult result) {
+    if (!Handler)
+      return;
+    const std::uint64_t room =
+        result.End == net::CallEnd::Answered ? readRoom(result.Response) : 0;
+    if (room == 0) {
+      Present.reset();
+      // Nothing of the order has been sent.
+      if (result.End == net::CallEnd::Broken)
+        result.End = net::CallEnd::NotSent;
+      std::exchange(Handler, nullptr)(resultOf(std::move(result)));
+      return;
+    }
+    writeRoom(Request, room);
+    Present = Client->send(std::move(Request), [self = shared_from_this()](
+                                                   net::CallResult answer) {
+      self->Present.reset();
+      if (const auto handler = std::exchange(self->Handler, nullptr))
+        handler(resultOf(std::move(answer)));
+    });
+  }
+
+  std::shared_ptr<net::HttpClient> Client;
+  net::HttpRequest Request;
+  OrderHandler Handler;
+  std::shared_ptr<net::ClientCall> Present;
+};
+
 } // namespace
 
 std::shared_ptr<net::HttpClient>
@@ -71,11 +127,17 @@
   dialect.WriteOrder(order.Request,
                      {order.Deadline - now, order.ExpectedUpstream,
                       order.Account, order.CallerService});
-  return clientFor(address)->send(
-      std::move(order.Request),
-      [handler = std::move(handler)](net::CallResult result) {
-        handler(resultOf(std::move(result)));
-      });
+  const auto client = clientFor(address);
+  if (order.Request.body().size() >= LargeBody) {
+    auto call = std::make_shared<LargeCall>(client, std::move(order.Request),
+                                            std::move(handler));
+    call->start();
+    return call;
+  }
+  return client->send(std::move(order.Request),
+                      [handler = std::move(handler)](net::CallResult result) {
+                        handler(resultOf(std::move(result)));
+                      });
 }
 
 } // namespace acaciaroad::proxy
--- a/Source/Proxy/PeerFields.cpp
+++ b/Source/Proxy/PeerFields.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/PeerFields.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -19,8 +20,13 @@
 constexpr std::string_view OutcomeField = "Acacia-Outcome";
 constexpr std::string_view LoadField = "Acacia-Load";
 constexpr std::string_view HolderField = "Acacia-Holder";
-constexpr std::array AllFields{ClassField,   RankField, KindField,  TargetField,
-                               OutcomeField, LoadField, HolderField};
+/// Number of a room for a body.
+constexpr std::string_view RoomField = "Acacia-Room";
+/// Bytes that room is asked for.
+constexpr std::string_view RoomBytesField = "Acacia-Room-Bytes";
+constexpr std::array AllFields{ClassField,  RankField,    KindField,
+                               TargetField, OutcomeField, LoadField,
+                               HolderField, RoomField,    RoomBytesField};
 
 void set(net::HttpFields &fields, std::string_view name,
          std::string_view value) {
@@ -105,6 +111,29 @@
   return out;
 }
 
+net::HttpRequest makeRoomRequest(std::uint64_t bytes) {
+  net::HttpRequest out(net::http::verb::get, "/", 11);
+  set(out, RoomBytesField, fmt::to_string(bytes));
+  return out;
+}
+
+std::optional<std::uint64_t> readRoomRequest(const net::HttpRequest &request) {
+  const std::string_view text = net::fieldOf(request, RoomBytesField);
+  if (text.empty())
+    return std::nullopt;
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, numbersOf<1>(text)[0]));
+}
+
+void writeRoom(net::HttpFields &fields, std::uint64_t number) {
+  set(fields, RoomField, fmt::to_string(number));
+}
+
+std::uint64_t readRoom(const net::HttpFields &fields) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0, numbersOf<1>(net::fieldOf(fields, RoomField))[0]));
+}
+
 void erasePeerFields(net::HttpFields &fields) {
   for (const std::string_view it : AllFields)
     fields.erase(toBeast(it));
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -2,10 +2,85 @@
 
 #include <utility>
 
+#include <boost/beast/core/error.hpp>
+
 namespace acaciaroad::proxy {
 
+namespace {
+
+/// Interval at which waiting bodies are looked at.
+constexpr core::Duration RoomInterval = std::chrono::milliseconds(10);
+
+/// After it, what waits now has come in.
+constexpr core::Duration RefusedRetry = std::chrono::milliseconds(200);
+
+} // namespace
+
+void PeerService::askForRoom(const std::shared_ptr<net::Exchange> &exchange,
+                             std::uint64_t bytes) {
+  const upstream::Ticket room = ++LastRoom;
+  switch (Gate.ask(room, bytes, core::BootClock::now())) {
+  case upstream::Verdict::Start:
+    giveRoom(*exchange, room);
+    return;
+  case upstream::Verdict::Refused:
+    Log->write(logging::Level::Info, "body_refused", {{"bytes", bytes}});
+    refuseRoom(*exchange);
+    return;
+  case upstream::Verdict::Queued:
+    break;
+  }
+  exchange->setOnAbandoned([this, room] {
+    Gate.cancel(room);
+    Waiting.erase(room);
+  });
+  Waiting.emplace(room, exchange);
+  if (Waiting.size() == 1)
+    advanceRooms();
+}
+
+void PeerService::refuseRoom(net::Exchange &exchange) {
+  ForwardOutcome outcome;
+  outcome.Outcome = requests::AttemptOutcome::RefusedNotRun;
+  outcome.Reason = core::ErrorKind::QueueFull;
+  outcome.RetryAfter = RefusedRetry;
+  outcome.Load = Upstream.load();
+  net::HttpResponse out(net::http::status::service_unavailable, 11);
+  writeOutcome(out, outcome);
+  exchange.respond(std::move(out));
+}
+
+void PeerService::giveRoom(net::Exchange &exchange, upstream::Ticket room) {
+  net::HttpResponse out(net::http::status::no_content, 11);
+  writeRoom(out, room);
+  exchange.respond(std::move(out));
+}
+
+void PeerService::advanceRooms() {
+  for (const upstream::Ticket it : Gate.advance(core::BootClock::now())) {
+    const auto exchange = Waiting.find(it);
+    if (exchange == Waiting.end())
+      continue;
+    giveRoom(*exchange->second, it);
+    Waiting.erase(exchange);
+  }
+  if (Waiting.empty())
+    return;
+  Timer.expires_after(RoomInterval);
+  Timer.async_wait([this](boost::beast::error_code ec) {
+    if (!ec)
+      advanceRooms();
+  });
+}
+
 void PeerService::handle(const std::shared_ptr<net::Exchange> &exchange) {
   net::HttpRequest &request = exchange->request();
+  if (const auto bytes = readRoomRequest(request)) {
+    askForRoom(exchange, *bytes);
+    return;
+  }
+  if (const upstream::Ticket room = readRoom(request); room != 0)
+    Gate.finished(room, core::BootClock::now());
   const CallerFields caller = Speech.ReadCaller(request);
   const ForwardFields forward = readForward(request);
   const OrderFields fields = Speech.ReadOrder(request);
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -97,7 +97,8 @@
       entryLimitsOf(Settings), Parts.Dialect, Log, Counters, *Upstream);
   if (auto done = Entry->openCredit(Settings.Credit.Listen); !done)
     return done;
-  Peers = std::make_unique<proxy::PeerService>(Parts.Dialect, *Upstream);
+  Peers = std::make_unique<proxy::PeerService>(TrafficLoop, Parts.Dialect,
+                                               *Upstream, Log);
   auto callers = listen(Settings.Callers.Listen,
                         [this](const auto &it) { Entry->handle(it); });
   auto peers = listen(Settings.Peers.Listen,
