A large body names the time that is left when it is sent

Test: PeerClients Sends, row 'what the question took is not left any more' fails without it; the other rows are new checks of asking for room.

--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/PeerClients.h"
 
+#include <functional>
 #include <utility>
 
 namespace acaciaroad::proxy {
@@ -49,15 +50,18 @@
   return out;
 }
 
+using StampFunction = std::function<void(net::HttpRequest &)>;
+
 /// Asks for room before it sends a large body, so that one that is refused
 /// costs no network. Keeps itself alive while it is under way.
 class LargeCall : public net::ClientCall,
                   public std::enable_shared_from_this<LargeCall> {
 public:
+  /// \p stamp writes how much time is left, just before the body is sent.
   LargeCall(std::shared_ptr<net::HttpClient> client, net::HttpRequest request,
-            OrderHandler handler)
+            StampFunction stamp, OrderHandler handler)
       : Client(std::move(client)), Request(std::move(request)),
-        Handler(std::move(handler)) {}
+        Stamp(std::move(stamp)), Handler(std::move(handler)) {}
 
   void start() {
     Present = Client->send(makeRoomRequest(Request.body().size()),
@@ -86,6 +90,7 @@
       std::exchange(Handler, nullptr)(resultOf(std::move(result)));
       return;
     }
+    Stamp(Request);
     writeRoom(Request, room);
     Present = Client->send(std::move(Request), [self = shared_from_this()](
                                                    net::CallResult answer) {
@@ -97,6 +102,7 @@
 
   std::shared_ptr<net::HttpClient> Client;
   net::HttpRequest Request;
+  StampFunction Stamp;
   OrderHandler Handler;
   std::shared_ptr<net::ClientCall> Present;
 };
@@ -121,20 +127,24 @@
 std::shared_ptr<net::ClientCall>
 PeerClients::send(const core::Endpoint &address, Order order,
                   const Dialect &dialect, OrderHandler handler) {
-  const auto now = core::BootClock::now();
-  writeForward(order.Request,
-               {order.WorkClass, order.Rank, order.Kind, order.Target - now});
-  dialect.WriteOrder(order.Request,
-                     {order.Deadline - now, order.ExpectedUpstream,
-                      order.Account, order.CallerService});
+  net::HttpRequest request = std::move(order.Request);
+  const StampFunction stamp = [order = std::move(order),
+                               &dialect](net::HttpRequest &to) {
+    const auto now = core::BootClock::now();
+    writeForward(to,
+                 {order.WorkClass, order.Rank, order.Kind, order.Target - now});
+    dialect.WriteOrder(to, {order.Deadline - now, order.ExpectedUpstream,
+                            order.Account, order.CallerService});
+  };
   const auto client = clientFor(address);
-  if (order.Request.body().size() >= LargeBody) {
-    auto call = std::make_shared<LargeCall>(client, std::move(order.Request),
+  if (request.body().size() >= LargeBody) {
+    auto call = std::make_shared<LargeCall>(client, std::move(request), stamp,
                                             std::move(handler));
     call->start();
     return call;
   }
-  return client->send(std::move(order.Request),
+  stamp(request);
+  return client->send(std::move(request),
                       [handler = std::move(handler)](net::CallResult result) {
                         handler(resultOf(std::move(result)));
                       });
--- /dev/null
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -0,0 +1,118 @@
+#include "Proxy/PeerClients.h"
+
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Net/HttpServer.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::proxy;
+using net::HttpResponse;
+using requests::AttemptOutcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// How the other node answers the question for room.
+enum class Room { Given, GivenLate, Refused, None };
+
+struct SendRow {
+  const char *Name;
+  std::size_t BodyBytes;
+  Room Answer;
+  /// Requests that the other node gets.
+  std::size_t Requests;
+  AttemptOutcome Outcome;
+  bool ReachedUpstream;
+  /// Most time left that the order may name, of 400 ms.
+  int MostLeftMs;
+};
+
+const SendRow SendRows[] = {
+    {"a small body is sent at once", 100, Room::None, 1,
+     AttemptOutcome::Answered, true, 400},
+    {"a large one asks first", 60'000, Room::Given, 2, AttemptOutcome::Answered,
+     true, 400},
+    {"what the question took is not left any more", 60'000, Room::GivenLate, 2,
+     AttemptOutcome::Answered, true, 300},
+    {"a refused one is not sent", 60'000, Room::Refused, 1,
+     AttemptOutcome::RefusedNotRun, false, 400},
+};
+
+ForwardOutcome makeOutcome(AttemptOutcome outcome, bool reached) {
+  ForwardOutcome out;
+  out.Outcome = outcome;
+  out.Reason = core::ErrorKind::QueueFull;
+  out.ReachedUpstream = reached;
+  return out;
+}
+
+Order makeOrder(std::size_t bytes) {
+  Order out;
+  out.Request = {net::http::verb::post, "/x", 11};
+  out.Request.body() = std::string(bytes, 'x');
+  out.Deadline = core::BootClock::now() + milliseconds(400);
+  out.Target = out.Deadline;
+  return out;
+}
+
+Dialect makeDialect(int &leftMs) {
+  Dialect out;
+  out.WriteOrder = [&leftMs](net::HttpFields &, const OrderFields &order) {
+    leftMs = static_cast<int>(order.TimeLeft / milliseconds(1));
+  };
+  return out;
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(PeerClients, Sends, SendRows) {
+  constexpr std::uint64_t Number = 7;
+  boost::asio::io_context loop;
+  boost::asio::steady_timer timer(loop);
+  std::size_t requests = 0;
+  const auto server = *net::HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 100'000, seconds(1), seconds(5)},
+      [&](const std::shared_ptr<net::Exchange> &exchange) {
+        ++requests;
+        HttpResponse out(net::http::status::ok, 11);
+        const bool isQuestion =
+            readRoomRequest(exchange->request()).has_value();
+        if (!isQuestion) {
+          cr_assert_eq(exchange->request().body().size(), row.BodyBytes);
+          cr_assert_eq(readRoom(exchange->request()),
+                       row.Answer == Room::None ? 0 : Number);
+          writeOutcome(out, makeOutcome(AttemptOutcome::Answered, true));
+        } else if (row.Answer == Room::Refused) {
+          writeOutcome(out, makeOutcome(AttemptOutcome::RefusedNotRun, false));
+        } else {
+          writeRoom(out, Number);
+        }
+        const bool isLate = isQuestion && row.Answer == Room::GivenLate;
+        timer.expires_after(milliseconds(isLate ? 120 : 0));
+        timer.async_wait([exchange, out](boost::system::error_code) {
+          exchange->respond(out);
+        });
+      });
+  int leftMs = 0;
+  const Dialect dialect = makeDialect(leftMs);
+  PeerClients clients(loop);
+  std::vector<OrderResult> results;
+  const auto call =
+      clients.send({"127.0.0.1", server->port()}, makeOrder(row.BodyBytes),
+                   dialect, [&](OrderResult result) {
+                     results.push_back(std::move(result));
+                     loop.stop();
+                   });
+  loop.run_for(seconds(3));
+  cr_assert_eq(results.size(), 1U, "%s", row.Name);
+  cr_assert(results[0].Outcome.Outcome == row.Outcome, "%s", row.Name);
+  cr_assert_eq(results[0].Outcome.ReachedUpstream, row.ReachedUpstream, "%s",
+               row.Name);
+  cr_assert_eq(requests, row.Requests, "%s", row.Name);
+  cr_assert_leq(leftMs, row.MostLeftMs, "%s", row.Name);
+}
