--- /dev/null
+++ b/Tests/Holdings/FleetLedgerTest.cpp
@@ -0,0 +1,101 @@
+#include "Holdings/FleetLedger.h"
+
+#include <string>
+#include <vector>
+
+#include "Holdings/KeyPlacement.h"
+#include "Holdings/OrphanWatch.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::holdings;
+using core::TimePoint;
+using std::chrono::seconds;
+
+namespace {
+
+Holding held(Key from, Key to, std::string node, Fence token = 1) {
+  return {{from, to}, std::move(node), {"u", 1}, token, {}};
+}
+
+struct PartRow {
+  const char *Name;
+  std::vector<Holding> Before;
+  std::vector<Holding> After;
+  /// Numbers of the parts that a change appends.
+  std::vector<Key> Parts;
+};
+
+const PartRow PartRows[] = {
+    {"nothing changes", {held(0, 2047, "a")}, {held(0, 2047, "a")}, {}},
+    {"the first division of some keys", {}, {held(0, 2047, "a")}, {0, 1}},
+    {"a range within one part",
+     {held(0, 4095, "a")},
+     {held(0, 1099, "a"), held(1100, 1200, "b", 2), held(1201, 4095, "a")},
+     {1}},
+    {"a range over a boundary",
+     {held(0, 4095, "a")},
+     {held(0, 999, "a"), held(1000, 1030, "b", 2), held(1031, 4095, "a")},
+     {0, 1}},
+    {"only the token changes",
+     {held(1024, 2047, "a")},
+     {held(1024, 2047, "a", 2)},
+     {1}},
+};
+
+struct OrphanRow {
+  const char *Name;
+  std::vector<Holding> Rows;
+  std::vector<KeyRange> Orphans;
+};
+
+// The records of the nodes a and self hold, that of b has lapsed.
+const OrphanRow OrphanRows[] = {
+    {"no key was ever given", {}, {{0, KeyCount - 1}}},
+    {"all have a holder", {held(0, KeyCount - 1, "a")}, {}},
+    {"a lapsed holder",
+     {held(0, 99, "a"), held(100, KeyCount - 1, "b")},
+     {{100, KeyCount - 1}}},
+    {"a holder that is gone",
+     {held(0, KeyCount - 1, "x")},
+     {{0, KeyCount - 1}}},
+    {"a part without a record",
+     {held(0, 1023, "a"), held(2048, KeyCount - 1, "a")},
+     {{1024, 2047}}},
+    {"the own keys are dealt with elsewhere",
+     {held(0, KeyCount - 1, "self")},
+     {}},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(FleetLedger, JoinsParts, PartRows) {
+  FleetLedger ledger;
+  for (HoldingPart &it : changedParts({}, row.Before))
+    ledger.applyHoldings("s", std::move(it));
+  std::vector<Key> numbers;
+  for (HoldingPart &it : changedParts(row.Before, row.After)) {
+    numbers.push_back(it.Number);
+    ledger.applyHoldings("s", std::move(it));
+  }
+  cr_assert(numbers == row.Parts, "%s", row.Name);
+  const auto rows = ledger.holdingsOf("s");
+  cr_assert(std::vector<Holding>(rows.begin(), rows.end()) == row.After, "%s",
+            row.Name);
+}
+
+ACACIA_TABLE_TEST(FleetLedger, FindsOrphans, OrphanRows) {
+  FleetLedger ledger;
+  const TimePoint now = TimePoint() + seconds(100);
+  for (const char *it : {"a", "b", "self"}) {
+    NodeRecord record;
+    record.Name = it;
+    ledger.applyNode(record, record.Name == "b" ? now - seconds(8) : now);
+  }
+  for (HoldingPart &it : changedParts({}, row.Rows))
+    ledger.applyHoldings("s", std::move(it));
+  std::vector<KeyRange> found;
+  for (const Holding &it : findOrphans(ledger, "s", "self", now))
+    found.push_back(it.Keys);
+  cr_assert(found == row.Orphans, "%s", row.Name);
+}
