Give back connections and loads of nodes that are gone

Cause, found by reading: a node kept a client with its connections for each address that it had ever sent to, idle connections that the other side had closed stayed open until they were needed again, and loads of nodes that were replaced stayed for good. Tests: HttpClient ClosesWhatTheServerHasClosed, KeepsNoConnectionOnceItIsRetired.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -237,6 +237,9 @@
 
 void HoldingAgent::setPeerLoad(std::string_view node, const NodeLoad &load,
                                core::TimePoint now) {
+  std::erase_if(PeerLoads, [&](const auto &it) {
+    return now - it.second.At > LoadLifetime && now >= it.second.PromisedUntil;
+  });
   KnownLoad &known = PeerLoads[std::string(node)];
   known.Load = load;
   known.At = now;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -67,7 +67,25 @@
 }
 
 void HttpClient::release(std::shared_ptr<ClientConnection> connection) {
-  Idle.push_back(std::move(connection));
+  if (Retired)
+    connection->close();
+  else
+    Idle.push_back(std::move(connection));
+}
+
+void HttpClient::closeStale() {
+  const auto now = core::BootClock::now();
+  std::erase_if(Idle, [&](const auto &it) {
+    if (it->isUsable(now))
+      return false;
+    it->close();
+    return true;
+  });
+}
+
+void HttpClient::retire() {
+  Retired = true;
+  dropIdle();
 }
 
 void HttpClient::dropIdle() {
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -78,7 +78,17 @@
   /// Closes the connections that wait for a request.
   void dropIdle();
 
+  /// Closes those among them that have waited for too long or that the server
+  /// has closed; to be called now and then.
+  void closeStale();
+
+  /// The server is not needed any more: connections are closed once the calls
+  /// on them have ended.
+  void retire();
+
   std::size_t connections() const { return Open; }
+  /// Those that wait for a request.
+  std::size_t idle() const { return Idle.size(); }
   std::uint64_t connectsStarted() const { return Connects; }
   const core::Endpoint &server() const { return Server; }
 
@@ -93,6 +103,7 @@
   core::Endpoint Server;
   ClientOptions Options;
   std::vector<std::shared_ptr<ClientConnection>> Idle;
+  bool Retired = false;
   std::size_t Open = 0;
   std::uint64_t Connects = 0;
 };
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -56,6 +56,7 @@
          View->Routes->configuration().Accounts)
       Shares.prepare(it.Name, it.Rate, now);
   refreshCandidates(now);
+  Peers.tidy(*View, now);
   if (!Credit)
     return;
   std::map<std::string, std::string, std::less<>> hosts;
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -1,6 +1,7 @@
 #include "Proxy/PeerClients.h"
 
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace acaciaroad::proxy {
@@ -26,6 +27,9 @@
 
 constexpr std::uint64_t LargestAnswer = 16U << 20U;
 
+/// Well below the time after which servers close idle connections for good.
+constexpr core::Duration TidyInterval = std::chrono::seconds(5);
+
 /// To one peer; far above the requests under way between two nodes.
 constexpr std::size_t MostConnections = 256;
 
@@ -124,6 +128,24 @@
   return out;
 }
 
+void PeerClients::tidy(const TrafficView &view, core::TimePoint now) {
+  if (now - TidiedAt < TidyInterval)
+    return;
+  TidiedAt = now;
+  std::set<std::string> known;
+  for (const auto &[name, service] : view.Services)
+    for (const Peer &it : service.Peers)
+      known.insert(core::toString(it.Address));
+  std::erase_if(Clients, [&](const auto &it) {
+    if (known.contains(it.first)) {
+      it.second->closeStale();
+      return false;
+    }
+    it.second->retire();
+    return true;
+  });
+}
+
 std::shared_ptr<net::ClientCall>
 PeerClients::send(const core::Endpoint &address, Order order,
                   const Dialect &dialect, OrderHandler handler) {
--- a/Source/Proxy/PeerClients.h
+++ b/Source/Proxy/PeerClients.h
@@ -25,10 +25,15 @@
                                         Order order, const Dialect &dialect,
                                         OrderHandler handler);
 
+  /// Forgets addresses that no peer of \p view has, and connections that were
+  /// closed meanwhile; does so every few seconds at most.
+  void tidy(const TrafficView &view, core::TimePoint now);
+
 private:
   std::shared_ptr<net::HttpClient> clientFor(const core::Endpoint &address);
 
   boost::asio::io_context &Loop;
+  core::TimePoint TidiedAt{};
   std::map<std::string, std::shared_ptr<net::HttpClient>> Clients;
 };
 
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -26,6 +26,9 @@
 /// with a narrow one would keep dozens of nodes waiting.
 constexpr std::size_t LargestRelayed = 32U << 10U;
 
+/// Hosts to which connections are kept: two readers, and some that had news.
+constexpr std::size_t MostHosts = 16;
+
 /// What a relay has not asked for within this time is asked for directly: it
 /// may be cut off from the log. Two reads that wait for a second each, and
 /// room.
@@ -119,6 +122,11 @@
 }
 
 std::shared_ptr<net::HttpClient> LogRelay::clientFor(const std::string &host) {
+  if (Clients.size() >= MostHosts && !Clients.contains(host)) {
+    for (const auto &[name, it] : Clients)
+      it->retire();
+    Clients.clear();
+  }
   auto &out = Clients[host];
   if (!out) {
     net::ClientOptions options;
--- a/Source/Upstream/TransferGate.h
+++ b/Source/Upstream/TransferGate.h
@@ -16,9 +16,9 @@
 
 /// Answers the load pattern of uploads that fill a narrow network: all of them
 /// would be late, and so would every small message behind them. Bodies are let
-/// in as long as those under way take a tenth of a second by the rate that was
-/// seen; a few wait, further ones are refused at once and can go elsewhere.
-/// Pure; the caller serialises all calls.
+/// in as long as those under way take less than a tenth of a second by the rate
+/// that was seen; a few wait, further ones are refused at once and can go
+/// elsewhere. Pure; the caller serialises all calls.
 class TransferGate {
 public:
   /// Returns Start, Queued or Refused for a body of \p bytes.
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -307,3 +307,49 @@
   cr_assert_eq(ends.size(), 2U);
   cr_assert(ends[1] == CallEnd::Answered);
 }
+
+// A server closes connections that are idle for long; the client gives their
+// descriptors back although it needs no connection.
+Test(HttpClient, ClosesWhatTheServerHasClosed) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0},
+      {4096, 4096, milliseconds(100), milliseconds(100)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server->port()},
+                         {seconds(1), seconds(1), seconds(60), 1024, 4, {}});
+  const auto call =
+      client->send({http::verb::get, "/", 11}, [](const CallResult &) {});
+  loop.run_for(milliseconds(50));
+  client->closeStale();
+  cr_assert_eq(client->connections(), 1U);
+  loop.run_for(seconds(2));
+  client->closeStale();
+  loop.run_for(milliseconds(50));
+  cr_assert_eq(server->connections(), 0U);
+  cr_assert_eq(client->idle(), 0U);
+}
+
+Test(HttpClient, KeepsNoConnectionOnceItIsRetired) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server->port()},
+                         {seconds(1), seconds(1), seconds(60), 1024, 4, {}});
+  bool isAnswered = false;
+  const auto call =
+      client->send({http::verb::get, "/", 11}, [&](const CallResult &it) {
+        isAnswered = it.End == CallEnd::Answered;
+      });
+  client->retire();
+  loop.run_for(milliseconds(200));
+  cr_assert(isAnswered);
+  cr_assert_eq(client->idle(), 0U);
+}
