--- a/Tests/Holdings/FleetModelTest.cpp
+++ b/Tests/Holdings/FleetModelTest.cpp
@@ -18,9 +18,9 @@
 
 // The count is multiplied by ACACIA_MODEL_RUNS for longer runs by hand.
 const SeedRow SeedRows[] = {
-    {"two nodes", 1, 100, 2},
-    {"four nodes", 1001, 200, 4},
-    {"six nodes", 2001, 100, 6},
+    {"two nodes", 1, 500, 2},
+    {"four nodes", 1001, 1000, 4},
+    {"six nodes", 2001, 500, 6},
 };
 
 struct BrokenRow {
