One pool of clients for peers and relays; an order is stamped in place

PeerClients and LogRelay each kept a map of clients by address and pruned it in a way of its own; net::HttpClientPool serves both. The key is the address, so that no text is made for each request that is sent on. A large call keeps its order instead of a function made of a copy, which each small request paid too.

--- a/Source/Core/Endpoint.h
+++ b/Source/Core/Endpoint.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_CORE_ENDPOINT_H
 #define ACACIAROAD_CORE_ENDPOINT_H
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
   /// 0 lets the operating system choose when listening.
   std::uint16_t Port = 0;
   bool operator==(const Endpoint &) const = default;
+  // clang-tidy 14 takes the 0 in rewritten comparisons for a pointer.
+  auto operator<=>(const Endpoint &) const = default; // NOLINT
 };
 
 /// Parses "ip:port" or "[ip]:port". Fails with InvalidArgument.
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -1,6 +1,5 @@
 #include "Proxy/PeerClients.h"
 
-#include <functional>
 #include <set>
 #include <utility>
 
@@ -54,21 +53,38 @@
   return out;
 }
 
-using StampFunction = std::function<void(net::HttpRequest &)>;
+/// Writes how much time is left, just before \p to is sent.
+void stamp(net::HttpRequest &to, const Order &order, const Dialect &dialect) {
+  const auto now = core::BootClock::now();
+  writeForward(to,
+               {order.WorkClass, order.Rank, order.Kind, order.Target - now});
+  dialect.WriteOrder(to, {order.Deadline - now, order.ExpectedUpstream,
+                          order.Account, order.CallerService});
+}
+
+net::ClientOptions makeOptions() {
+  net::ClientOptions out;
+  out.ConnectTimeout = ConnectTimeout;
+  out.SendTimeout = SendTimeout;
+  out.IdleLimit = IdleLimit;
+  out.BodyBytes = LargestAnswer;
+  out.MostConnections = MostConnections;
+  return out;
+}
 
 /// Asks for room before it sends a large body, so that one that is refused
 /// costs no network. Keeps itself alive while it is under way.
 class LargeCall : public net::ClientCall,
                   public std::enable_shared_from_this<LargeCall> {
 public:
-  /// \p stamp writes how much time is left, just before the body is sent.
-  LargeCall(std::shared_ptr<net::HttpClient> client, net::HttpRequest request,
-            StampFunction stamp, OrderHandler handler)
-      : Client(std::move(client)), Request(std::move(request)),
-        Stamp(std::move(stamp)), Handler(std::move(handler)) {}
+  /// \p dialect outlives the call.
+  LargeCall(std::shared_ptr<net::HttpClient> client, Order order,
+            const Dialect &dialect, OrderHandler handler)
+      : Client(std::move(client)), Data(std::move(order)), Speech(dialect),
+        Handler(std::move(handler)) {}
 
   void start() {
-    Present = Client->send(makeRoomRequest(Request.body().size()),
+    Present = Client->send(makeRoomRequest(Data.Request.body().size()),
                            [self = shared_from_this()](net::CallResult result) {
                              self->onRoom(std::move(result));
                            });
@@ -94,79 +110,52 @@
       std::exchange(Handler, nullptr)(resultOf(std::move(result)));
       return;
     }
-    Stamp(Request);
-    writeRoom(Request, room);
-    Present = Client->send(std::move(Request), [self = shared_from_this()](
-                                                   net::CallResult answer) {
-      self->Present.reset();
-      if (const auto handler = std::exchange(self->Handler, nullptr))
-        handler(resultOf(std::move(answer)));
-    });
+    stamp(Data.Request, Data, Speech);
+    writeRoom(Data.Request, room);
+    Present = Client->send(std::move(Data.Request),
+                           [self = shared_from_this()](net::CallResult answer) {
+                             self->Present.reset();
+                             if (const auto handler =
+                                     std::exchange(self->Handler, nullptr))
+                               handler(resultOf(std::move(answer)));
+                           });
   }
 
   std::shared_ptr<net::HttpClient> Client;
-  net::HttpRequest Request;
-  StampFunction Stamp;
+  Order Data;
+  const Dialect &Speech;
   OrderHandler Handler;
   std::shared_ptr<net::ClientCall> Present;
 };
 
 } // namespace
 
-std::shared_ptr<net::HttpClient>
-PeerClients::clientFor(const core::Endpoint &address) {
-  auto &out = Clients[core::toString(address)];
-  if (!out) {
-    net::ClientOptions options;
-    options.ConnectTimeout = ConnectTimeout;
-    options.SendTimeout = SendTimeout;
-    options.IdleLimit = IdleLimit;
-    options.BodyBytes = LargestAnswer;
-    options.MostConnections = MostConnections;
-    out = net::HttpClient::create(Loop, address, std::move(options));
-  }
-  return out;
-}
+PeerClients::PeerClients(boost::asio::io_context &loop)
+    : Clients(loop, makeOptions()) {}
 
 void PeerClients::tidy(const TrafficView &view, core::TimePoint now) {
   if (now - TidiedAt < TidyInterval)
     return;
   TidiedAt = now;
-  std::set<std::string> known;
+  std::set<core::Endpoint> known;
   for (const auto &[name, service] : view.Services)
     for (const Peer &it : service.Peers)
-      known.insert(core::toString(it.Address));
-  std::erase_if(Clients, [&](const auto &it) {
-    if (known.contains(it.first)) {
-      it.second->closeStale();
-      return false;
-    }
-    it.second->retire();
-    return true;
-  });
+      known.insert(it.Address);
+  Clients.keepOnly(known);
 }
 
 std::shared_ptr<net::ClientCall>
 PeerClients::send(const core::Endpoint &address, Order order,
                   const Dialect &dialect, OrderHandler handler) {
-  net::HttpRequest request = std::move(order.Request);
-  const StampFunction stamp = [order = std::move(order),
-                               &dialect](net::HttpRequest &to) {
-    const auto now = core::BootClock::now();
-    writeForward(to,
-                 {order.WorkClass, order.Rank, order.Kind, order.Target - now});
-    dialect.WriteOrder(to, {order.Deadline - now, order.ExpectedUpstream,
-                            order.Account, order.CallerService});
-  };
-  const auto client = clientFor(address);
-  if (request.body().size() >= LargeBody) {
-    auto call = std::make_shared<LargeCall>(client, std::move(request), stamp,
+  const auto client = Clients.clientFor(address);
+  if (order.Request.body().size() >= LargeBody) {
+    auto call = std::make_shared<LargeCall>(client, std::move(order), dialect,
                                             std::move(handler));
     call->start();
     return call;
   }
-  stamp(request);
-  return client->send(std::move(request),
+  stamp(order.Request, order, dialect);
+  return client->send(std::move(order.Request),
                       [handler = std::move(handler)](net::CallResult result) {
                         handler(resultOf(std::move(result)));
                       });
--- a/Source/Proxy/PeerClients.h
+++ b/Source/Proxy/PeerClients.h
@@ -4,13 +4,14 @@
 #ifndef ACACIAROAD_PROXY_PEERCLIENTS_H
 #define ACACIAROAD_PROXY_PEERCLIENTS_H
 
-#include <map>
 #include <memory>
-#include <string>
 
 #include <boost/asio/io_context.hpp>
 
-#include "Net/HttpClient.h"
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "Net/HttpClientPool.h"
+#include "Proxy/TrafficView.h"
 #include "Proxy/UpstreamService.h"
 
 namespace acaciaroad::proxy {
@@ -18,7 +19,7 @@
 /// Keeps one client for each address of a peer.
 class PeerClients {
 public:
-  explicit PeerClients(boost::asio::io_context &loop) : Loop(loop) {}
+  explicit PeerClients(boost::asio::io_context &loop);
 
   /// Forwards \p order to the node at \p address.
   std::shared_ptr<net::ClientCall> send(const core::Endpoint &address,
@@ -30,11 +31,8 @@
   void tidy(const TrafficView &view, core::TimePoint now);
 
 private:
-  std::shared_ptr<net::HttpClient> clientFor(const core::Endpoint &address);
-
-  boost::asio::io_context &Loop;
+  net::HttpClientPool Clients;
   core::TimePoint TidiedAt{};
-  std::map<std::string, std::shared_ptr<net::HttpClient>> Clients;
 };
 
 } // namespace acaciaroad::proxy
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -36,6 +36,16 @@
 
 constexpr std::string_view PathPrefix = "/relay/";
 
+net::ClientOptions makeOptions() {
+  net::ClientOptions out;
+  out.ConnectTimeout = ConnectTimeout;
+  out.SendTimeout = RelayTimeout;
+  out.IdleLimit = IdleLimit;
+  out.BodyBytes = LargestAnswer;
+  out.MostConnections = MostConnections;
+  return out;
+}
+
 /// "/relay/LOG/OFFSET".
 std::string targetOf(RelayedLog name, core::Offset from) {
   return fmt::format("{}{}/{}", PathPrefix, static_cast<int>(name), from);
@@ -83,7 +93,8 @@
 
 LogRelay::LogRelay(boost::asio::io_context &loop, core::Endpoint listen,
                    ChooseHost choose)
-    : Loop(loop), Listen(std::move(listen)), Choose(std::move(choose)) {}
+    : Loop(loop), Listen(std::move(listen)), Choose(std::move(choose)),
+      Clients(loop, makeOptions()) {}
 
 feed::KeyedLog LogRelay::wrap(RelayedLog name, const feed::KeyedLog &log) {
   feed::KeyedLog out = log;
@@ -121,31 +132,15 @@
   exchange->respond(std::move(out));
 }
 
-std::shared_ptr<net::HttpClient> LogRelay::clientFor(const std::string &host) {
-  if (Clients.size() >= MostHosts && !Clients.contains(host)) {
-    for (const auto &[name, it] : Clients)
-      it->retire();
-    Clients.clear();
-  }
-  auto &out = Clients[host];
-  if (!out) {
-    net::ClientOptions options;
-    options.ConnectTimeout = ConnectTimeout;
-    options.SendTimeout = RelayTimeout;
-    options.IdleLimit = IdleLimit;
-    options.BodyBytes = LargestAnswer;
-    options.MostConnections = MostConnections;
-    out =
-        net::HttpClient::create(Loop, {host, Listen.Port}, std::move(options));
-  }
-  return out;
-}
-
 void LogRelay::readFrom(RelayedLog name, const std::string &host,
                         core::Offset from, feed::TailHandler handler) {
+  const core::Endpoint server{host, Listen.Port};
+  if (Clients.size() >= MostHosts && !Clients.contains(server))
+    Clients.keepOnly({});
   net::sendWithTimeout(
-      Loop, *clientFor(host), {net::http::verb::get, targetOf(name, from), 11},
-      RelayTimeout, [handler = std::move(handler)](net::CallResult result) {
+      Loop, *Clients.clientFor(server),
+      {net::http::verb::get, targetOf(name, from), 11}, RelayTimeout,
+      [handler = std::move(handler)](net::CallResult result) {
         if (result.End != net::CallEnd::Answered ||
             result.Response.result() != net::http::status::ok) {
           handler(core::fail(ErrorKind::PeerUnreachable, result.Detail));
--- a/Source/Sidecar/LogRelay.h
+++ b/Source/Sidecar/LogRelay.h
@@ -5,7 +5,6 @@
 #define ACACIAROAD_SIDECAR_LOGRELAY_H
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,7 +13,7 @@
 
 #include "Feed/FeedTypes.h"
 #include "Feed/RelayBuffer.h"
-#include "Net/HttpClient.h"
+#include "Net/HttpClientPool.h"
 #include "Net/HttpServer.h"
 
 namespace acaciaroad::sidecar {
@@ -47,7 +46,6 @@
   void serve(const std::shared_ptr<net::Exchange> &exchange);
   void readFrom(RelayedLog name, const std::string &host, core::Offset from,
                 feed::TailHandler handler);
-  std::shared_ptr<net::HttpClient> clientFor(const std::string &host);
 
   /// Some minutes of a small fleet's records.
   static constexpr std::size_t BufferBytes = 512U << 10U;
@@ -58,7 +56,7 @@
   std::unique_ptr<net::HttpServer> Server;
   std::array<feed::RelayBuffer, 2> Buffers{feed::RelayBuffer(BufferBytes),
                                            feed::RelayBuffer(BufferBytes)};
-  std::map<std::string, std::shared_ptr<net::HttpClient>> Clients;
+  net::HttpClientPool Clients;
 };
 
 } // namespace acaciaroad::sidecar
