Work that was done twice is done once

- Parts of a change are made when it is proposed, not each time that the agent is asked whether it wants one; the keys of all nodes are counted in one pass; nobody looks for takers while the own load is bearable.
- The homes of a small account are ranked when nodes or limits change, not for each request that borrows.
- What a caller says is read once on its way, not three times; the settings file once for a change without a signal.
- Both settings files read their tables by one loop (FieldReader readTables).
- TransferGate sums what is under way instead of keeping two counts in step.
- Removed a member that nothing read (EntryService candidates).
Behaviour as before; no test changed.

--- a/Source/Accounts/AccountShares.cpp
+++ b/Source/Accounts/AccountShares.cpp
@@ -32,6 +32,8 @@
     return;
   Nodes = std::move(names);
   Self = self;
+  Others = Nodes;
+  std::erase(Others, Self);
   for (auto &[name, it] : Shares)
     place(name, it, now);
 }
@@ -47,8 +49,6 @@
 
 std::vector<std::string> AccountShares::rank(std::string_view account,
                                              std::size_t n) const {
-  if (n >= Nodes.size())
-    return Nodes;
   std::vector<std::pair<std::uint64_t, const std::string *>> ranked;
   for (const std::string &it : Nodes)
     ranked.emplace_back(
@@ -77,13 +77,15 @@
 
 void AccountShares::place(std::string_view account, Share &share,
                           core::TimePoint now) {
-  share.Homes = homesFor(share.Whole);
-  const auto homes = rank(account, share.Homes);
-  share.IsHome = Nodes.empty() ||
-                 std::find(homes.begin(), homes.end(), Self) != homes.end();
+  const std::size_t homes = homesFor(share.Whole);
+  share.IsEverywhere = homes >= Nodes.size();
+  share.Lenders.clear();
+  if (!share.IsEverywhere)
+    share.Lenders = rank(account, homes);
+  share.IsHome = std::erase(share.Lenders, Self) > 0 || share.IsEverywhere;
   // The bounds were valid when the share was made, and part() keeps them so.
   static_cast<void>(
-      share.Bucket.change(part(share.Whole, share.Homes, share.IsHome), now));
+      share.Bucket.change(part(share.Whole, homes, share.IsHome), now));
 }
 
 AccountShares::Share *AccountShares::find(std::string_view account,
@@ -100,8 +102,8 @@
   auto bucket = TokenBucket::create(part(rate, 1, true), now);
   if (!bucket)
     return nullptr;
-  const auto added =
-      Shares.emplace(std::string(account), Share{rate, *bucket, 1, true});
+  const auto added = Shares.emplace(std::string(account),
+                                    Share{rate, *bucket, true, true, {}});
   place(account, added.first->second, now);
   return &added.first->second;
 }
@@ -111,14 +113,12 @@
   return it != Shares.end() && it->second.IsHome;
 }
 
-std::vector<std::string>
+std::span<const std::string>
 AccountShares::lenders(std::string_view account) const {
   const auto it = Shares.find(std::string(account));
   if (it == Shares.end())
     return {};
-  auto out = rank(account, it->second.Homes);
-  std::erase(out, Self);
-  return out;
+  return it->second.IsEverywhere ? Others : it->second.Lenders;
 }
 
 void AccountShares::prepare(std::string_view account, const AccountRate &rate,
--- a/Source/Accounts/AccountShares.h
+++ b/Source/Accounts/AccountShares.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_ACCOUNTS_ACCOUNTSHARES_H
 #define ACACIAROAD_ACCOUNTS_ACCOUNTSHARES_H
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,7 +58,7 @@
   }
 
   /// Returns the names of the other nodes that have a share of \p account.
-  std::vector<std::string> lenders(std::string_view account) const;
+  std::span<const std::string> lenders(std::string_view account) const;
 
   /// Whether this node has a share of its own of \p account.
   bool hasShare(std::string_view account) const;
@@ -73,13 +74,16 @@
   struct Share {
     AccountRate Whole;
     TokenBucket Bucket;
-    /// Number of nodes with a share; this one may be none of them.
-    std::size_t Homes = 1;
+    /// This node has a share of its own.
     bool IsHome = true;
+    /// All nodes have one.
+    bool IsEverywhere = true;
+    /// The other nodes with a share, unless it is everywhere.
+    std::vector<std::string> Lenders;
   };
 
   std::size_t homesFor(const AccountRate &whole) const;
-  /// Names of the nodes with a share, at most \p n.
+  /// Names of the \p n nodes that rank first for an account.
   std::vector<std::string> rank(std::string_view account, std::size_t n) const;
   AccountRate part(const AccountRate &whole, std::size_t homes,
                    bool isHome) const;
@@ -90,6 +94,7 @@
   core::Duration Window;
   std::vector<std::string> Nodes;
   std::string Self;
+  std::vector<std::string> Others;
   std::unordered_map<std::string, Share> Shares;
 };
 
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -266,7 +266,7 @@
 }
 
 void HoldingAgent::planForLoad(const FleetLedger &ledger, core::TimePoint now) {
-  if (now < NextMove)
+  if (now < NextMove || !isOverloaded(Load.Node))
     return;
   const auto rows = without(ownRows(ledger), Release.ranges());
   if (rows.size() > MostRows)
@@ -294,17 +294,19 @@
                                    core::TimePoint now) {
   if (!Release.isIdle() || now < NextMove)
     return;
-  const auto rows = ledger.holdingsOf(Identity.Service);
+  std::map<std::string_view, Key> held;
+  for (const Holding &it : ledger.holdingsOf(Identity.Service))
+    held[it.Node] += it.Keys.size();
   const auto takers = ledger.eligible(Identity.Service, now);
   std::vector<const Member *> newcomers;
   // Those with the most keys first.
   std::vector<std::pair<Key, std::string_view>> owners;
   for (const Member *it : takers) {
-    const Key keys = keysOf(rows, it->Record.Name);
-    if (keys == 0)
+    const auto keys = held.find(it->Record.Name);
+    if (keys == held.end())
       newcomers.push_back(it);
     else
-      owners.emplace_back(KeyCount - keys, it->Record.Name);
+      owners.emplace_back(KeyCount - keys->second, it->Record.Name);
   }
   if (newcomers.empty() || owners.empty())
     return;
@@ -354,6 +356,7 @@
   auto out = planChange(ledger, now);
   if (!out)
     return std::nullopt;
+  out->Parts = changedParts(ledger.holdingsOf(Identity.Service), out->Rows);
   withhold(ledger, out->Rows);
   Pending = PendingChange{ledger.end(), now};
   return out;
@@ -362,9 +365,7 @@
 HoldingChange HoldingAgent::propose(const FleetLedger &ledger, Rows rows,
                                     std::string_view reason) const {
   normalize(rows);
-  auto parts = changedParts(ledger.holdingsOf(Identity.Service), rows);
-  return {Identity.Service, std::move(rows), std::move(parts), ledger.end(),
-          reason};
+  return {Identity.Service, std::move(rows), {}, ledger.end(), reason};
 }
 
 void HoldingAgent::withhold(const FleetLedger &ledger,
--- a/Source/Holdings/LoadMove.cpp
+++ b/Source/Holdings/LoadMove.cpp
@@ -108,10 +108,14 @@
 
 } // namespace
 
+bool isOverloaded(const NodeLoad &load) {
+  return load.Utilization >= BearableUtilization;
+}
+
 std::vector<LoadMove> planLoadMoves(const KeyedLoad &load,
                                     std::span<const KeyRange> own,
                                     std::span<const LoadTaker> takers) {
-  if (load.Node.Utilization < BearableUtilization)
+  if (!isOverloaded(load.Node))
     return {};
   std::vector<KeyRange> left(own.begin(), own.end());
   std::vector<LoadMove> out;
--- a/Source/Holdings/LoadMove.h
+++ b/Source/Holdings/LoadMove.h
@@ -42,6 +42,9 @@
   double AddedUtilization = 0;
 };
 
+/// Whether a node is to give keys away.
+bool isOverloaded(const NodeLoad &load);
+
 /// Returns ranges out of \p own, the ranges that the node holds, that bring the
 /// node and the least loaded takers closer together, one range for each of as
 /// few takers as are needed; nothing while the load is bearable, the difference
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -23,15 +23,14 @@
 } // namespace
 
 EntryRun::EntryRun(EntryService &entry, std::shared_ptr<net::Exchange> exchange,
+                   const CallerFields &caller,
                    std::shared_ptr<const TrafficView> view,
                    const routing::Route &route,
                    const routing::ClientAccount *account, std::string service,
                    requests::AttemptPlan plan, core::TimePoint deadline)
     : Entry(entry), Exchange(std::move(exchange)), View(std::move(view)),
       Route(route), Account(account), Service(std::move(service)), Plan(plan),
-      Deadline(deadline), Timer(entry.Loop) {
-  const CallerFields caller = Entry.Speech.ReadCaller(Exchange->request());
-  RequestId = caller.RequestId;
+      Deadline(deadline), Timer(entry.Loop), RequestId(caller.RequestId) {
   const routing::Service *target = View->Routes->findService(Service);
   if (target != nullptr && target->IsKeyed)
     Key = caller.Key;
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -23,9 +23,10 @@
   /// \p plan was made for \p route and \p deadline; \p view holds route and
   /// account.
   EntryRun(EntryService &entry, std::shared_ptr<net::Exchange> exchange,
-           std::shared_ptr<const TrafficView> view, const routing::Route &route,
-           const routing::ClientAccount *account, std::string service,
-           requests::AttemptPlan plan, core::TimePoint deadline);
+           const CallerFields &caller, std::shared_ptr<const TrafficView> view,
+           const routing::Route &route, const routing::ClientAccount *account,
+           std::string service, requests::AttemptPlan plan,
+           core::TimePoint deadline);
 
   void start();
 
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -83,9 +83,8 @@
           Limits.RetryRatio * RatioShare, now, {0, share, share});
       if (!choice || !budget)
         continue; // Not with the arguments above.
-      found =
-          Services.emplace(name, ServiceState{{}, std::move(*choice), *budget})
-              .first;
+      found = Services.emplace(name, ServiceState{std::move(*choice), *budget})
+                  .first;
     }
     found->second.Choice.setCandidates(open);
   }
@@ -149,9 +148,9 @@
   }
   if (*account != nullptr &&
       !Shares.take((*account)->Name, (*account)->Rate, now))
-    borrow(exchange, *route, **account);
+    borrow(exchange, caller, *route, **account);
   else
-    run(exchange, View, *route, *account);
+    run(exchange, caller, View, *route, *account);
 }
 
 core::Result<void> EntryService::openCredit(const core::Endpoint &listen) {
@@ -163,12 +162,13 @@
 }
 
 void EntryService::borrow(const std::shared_ptr<net::Exchange> &exchange,
+                          const CallerFields &caller,
                           const routing::Route &route,
                           const routing::ClientAccount &account) {
-  const auto decide = [this, exchange, view = View, &route,
+  const auto decide = [this, exchange, caller, view = View, &route,
                        &account](bool isLent) {
     if (isLent)
-      run(exchange, view, route, &account);
+      run(exchange, caller, view, route, &account);
     else
       refuse(*exchange, ErrorKind::RateExceeded, Shares.untilNext(account.Name),
              account.Name);
@@ -180,6 +180,7 @@
 }
 
 void EntryService::run(const std::shared_ptr<net::Exchange> &exchange,
+                       const CallerFields &caller,
                        std::shared_ptr<const TrafficView> view,
                        const routing::Route &route,
                        const routing::ClientAccount *account) {
@@ -188,7 +189,6 @@
     return;
   }
   const auto now = core::BootClock::now();
-  const CallerFields caller = Speech.ReadCaller(exchange->request());
   const std::string service = Split.next(route).Service;
   const routing::Service *target = view->Routes->findService(service);
   if (target != nullptr && target->IsKeyed && !caller.Key) {
@@ -209,8 +209,8 @@
     return;
   }
   state->Budget.requested(now);
-  std::make_shared<EntryRun>(*this, exchange, std::move(view), route, account,
-                             service, *plan, deadline)
+  std::make_shared<EntryRun>(*this, exchange, caller, std::move(view), route,
+                             account, service, *plan, deadline)
       ->start();
 }
 
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -79,7 +79,6 @@
 
   /// What is known of one service's peers.
   struct ServiceState {
-    std::vector<requests::Candidate> Candidates;
     requests::CandidateChoice Choice;
     requests::RetryBudget Budget;
   };
@@ -95,12 +94,12 @@
   void giveBack(const routing::ClientAccount *account);
   /// Asks other nodes for credit before it refuses.
   void borrow(const std::shared_ptr<net::Exchange> &exchange,
-              const routing::Route &route,
+              const CallerFields &caller, const routing::Route &route,
               const routing::ClientAccount &account);
   /// \p view holds route and account; it may no longer be the newest.
   void run(const std::shared_ptr<net::Exchange> &exchange,
-           std::shared_ptr<const TrafficView> view, const routing::Route &route,
-           const routing::ClientAccount *account);
+           const CallerFields &caller, std::shared_ptr<const TrafficView> view,
+           const routing::Route &route, const routing::ClientAccount *account);
   ServiceState *stateOf(std::string_view service);
   void refreshCandidates(core::TimePoint now);
 
--- a/Source/Settings/FieldReader.h
+++ b/Source/Settings/FieldReader.h
@@ -142,6 +142,29 @@
   return {};
 }
 
+/// Calls \p read(name, place, table) for each table of \p fields, with an empty
+/// one where the file has none, up to the first failure.
+template <typename Target, typename ReadTable>
+core::Result<void> readTables(std::span<const Field<Target>> fields,
+                              std::string_view file, const toml::table &root,
+                              ReadTable read) {
+  static const toml::table empty;
+  if (auto done = refuseUnknownTables(fields, file, root); !done)
+    return done;
+  std::string_view last;
+  for (const Field<Target> &it : fields) {
+    if (it.Table == last)
+      continue;
+    last = it.Table;
+    const toml::node *node = root.get(last);
+    const toml::table &table = node == nullptr ? empty : *node->as_table();
+    const Place place = node == nullptr ? Place{file} : placeOf(file, *node);
+    if (core::Result<void> done = read(last, place, table); !done)
+      return done;
+  }
+  return {};
+}
+
 /// Parses the file at \p path and reads it by \p readRoot(path, table).
 template <typename ReadRoot>
 auto readSettingsFile(std::string_view path, ReadRoot readRoot)
--- a/Source/Settings/SettingsFile.cpp
+++ b/Source/Settings/SettingsFile.cpp
@@ -48,12 +48,9 @@
 }
 
 core::Result<void> readTable(std::string_view name, std::string_view file,
-                             const toml::table &root, NodeSettings &settings) {
-  static const toml::table empty;
+                             const Place &place, const toml::table &table,
+                             NodeSettings &settings) {
   static constexpr std::string_view Arrays[] = {TokensName};
-  const toml::node *node = root.get(name);
-  const toml::table &table = node == nullptr ? empty : *node->as_table();
-  const Place place = node == nullptr ? Place{file} : placeOf(file, *node);
   const bool hasTokens = name == TokensTable;
   const auto arrays = std::span(Arrays).first(hasTokens ? 1 : 0);
   if (auto done =
@@ -82,16 +79,13 @@
 core::Result<NodeSettings> readRoot(std::string_view file,
                                     const toml::table &root) {
   NodeSettings out;
-  if (auto done = refuseUnknownTables(nodeFields(), file, root); !done)
+  if (auto done = readTables(nodeFields(), file, root,
+                             [&](std::string_view name, const Place &place,
+                                 const toml::table &table) {
+                               return readTable(name, file, place, table, out);
+                             });
+      !done)
     return tl::unexpected(done.error());
-  std::string_view last;
-  for (const Field<NodeSettings> &it : nodeFields()) {
-    if (it.Table == last)
-      continue;
-    last = it.Table;
-    if (auto done = readTable(last, file, root, out); !done)
-      return tl::unexpected(done.error());
-  }
   if (auto done = checkTogether(file, out); !done)
     return tl::unexpected(done.error());
   if (out.Peers.Advertise.Host.empty())
--- a/Source/Settings/SidecarSettings.cpp
+++ b/Source/Settings/SidecarSettings.cpp
@@ -11,21 +11,15 @@
 
 core::Result<SidecarSettings> readRoot(std::string_view file,
                                        const toml::table &root) {
-  static const toml::table empty;
   SidecarSettings out;
-  if (auto done = refuseUnknownTables(sidecarFields(), file, root); !done)
+  if (auto done = readTables(sidecarFields(), file, root,
+                             [&](std::string_view name, const Place &place,
+                                 const toml::table &table) {
+                               return readFields(sidecarFields(), name, place,
+                                                 table, out);
+                             });
+      !done)
     return tl::unexpected(done.error());
-  std::string_view last;
-  for (const Field<SidecarSettings> &it : sidecarFields()) {
-    if (it.Table == last)
-      continue;
-    last = it.Table;
-    const toml::node *node = root.get(last);
-    const toml::table &table = node == nullptr ? empty : *node->as_table();
-    const Place place = node == nullptr ? Place{file} : placeOf(file, *node);
-    if (auto done = readFields(sidecarFields(), last, place, table, out); !done)
-      return tl::unexpected(done.error());
-  }
   return out;
 }
 
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -173,7 +173,7 @@
     if (ec)
       return;
     if (number == SIGHUP) {
-      reload("signal");
+      reload();
       waitForSignals();
       return;
     }
@@ -183,20 +183,24 @@
   });
 }
 
-void Sidecar::reload(std::string_view cause) {
-  auto next = Parts.ReadSettings();
-  if (!next) {
+void Sidecar::reload() {
+  const auto next = Parts.ReadSettings();
+  if (next)
+    apply(*next, "signal");
+  else
     Log->write(logging::Level::Error, "settings_unreadable",
-               {{"cause", cause}, {"detail", next.error().Detail}});
-    return;
-  }
+               {{"cause", "signal"}, {"detail", next.error().Detail}});
+}
+
+void Sidecar::apply(const settings::SidecarSettings &next,
+                    std::string_view cause) {
   Log->write(logging::Level::Info, "settings_reloaded", {{"cause", cause}});
-  Log->setThreshold(next->LogLevel);
-  boost::asio::post(TrafficLoop, [this, limits = entryLimitsOf(*next)] {
+  Log->setThreshold(next.LogLevel);
+  boost::asio::post(TrafficLoop, [this, limits = entryLimitsOf(next)] {
     Entry->setLimits(limits);
   });
-  Settings.LogLevel = next->LogLevel;
-  Settings.Limits = next->Limits;
+  Settings.LogLevel = next.LogLevel;
+  Settings.Limits = next.Limits;
 }
 
 void Sidecar::watchSettings() {
@@ -207,7 +211,7 @@
     const auto next = Parts.ReadSettings();
     if (next && (next->LogLevel != Settings.LogLevel ||
                  !(next->Limits == Settings.Limits)))
-      reload("file changed");
+      apply(*next, "file changed");
     watchSettings();
   });
 }
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -53,7 +53,9 @@
   void onView(std::shared_ptr<const proxy::TrafficView> view);
   void answerHealth(const std::shared_ptr<net::Exchange> &exchange);
   void waitForSignals();
-  void reload(std::string_view cause);
+  /// Reads the settings file again, as a signal asks.
+  void reload();
+  void apply(const settings::SidecarSettings &next, std::string_view cause);
   void watchSettings();
   void beginDrain();
   void continueDrain(core::TimePoint started);
--- a/Source/Upstream/TransferGate.cpp
+++ b/Source/Upstream/TransferGate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <numeric>
 
 namespace acaciaroad::upstream {
 
@@ -40,22 +41,32 @@
 }
 
 void TransferGate::start(const Entry &entry, core::TimePoint now) {
-  RunningBytes += entry.Bytes;
-  Running[entry.Id] = {entry.Bytes, RunningBytes, now};
+  Running[entry.Id] = {entry.Bytes, runningBytes() + entry.Bytes, now};
+}
+
+std::uint64_t TransferGate::runningBytes() const {
+  return std::accumulate(
+      Running.begin(), Running.end(), std::uint64_t{0},
+      [](std::uint64_t sum, const auto &it) { return sum + it.second.Bytes; });
+}
+
+std::uint64_t TransferGate::waitingBytes() const {
+  return std::accumulate(
+      Waiting.begin(), Waiting.end(), std::uint64_t{0},
+      [](std::uint64_t sum, const Entry &it) { return sum + it.Bytes; });
 }
 
 Verdict TransferGate::ask(Ticket id, std::uint64_t bytes, core::TimePoint now) {
   expire(now);
   const bool isFree =
-      Running.empty() || RunningBytes + bytes <= roomFor(RunningLength, now);
+      Running.empty() || runningBytes() + bytes <= roomFor(RunningLength, now);
   if (Waiting.empty() && isFree) {
     start({id, bytes}, now);
     return Verdict::Start;
   }
-  if (WaitingBytes + bytes > roomFor(WaitingLength, now))
+  if (waitingBytes() + bytes > roomFor(WaitingLength, now))
     return Verdict::Refused;
   Waiting.push_back({id, bytes});
-  WaitingBytes += bytes;
   return Verdict::Queued;
 }
 
@@ -70,21 +81,12 @@
     Peak = seen;
     PeakAt = now;
   }
-  RunningBytes -= it->second.Bytes;
   Running.erase(it);
 }
 
 void TransferGate::cancel(Ticket id) {
-  if (const auto it = Running.find(id); it != Running.end()) {
-    RunningBytes -= it->second.Bytes;
-    Running.erase(it);
-  }
-  std::erase_if(Waiting, [&](const Entry &it) {
-    if (it.Id != id)
-      return false;
-    WaitingBytes -= it.Bytes;
-    return true;
-  });
+  Running.erase(id);
+  std::erase_if(Waiting, [&](const Entry &it) { return it.Id == id; });
 }
 
 std::vector<Ticket> TransferGate::advance(core::TimePoint now) {
@@ -93,10 +95,9 @@
   while (!Waiting.empty()) {
     const Entry entry = Waiting.front();
     if (!Running.empty() &&
-        RunningBytes + entry.Bytes > roomFor(RunningLength, now))
+        runningBytes() + entry.Bytes > roomFor(RunningLength, now))
       break;
     Waiting.pop_front();
-    WaitingBytes -= entry.Bytes;
     start(entry, now);
     out.push_back(entry.Id);
   }
@@ -105,10 +106,7 @@
 
 void TransferGate::expire(core::TimePoint now) {
   std::erase_if(Running, [&](const auto &it) {
-    if (now - it.second.Since < Patience)
-      return false;
-    RunningBytes -= it.second.Bytes;
-    return true;
+    return now - it.second.Since >= Patience;
   });
 }
 
--- a/Source/Upstream/TransferGate.h
+++ b/Source/Upstream/TransferGate.h
@@ -48,13 +48,13 @@
 
   double rate(core::TimePoint now) const;
   std::uint64_t roomFor(core::Duration length, core::TimePoint now) const;
+  std::uint64_t runningBytes() const;
+  std::uint64_t waitingBytes() const;
   void expire(core::TimePoint now);
   void start(const Entry &entry, core::TimePoint now);
 
   std::map<Ticket, Transfer> Running;
   std::deque<Entry> Waiting;
-  std::uint64_t RunningBytes = 0;
-  std::uint64_t WaitingBytes = 0;
   /// Highest rate seen, bytes a second, and when.
   double Peak = 0;
   core::TimePoint PeakAt{};
