--- /dev/null
+++ b/Tests/Processes/sidecar_process.py
@@ -0,0 +1,73 @@
+"""One acacia-sidecar process and the configuration that its fleet starts with."""
+import json
+import subprocess
+
+SERVICE = "scripts"
+# Offsets from a node's first port.
+CALLERS, PEERS, CONTROL, HEALTH, GOSSIP, CREDIT, RELAY, UPSTREAM = range(8)
+
+
+def configuration(version, key, kinds):
+    """kinds has a path prefix for each kind of route."""
+    route = {"host": "h", "timeout": "800ms", "latencySlo": "300ms",
+             "priority": 1, "service": SERVICE, "maxAttempts": 2,
+             "public": False}
+    return json.dumps({
+        "version": "%08x" % version,
+        "routes": [dict(route, name=prefix.strip("/"), pathPrefix=prefix,
+                        kind=kind) for kind, prefix in kinds.items()],
+        "services": [{"name": SERVICE, "healthPath": "/healthz",
+                      "maxConnections": 100, "coldStart": "0s", "coldPerS": 0,
+                      "sharded": True, "warmup": "0s"}],
+        "tenants": [{"name": "account", "apiKeys": [key]}]}).encode()
+
+
+class SidecarProcess:
+    """Listens on an address of its own, on the same ports as the others."""
+
+    def __init__(self, binary, folder, index, first_port):
+        self.binary, self.first_port = binary, first_port
+        self.name, self.host = "node-%d" % index, "127.0.0.%d" % (index + 1)
+        self.file = folder / (self.name + ".toml")
+        self.log = (folder / (self.name + ".log")).open("a")
+
+    def launch(self, store, upstream=None):
+        """store and upstream are addresses; upstream defaults to the node's."""
+        text = lambda address: '"%s:%d"' % address
+        self.file.write_text(f"""[node]
+name = "{self.name}"
+data_centre = "here"
+service = "{SERVICE}"
+[callers]
+listen = {text(self.at(CALLERS))}
+[peers]
+listen = {text(self.at(PEERS))}
+[control]
+listen = {text(self.at(CONTROL))}
+[health]
+listen = {text(self.at(HEALTH))}
+[gossip]
+listen = {text(self.at(GOSSIP))}
+[credit]
+listen = {text(self.at(CREDIT))}
+[relay]
+listen = {text(self.at(RELAY))}
+[upstream]
+address = {text(upstream or self.at(UPSTREAM))}
+heartbeat = "300ms"
+[store]
+address = {text(store)}
+[limits]
+drain = "5s"
+""")
+        self.start()
+
+    def at(self, port):
+        return self.host, self.first_port + port
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [str(self.binary), "--settings", str(self.file)], stdout=self.log)
+
+    def is_running(self):
+        return self.process.poll() is None
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -4,76 +4,33 @@
 sidecar_test.py ROW BIN_FOLDER PORT, where PORT is the first of 40 free ports.
 """
 import http.client
-import json
 import os
 import pathlib
 import signal
-import subprocess
 import sys
 import tempfile
 import time
 
+from sidecar_process import (CALLERS, CONTROL, SERVICE, UPSTREAM,
+                             SidecarProcess, configuration)
 from standin_platform import Store, Upstream
 
-SERVICE = "scripts"
 KEYS = range(0, 65536, 4096)
-CONFIGURATION = {
-    "version": "00000001",
-    "routes": [{"name": "r", "host": "h", "pathPrefix": "/s/", "kind": "safe",
-                "timeout": "800ms", "latencySlo": "300ms", "priority": 1,
-                "service": SERVICE, "maxAttempts": 2, "public": False}],
-    "services": [{"name": SERVICE, "healthPath": "/healthz",
-                  "maxConnections": 100, "coldStart": "0s", "coldPerS": 0,
-                  "sharded": True, "warmup": "0s"}],
-    "tenants": [{"name": "account", "apiKeys": ["secret-key"]}],
-}
-
-
-class Node:
+
+
+def make_configuration(version, key):
+    return configuration(version, key, {"safe": "/s/"})
+
+
+class Node(SidecarProcess):
     def __init__(self, binary, folder, index, first_port):
-        self.binary, self.index = binary, index
-        ports = [first_port + n for n in range(8)]
-        self.host = "127.0.0.%d" % (index + 1)
-        at = lambda n: (self.host, ports[n])
-        self.callers, self.health, self.control = at(0), at(3), at(2)
-        self.upstream = Upstream("u-%d" % index, SERVICE, at(7), self.control)
-        text = lambda n: '"%s:%d"' % at(n)
-        self.file = folder / ("node-%d.toml" % index)
-        self.file.write_text(f"""[node]
-name = "node-{index}"
-data_centre = "here"
-service = "{SERVICE}"
-[callers]
-listen = {text(0)}
-[peers]
-listen = {text(1)}
-[control]
-listen = {text(2)}
-[health]
-listen = {text(3)}
-[gossip]
-listen = {text(4)}
-[credit]
-listen = {text(5)}
-[relay]
-listen = {text(6)}
-[upstream]
-address = {text(7)}
-heartbeat = "300ms"
-[store]
-address = "127.0.0.1:{first_port + 10}"
-[limits]
-drain = "5s"
-""")
-        self.log = (folder / ("node-%d.log" % index)).open("w")
-        self.start()
-
-    def start(self):
-        self.process = subprocess.Popen(
-            [str(self.binary), "--settings", str(self.file)], stdout=self.log)
+        super().__init__(binary, folder, index, first_port)
+        self.upstream = Upstream("u-%d" % index, SERVICE, self.at(UPSTREAM),
+                                 self.at(CONTROL))
+        self.launch(("127.0.0.1", first_port + 10))
 
     def ask(self, key, account_key="secret-key", path="/s/x"):
-        link = http.client.HTTPConnection(*self.callers, timeout=2)
+        link = http.client.HTTPConnection(*self.at(CALLERS), timeout=2)
         try:
             link.request("GET", path, headers={
                 "Host": "h", "Request-Id": os.urandom(8).hex(),
@@ -92,7 +49,8 @@
     def __init__(self, binary, first_port):
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.store = Store(("127.0.0.1", first_port + 10))
-        self.store.put("keyed.op", "config", json.dumps(CONFIGURATION).encode())
+        self.store.put("keyed.op", "config",
+                       make_configuration(1, "secret-key"))
         self.nodes = [Node(binary, self.folder, n, first_port)
                       for n in range(3)]
 
@@ -182,9 +140,7 @@
 
 
 def withdrawn_key(fleet):
-    changed = dict(CONFIGURATION, version="00000002", tenants=[])
-    changed["tenants"] = [{"name": "account", "apiKeys": ["other-key"]}]
-    fleet.store.put("keyed.op", "config", json.dumps(changed).encode())
+    fleet.store.put("keyed.op", "config", make_configuration(2, "other-key"))
     time.sleep(2)
     for node in fleet.nodes:
         assert node.ask(1)[0] == 401
@@ -206,7 +162,7 @@
         fleet.stop()
     finally:
         for node in fleet.nodes:
-            if node.process.poll() is None:
+            if node.is_running():
                 node.process.kill()
     print("1 passed, 0 failed")
 
--- a/Tests/Processes/soak.py
+++ b/Tests/Processes/soak.py
@@ -9,7 +9,6 @@
 """
 import argparse
 import http.client
-import json
 import os
 import pathlib
 import random
@@ -22,11 +21,12 @@
 import threading
 import time
 
+from sidecar_process import (CALLERS, CONTROL, SERVICE, UPSTREAM,
+                             SidecarProcess, configuration)
 from standin_platform import Store, Upstream
 
 NODES = 4
 CLIENTS = 6
-SERVICE = "scripts"
 # Of the settings below: a withdrawn key is refused within it.
 WITHDRAWN_KEY_S = 5.0
 # A message that its sender's pause or a link's repair held up may arrive late.
@@ -37,18 +37,8 @@
 PROMISES = (408, 421, 429, 503)
 
 
-def configuration(version, key):
-    route = {"host": "h", "timeout": "800ms", "latencySlo": "300ms",
-             "priority": 1, "service": SERVICE, "maxAttempts": 2,
-             "public": False}
-    return json.dumps({
-        "version": "%08x" % version,
-        "routes": [dict(route, name="s", pathPrefix="/s/", kind="safe"),
-                   dict(route, name="u", pathPrefix="/u/", kind="unsafe")],
-        "services": [{"name": SERVICE, "healthPath": "/healthz",
-                      "maxConnections": 100, "coldStart": "0s", "coldPerS": 0,
-                      "sharded": True, "warmup": "0s"}],
-        "tenants": [{"name": "account", "apiKeys": [key]}]}).encode()
+def make_configuration(version, key):
+    return configuration(version, key, {"safe": "/s/", "unsafe": "/u/"})
 
 
 class Proxy:
@@ -195,55 +185,18 @@
                                (request_id, status))
 
 
-class Node:
+class Node(SidecarProcess):
     def __init__(self, binary, folder, index, port, watch):
-        self.binary = binary
-        host = "127.0.0.%d" % (index + 1)
-        at = lambda n: (host, port + n)
-        text = lambda n: '"%s:%d"' % at(n)
-        self.links = {"store": Proxy(at(11), ("127.0.0.1", port + 10)),
-                      "upstream": Proxy(at(12), at(7)),
-                      "control": Proxy(at(13), at(2)),
-                      "callers": Proxy(at(14), at(0))}
-        self.entry = at(14)
-        self.upstream = Upstream("u-%d" % index, SERVICE, at(7), at(13), watch)
-        self.file = folder / ("node-%d.toml" % index)
-        self.file.write_text(f"""[node]
-name = "node-{index}"
-data_centre = "here"
-service = "{SERVICE}"
-[callers]
-listen = {text(0)}
-[peers]
-listen = {text(1)}
-[control]
-listen = {text(2)}
-[health]
-listen = {text(3)}
-[gossip]
-listen = {text(4)}
-[credit]
-listen = {text(5)}
-[relay]
-listen = {text(6)}
-[upstream]
-address = {text(12)}
-heartbeat = "300ms"
-[store]
-address = "{host}:{port + 11}"
-[limits]
-drain = "5s"
-""")
-        self.log = (folder / ("node-%d.log" % index)).open("a")
+        super().__init__(binary, folder, index, port)
+        self.links = {"store": Proxy(self.at(11), ("127.0.0.1", port + 10)),
+                      "upstream": Proxy(self.at(12), self.at(UPSTREAM)),
+                      "control": Proxy(self.at(13), self.at(CONTROL)),
+                      "callers": Proxy(self.at(14), self.at(CALLERS))}
+        self.entry = self.at(14)
+        self.upstream = Upstream("u-%d" % index, SERVICE, self.at(UPSTREAM),
+                                 self.at(13), watch)
         self.is_paused = False
-        self.start()
-
-    def start(self):
-        self.process = subprocess.Popen(
-            [str(self.binary), "--settings", str(self.file)], stdout=self.log)
-
-    def is_running(self):
-        return self.process.poll() is None
+        self.launch(self.at(11), self.at(12))
 
 
 class Soak:
@@ -253,7 +206,8 @@
         self.watch = Watch()
         self.store = Store(("127.0.0.1", port + 10))
         self.version, self.key = 1, "key-1"
-        self.store.put("keyed.op", "config", configuration(1, self.key))
+        self.store.put("keyed.op", "config",
+                       make_configuration(1, self.key))
         self.nodes = [Node(binary, self.folder, n, port, self.watch)
                       for n in range(NODES)]
         self.watch.upstreams = [it.upstream for it in self.nodes]
@@ -376,7 +330,7 @@
         if self.draw.random() < 0.5:
             self.key = "key-%d" % self.version
         self.store.put("keyed.op", "config",
-                       configuration(self.version, self.key))
+                       make_configuration(self.version, self.key))
         if former != self.key:
             self.watch.withdrawn[former] = time.monotonic()
 
