Tell which requests lose their connection, and what ended a process

Until now only caller_left and the count at the end of a process were logged. No decision changes.

- request_unanswered, and acacia_unanswered_total by cause
- stopped counts other nodes' requests too
- terminated names the exception that ends a process

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -21,6 +21,22 @@
 
 } // namespace
 
+std::string_view toString(UnansweredCause cause) {
+  switch (cause) {
+  case UnansweredCause::ClientLeft:
+    return "client left";
+  case UnansweredCause::WriteFailed:
+    return "write failed";
+  case UnansweredCause::WriteTimedOut:
+    return "write timed out";
+  case UnansweredCause::ServerStopped:
+    return "server stopped";
+  case UnansweredCause::Dropped:
+    return "dropped";
+  }
+  return "";
+}
+
 core::Result<std::unique_ptr<HttpServer>>
 HttpServer::create(boost::asio::io_context &loop, const core::Endpoint &listen,
                    ServerLimits limits, ExchangeHandler handler) {
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <unordered_set>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -67,6 +69,35 @@
 
 using ExchangeHandler = std::function<void(std::shared_ptr<Exchange>)>;
 
+/// Why a connection ended before its request was answered in full.
+enum class UnansweredCause : std::uint8_t {
+  ClientLeft,
+  WriteFailed,
+  /// The answer could not be written within the time allowed.
+  WriteTimedOut,
+  /// The server went away.
+  ServerStopped,
+  /// The handler gave the request up without an answer.
+  Dropped,
+};
+
+inline constexpr std::size_t UnansweredCauseCount =
+    static_cast<std::size_t>(UnansweredCause::Dropped) + 1;
+
+/// Returns the name of \p cause for logs.
+std::string_view toString(UnansweredCause cause);
+
+/// A request that was read and whose answer didn't go out.
+struct UnansweredRequest {
+  UnansweredCause Cause = UnansweredCause::ClientLeft;
+  /// Null once the answer was being written.
+  const HttpRequest *Request = nullptr;
+  /// Since the request was read, or since the answer was begun.
+  core::Duration Age{};
+};
+
+using UnansweredHook = std::function<void(const UnansweredRequest &)>;
+
 /// Listens on one address. All members are called on the loop's thread.
 class HttpServer {
 public:
@@ -78,6 +109,9 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
+  /// Sets what is told of each request that is lost with its connection.
+  void setOnUnanswered(UnansweredHook hook) { OnUnanswered = std::move(hook); }
+
   void setLimits(const ServerLimits &limits) { Limits = limits; }
   const ServerLimits &limits() const { return Limits; }
 
@@ -104,6 +138,7 @@
   boost::asio::steady_timer Sweep;
   ServerLimits Limits;
   ExchangeHandler Handler;
+  UnansweredHook OnUnanswered;
   std::unordered_set<ServerSession *> Sessions;
   std::size_t InFlight = 0;
   /// Bytes of bodies that sessions hold or have room reserved for.
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -42,11 +42,14 @@
 }
 
 ServerSession::~ServerSession() {
-  if (Server)
-    Server->Sessions.erase(this);
+  if (!Server)
+    return;
+  reportUnanswered(UnansweredCause::Dropped);
+  Server->Sessions.erase(this);
 }
 
 void ServerSession::detach() {
+  reportUnanswered(UnansweredCause::ServerStopped);
   Server = nullptr;
   close();
 }
@@ -209,15 +212,17 @@
 void ServerSession::onWritten(error_code ec, bool close) {
   Response.reset();
   releaseBody();
-  if (ec || close || State == Phase::Closed) {
-    if (!ec && State != Phase::Closed) {
-      error_code ignored; // The connection ends in any case.
-      Socket.shutdown(tcp::socket::shutdown_send, ignored);
-    }
-    this->close();
+  if (ec || State == Phase::Closed) {
+    this->close(UnansweredCause::WriteFailed);
     return;
   }
   enter(Phase::Idle);
+  if (close) {
+    error_code ignored; // The connection ends in any case.
+    Socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->close();
+    return;
+  }
   if (Buffer.size() > 0)
     read();
   else {
@@ -238,12 +243,23 @@
   const bool isStuck = (State == Phase::Writing || State == Phase::Reading) &&
                        now - Since > limits.IdleTimeout + limits.HeaderTimeout;
   if (isIdle || isSlow || isStuck)
-    close();
+    close(UnansweredCause::WriteTimedOut);
+}
+
+void ServerSession::reportUnanswered(UnansweredCause cause) {
+  const bool isBusy = State == Phase::Handling || State == Phase::Writing;
+  if (!isBusy || !Server || !Server->OnUnanswered)
+    return;
+  const auto exchange = Current.lock();
+  const bool isHandled = State == Phase::Handling && exchange;
+  Server->OnUnanswered({cause, isHandled ? &exchange->request() : nullptr,
+                        core::BootClock::now() - Since});
 }
 
-void ServerSession::close() {
+void ServerSession::close(UnansweredCause cause) {
   if (State == Phase::Closed)
     return;
+  reportUnanswered(cause);
   enter(Phase::Closed);
   releaseBody();
   error_code ignored; // Nothing is left to do on a failed close.
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -49,7 +49,9 @@
   void onRead(boost::beast::error_code ec);
   void refuse(boost::beast::error_code ec);
   void onWritten(boost::beast::error_code ec, bool close);
-  void close();
+  /// Tells the server if the connection ends with a request unanswered.
+  void reportUnanswered(UnansweredCause cause);
+  void close(UnansweredCause cause = UnansweredCause::ClientLeft);
 
   HttpServer *Server;
   boost::asio::ip::tcp::socket Socket;
--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -2,6 +2,10 @@
 /// acacia-sidecar: the router beside one upstream of the platform.
 
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <string_view>
 
 #include <fmt/core.h>
 #include <gflags/gflags.h>
@@ -29,6 +33,24 @@
 /// The settings are not valid.
 constexpr int ExitSettings = 2;
 
+/// Tells what ended the process, in one line beside those of the log.
+[[noreturn]] void onTerminate() {
+  std::string_view what = "no exception";
+  try {
+    if (const auto error = std::current_exception())
+      std::rethrow_exception(error);
+  } catch (const std::exception &error) {
+    what = error.what();
+  } catch (...) {
+    what = "an exception of unknown type";
+  }
+  fmt::print(R"({{"level":"error","event":"terminated","detail":"{}"}})"
+             "\n",
+             what);
+  std::fflush(stdout);
+  std::abort();
+}
+
 sidecar::SidecarParts makeParts() {
   sidecar::SidecarParts out;
   out.Dialect = adapter::makeDialect();
@@ -55,6 +77,7 @@
     fmt::print("{}", settings::renderSidecarReference());
     return 0;
   }
+  std::set_terminate(onTerminate);
   codec::silenceLibrary();
   const auto settings = settings::loadSidecarSettings(FLAGS_settings);
   if (!settings) {
--- a/Source/Proxy/TrafficCounters.cpp
+++ b/Source/Proxy/TrafficCounters.cpp
@@ -36,6 +36,11 @@
   counter("acacia_requests_total", counters.Requests);
   counter("acacia_answered_total", counters.Answered);
   counter("acacia_abandoned_total", counters.Abandoned);
+  fmt::format_to(to, "# TYPE acacia_unanswered_total counter\n");
+  for (std::size_t n = 0; n < counters.Unanswered.size(); ++n)
+    fmt::format_to(to, "acacia_unanswered_total{{cause=\"{}\"}} {}\n",
+                   net::toString(static_cast<net::UnansweredCause>(n)),
+                   counters.Unanswered[n]);
   counter("acacia_retries_total", counters.Retries);
   counter("acacia_orders_sent_total", counters.OrdersSent);
   counter("acacia_upstream_connects_total", counters.UpstreamConnects);
--- a/Source/Proxy/TrafficCounters.h
+++ b/Source/Proxy/TrafficCounters.h
@@ -10,6 +10,7 @@
 
 #include "Administration/LatencyHistogram.h"
 #include "Core/ErrorKind.h"
+#include "Net/HttpServer.h"
 
 namespace acaciaroad::proxy {
 
@@ -18,6 +19,8 @@
   std::uint64_t Requests = 0;
   std::uint64_t Answered = 0;
   std::uint64_t Abandoned = 0;
+  /// By net::UnansweredCause, requests lost with their connection.
+  std::array<std::uint64_t, net::UnansweredCauseCount> Unanswered{};
   std::uint64_t Retries = 0;
   std::uint64_t OrdersSent = 0;
   std::uint64_t UpstreamConnects = 0;
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -111,6 +111,8 @@
   CallerServer = std::move(*callers);
   PeerServer = std::move(*peers);
   HealthServer = std::move(*health);
+  watchUnanswered(*CallerServer, "callers");
+  watchUnanswered(*PeerServer, "peers");
   holdings::AgentIdentity agent{Settings.Node.Name, Settings.Node.DataCentre,
                                 Settings.Node.Service, Settings.Peers.Listen,
                                 core::randomId()};
@@ -127,6 +129,21 @@
   return ControlPart->start();
 }
 
+void Sidecar::watchUnanswered(net::HttpServer &server, std::string_view name) {
+  server.setOnUnanswered([this, name](const net::UnansweredRequest &it) {
+    ++Counters.Unanswered[static_cast<std::size_t>(it.Cause)];
+    const std::string_view id =
+        it.Request == nullptr ? ""
+                              : Parts.Dialect.ReadCaller(*it.Request).RequestId;
+    const auto ms = std::chrono::duration_cast<milliseconds>(it.Age);
+    Log->write(logging::Level::Info, "request_unanswered",
+               {{"request_id", id},
+                {"server", name},
+                {"cause", net::toString(it.Cause)},
+                {"ms", ms.count()}});
+  });
+}
+
 ControlHooks Sidecar::controlHooks() {
   return {[this](std::shared_ptr<const proxy::TrafficView> view) {
             boost::asio::post(TrafficLoop,
@@ -247,7 +264,8 @@
 void Sidecar::stop() {
   Log->write(logging::Level::Info, "stopped",
              {{"requests", Counters.Requests},
-              {"in_flight", CallerServer->inFlight()}});
+              {"in_flight", CallerServer->inFlight()},
+              {"orders", PeerServer->inFlight()}});
   ControlLoop.stop();
   TrafficLoop.stop();
 }
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -49,6 +49,8 @@
   core::Result<void> bind();
   core::Result<std::unique_ptr<net::HttpServer>>
   listen(const core::Endpoint &address, net::ExchangeHandler handler);
+  /// Has each request logged that \p server loses with its connection.
+  void watchUnanswered(net::HttpServer &server, std::string_view name);
   ControlHooks controlHooks();
   void onView(std::shared_ptr<const proxy::TrafficView> view);
   void answerHealth(const std::shared_ptr<net::Exchange> &exchange);
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -276,6 +276,57 @@
   cr_assert(hasLeft);
 }
 
+namespace {
+
+struct UnansweredRow {
+  const char *Name;
+  /// What happens to a request that has been read.
+  enum { Leave, Stop, Answer } What;
+  /// Empty if the request isn't lost.
+  const char *Cause;
+};
+
+const UnansweredRow UnansweredRows[] = {
+    {"the client leaves", UnansweredRow::Leave, "client left"},
+    {"the server goes away", UnansweredRow::Stop, "server stopped"},
+    {"the request is answered", UnansweredRow::Answer, ""},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(HttpServer, TellsOfUnansweredRequests, UnansweredRows) {
+  boost::asio::io_context loop;
+  std::shared_ptr<Exchange> kept;
+  auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      [&](const std::shared_ptr<Exchange> &exchange) { kept = exchange; });
+  std::string cause;
+  std::string id;
+  server->setOnUnanswered([&](const UnansweredRequest &it) {
+    cause = toString(it.Cause);
+    if (it.Request != nullptr)
+      id = fieldOf(*it.Request, "id");
+  });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server->port()}, makeOptions());
+  HttpRequest request(http::verb::get, "/", 11);
+  request.set("id", "1");
+  const auto call = client->send(std::move(request), [](const CallResult &) {});
+  loop.run_for(milliseconds(50));
+  cr_assert(kept != nullptr);
+  if (row.What == UnansweredRow::Leave)
+    call->cancel();
+  else if (row.What == UnansweredRow::Stop)
+    server.reset();
+  else
+    kept->respond(HttpResponse(http::status::ok, 11));
+  loop.restart();
+  loop.run_for(milliseconds(50));
+  cr_assert_eq(cause, row.Cause, "%s: %s", row.Name, cause.c_str());
+  cr_assert_eq(id, row.Cause[0] == '\0' ? "" : "1", "%s", row.Name);
+  client->dropIdle();
+}
+
 // After a pause of the process, an answer and its timeout are due at once. The
 // timeout must not end the call that uses the connection next.
 Test(SendWithTimeout, LeavesTheNextCallAlone) {
