--- a/Tests/Processes/sidecar_process.py
+++ b/Tests/Processes/sidecar_process.py
@@ -7,9 +7,9 @@
 CALLERS, PEERS, CONTROL, HEALTH, GOSSIP, CREDIT, RELAY, UPSTREAM = range(8)
 
 
-def configuration(version, key, kinds):
+def configuration(version, key, kinds, timeout="800ms"):
     """kinds has a path prefix for each kind of route."""
-    route = {"host": "h", "timeout": "800ms", "latencySlo": "300ms",
+    route = {"host": "h", "timeout": timeout, "latencySlo": "300ms",
              "priority": 1, "service": SERVICE, "maxAttempts": 2,
              "public": False}
     return json.dumps({
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import tempfile
+import threading
 import time
 
 from sidecar_process import (CALLERS, CONTROL, SERVICE, UPSTREAM,
@@ -16,6 +17,8 @@
 from standin_platform import Store, Upstream
 
 KEYS = range(0, 65536, 4096)
+# Of the stand-in upstreams.
+SLOTS = 8
 
 
 def make_configuration(version, key):
@@ -29,17 +32,21 @@
                                  self.at(CONTROL))
         self.launch(("127.0.0.1", first_port + 10))
 
-    def ask(self, key, account_key="secret-key", path="/s/x"):
-        link = http.client.HTTPConnection(*self.at(CALLERS), timeout=2)
+    def ask(self, key, account_key="secret-key", path="/s/x", request_id=None,
+            patience_s=0.8):
+        """Returns status and body; status 0 means that no answer came."""
+        link = http.client.HTTPConnection(*self.at(CALLERS),
+                                          timeout=patience_s + 1.2)
         try:
             link.request("GET", path, headers={
-                "Host": "h", "Request-Id": os.urandom(8).hex(),
-                "Deadline-Ms": "800", "Shard-Key": str(key),
+                "Host": "h", "Request-Id": request_id or os.urandom(8).hex(),
+                "Deadline-Ms": str(int(patience_s * 1000)),
+                "Shard-Key": str(key),
                 "Tenant": "forged",
                 "Authorization": "Bearer " + account_key})
             answer = link.getresponse()
             return answer.status, answer.read()
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return 0, b""
         finally:
             link.close()
@@ -147,9 +154,48 @@
         assert node.ask(1, account_key="other-key")[0] == 200
 
 
+def open_requests_at_stop(fleet):
+    """A node that stops answers all that it has read, though the upstream
+    beside another node outlasts it."""
+    fleet.store.put("keyed.op", "config",
+                    configuration(2, "secret-key",
+                                  {"safe": "/s/", "unsafe": "/u/"},
+                                  timeout="20s"))
+    time.sleep(2)
+    entry, holder = fleet.nodes[0], fleet.nodes[1]
+    key = holder.upstream.held[0][0]
+    ids = ["%016x" % n for n in range(SLOTS + 4)]
+    answers = {}
+    holder.upstream.may_end.clear()
+
+    def ask(request_id):
+        answers[request_id] = entry.ask(key, path="/u/x", request_id=request_id,
+                                        patience_s=10)[0]
+    callers = [threading.Thread(target=ask, args=(it,)) for it in ids]
+    for it in callers:
+        it.start()
+        time.sleep(0.02)
+    time.sleep(0.3)
+    entry.process.send_signal(signal.SIGTERM)
+    assert entry.process.wait(8) == 0
+    for it in callers:
+        it.join()
+    holder.upstream.may_end.set()
+    time.sleep(0.5)
+    ran = set(holder.upstream.runs).intersection(ids)
+    assert len(ran) == SLOTS, ran
+    unanswered = [it for it in ids if answers[it] == 0]
+    assert not unanswered, "%d of %d without an answer" % (len(unanswered),
+                                                           len(ids))
+    false = [it for it in ids if answers[it] == 503 and it in ran]
+    assert not false, false
+    entry.start()
+    assert fleet.wait_served(10), fleet.served()
+
+
 ROWS = {row.__name__: row for row in (calm, killed_node, lost_node,
                                       restarted_upstream, store_outage,
-                                      withdrawn_key)}
+                                      withdrawn_key, open_requests_at_stop)}
 
 
 def main():
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -158,6 +158,9 @@
         self.name, self.service, self.watch = name, service, watch
         self.address, self.control = address, control
         self.lock = threading.Lock()
+        # Requests run until it is set.
+        self.may_end = threading.Event()
+        self.may_end.set()
         self.start()
 
     def start(self):
@@ -199,6 +202,7 @@
             self.runs.append(call.headers["Request-Id"])
             if self.watch:
                 self.watch.ran(self, call.headers["Request-Id"], call.path)
+            self.may_end.wait()
             call.answer(200, b"whole", common + [("Response-Signature", "s")])
 
     def beat(self, born):
