Answer every open request before a node stops

Callers saw their connection end without an answer (LOST) when the node that had read their request was stopped and the request outlasted the drain.

Cause: Sidecar::continueDrain stopped the loops at limits.drain less 0.8 s, whatever was open; the sessions closed their sockets. Requests that only waited at another node, or in the node's own queue, were lost like those that ran. Other nodes' orders that waited here were broken off too, which told their callers 'unknown' for work that had not run. The fixed 0.8 s also ended drains of less than 4.8 s before five sixths of them were over. Requests that were still being read did not count as open.

The steps of a stop are now one pure aggregate, DrainPlan: serve until clients have seen the failing health checks, refuse, conclude, stop. Concluding answers each open request: taken back from the queue as not run, otherwise unknown. Requests that come after the signal get no more time than is left until then, so that other nodes refuse those that can't end in time.

--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -122,7 +122,8 @@
   /// Returns the port that the system chose for port 0.
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
 
-  /// Number of requests without a complete answer, and of open connections.
+  /// Number of requests without a complete answer, those included that are
+  /// still being read, and of open connections.
   std::size_t inFlight() const { return InFlight; }
   std::size_t connections() const { return Sessions.size(); }
 
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -57,8 +57,11 @@
 void ServerSession::start() { waitReadable(); }
 
 void ServerSession::enter(Phase phase) {
-  const bool wasBusy = State == Phase::Handling || State == Phase::Writing;
-  const bool isBusy = phase == Phase::Handling || phase == Phase::Writing;
+  const auto hasRequest = [](Phase it) {
+    return it != Phase::Idle && it != Phase::Closed;
+  };
+  const bool wasBusy = hasRequest(State);
+  const bool isBusy = hasRequest(phase);
   if (Server && isBusy && !wasBusy)
     ++Server->InFlight;
   if (Server && wasBusy && !isBusy)
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -37,6 +37,7 @@
 }
 
 void EntryRun::start() {
+  Entry.Open.insert(shared_from_this());
   Exchange->setOnAbandoned([self = shared_from_this()] { self->abandon(); });
   Timer.expires_after(Deadline - core::BootClock::now());
   Timer.async_wait([self = shared_from_this()](boost::beast::error_code ec) {
@@ -257,8 +258,21 @@
   fail(step.Reason);
 }
 
+void EntryRun::conclude() {
+  if (IsOver)
+    return;
+  if (Ticket && Entry.Own.withdraw(*Ticket)) {
+    Plan.withdrawn();
+    Ticket.reset();
+  }
+  const requests::Step step = Plan.giveUp(ErrorKind::NodeStopping);
+  cancelAttempt();
+  fail(step.Reason);
+}
+
 void EntryRun::finish() {
   IsOver = true;
+  Entry.Open.erase(shared_from_this());
   Timer.cancel();
   Call.reset();
   Ticket.reset();
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -30,6 +30,9 @@
 
   void start();
 
+  /// Answers the request now, whatever is still under way.
+  void conclude();
+
 private:
   void attempt();
   const Peer *choosePeer(core::TimePoint now);
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -198,7 +198,9 @@
   }
   const core::Duration patience =
       std::min(caller.Patience.value_or(route.Timeout), route.Timeout);
-  const core::TimePoint deadline = exchange->Received + patience;
+  core::TimePoint deadline = exchange->Received + patience;
+  if (EndsAt)
+    deadline = std::min(deadline, *EndsAt);
   auto plan = AttemptPlan::create(policyOf(route), deadline, now);
   ServiceState *state = stateOf(service);
   if (!plan || state == nullptr) {
@@ -214,6 +216,12 @@
       ->start();
 }
 
+void EntryService::conclude() {
+  // Each leaves the set as it is answered.
+  for (const auto &it : std::set(Open))
+    it->conclude();
+}
+
 void EntryService::giveBack(const routing::ClientAccount *account) {
   if (account != nullptr)
     Shares.giveBack(account->Name, core::BootClock::now());
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,9 +67,15 @@
     ConfirmedAt = std::max(ConfirmedAt, asked);
   }
 
+  /// The node stops at \p end: requests that come get no more time than that.
+  void stopAt(core::TimePoint end) { EndsAt = end; }
+
   /// New requests are refused from now on.
   void beginDrain() { Draining = true; }
 
+  /// Answers all open requests: those that have not been sent as not run.
+  void conclude();
+
   void handle(const std::shared_ptr<net::Exchange> &exchange);
 
   /// Lets the node borrow shares of accounts at \p listen. Fails with
@@ -114,6 +122,9 @@
   std::shared_ptr<const TrafficView> View;
   core::TimePoint ConfirmedAt{};
   bool Draining = false;
+  std::optional<core::TimePoint> EndsAt;
+  /// Requests without an answer.
+  std::set<std::shared_ptr<EntryRun>> Open;
   accounts::AccountShares Shares;
   std::unique_ptr<CreditExchange> Credit;
   routing::TrafficSplit Split;
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -73,6 +73,13 @@
   });
 }
 
+void PeerService::conclude() {
+  for (const auto &[room, exchange] : std::exchange(Waiting, {})) {
+    Gate.cancel(room);
+    refuseRoom(*exchange);
+  }
+}
+
 void PeerService::handle(const std::shared_ptr<net::Exchange> &exchange) {
   net::HttpRequest &request = exchange->request();
   if (const auto bytes = readRoomRequest(request)) {
--- a/Source/Proxy/PeerService.h
+++ b/Source/Proxy/PeerService.h
@@ -32,6 +32,9 @@
   /// or tells whether a large body may come.
   void handle(const std::shared_ptr<net::Exchange> &exchange);
 
+  /// Refuses the large bodies that wait for room.
+  void conclude();
+
 private:
   void askForRoom(const std::shared_ptr<net::Exchange> &exchange,
                   std::uint64_t bytes);
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -329,15 +329,25 @@
     handler(std::move(result));
 }
 
+void UpstreamService::conclude() {
+  for (const upstream::Dequeued &it : Queue.refuseAll(ErrorKind::NodeStopping))
+    refuse(it.Id, it.Reason);
+  for (const upstream::Ticket it : Handovers.takeAll())
+    refuse(it, ErrorKind::NodeStopping);
+}
+
+bool UpstreamService::withdraw(upstream::Ticket id) {
+  if (!Queue.cancel(id) && !Handovers.cancel(id))
+    return false;
+  Orders.erase(id);
+  return true;
+}
+
 void UpstreamService::abandon(upstream::Ticket id) {
   const auto it = Orders.find(id);
-  if (it == Orders.end())
+  if (it == Orders.end() || withdraw(id))
     return;
   it->second.Handler = nullptr;
-  if (Queue.cancel(id) || Handovers.cancel(id)) {
-    Orders.erase(it);
-    return;
-  }
   if (it->second.Data.Kind == routing::WorkKind::Idempotent)
     it->second.CutAt = core::BootClock::now() + AbandonGrace;
 }
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -75,10 +75,17 @@
   /// New orders are refused from now on.
   void beginDrain() { Draining = true; }
 
+  /// Refuses the orders that wait.
+  void conclude();
+
   /// Runs or refuses an order. \p handler is called once, perhaps before this
   /// returns. The ticket is for `abandon`.
   upstream::Ticket offer(Order order, OrderHandler handler);
 
+  /// Takes an order back; returns false if it has been sent already. Its
+  /// handler is not called.
+  bool withdraw(upstream::Ticket id);
+
   /// Nobody waits for the order any more: it does not start, and if it may be
   /// repeated, it is broken off soon.
   void abandon(upstream::Ticket id);
--- a/Source/Requests/AttemptPlan.h
+++ b/Source/Requests/AttemptPlan.h
@@ -56,8 +56,12 @@
   /// Returns whether a hedge may be sent now, and takes it from the budget.
   bool takeHedge(RetryBudget &budget, core::TimePoint now);
 
-  /// The deadline passed: ends the request with attempts still under way.
-  Step timedOut();
+  /// Ends the request with attempts still under way; \p reason is told if they
+  /// don't leave the outcome unknown.
+  Step giveUp(core::ErrorKind reason);
+
+  /// The deadline passed.
+  Step timedOut() { return giveUp(core::ErrorKind::DeadlineTooShort); }
 
 private:
   AttemptPlan(const RequestPolicy &policy, core::TimePoint deadline);
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -11,9 +11,6 @@
 /// Room for a request to reach its upstream, and for clocks that differ.
 constexpr core::Duration KeyRequestRoom = std::chrono::milliseconds(900);
 
-/// Room for the process to end after its last request.
-constexpr core::Duration ExitRoom = std::chrono::milliseconds(800);
-
 core::Endpoint endpointOf(std::string_view text) {
   return core::parseEndpoint(text).value_or(core::Endpoint{});
 }
@@ -121,7 +118,7 @@
     textField<SidecarSettings>(
         "limits", "drain", TextKind::Duration, "5s",
         [](SidecarSettings &it, std::string_view s) {
-          it.Limits.Drain = durationOf(s) - ExitRoom;
+          it.Limits.Drain = durationOf(s);
         },
         "Time from SIGTERM to the end of the process at the latest."),
     textField<SidecarSettings>(
--- /dev/null
+++ b/Source/Sidecar/DrainPlan.cpp
@@ -0,0 +1,43 @@
+#include "Sidecar/DrainPlan.h"
+
+#include <algorithm>
+
+namespace acaciaroad::sidecar {
+
+namespace {
+
+/// Clients stop sending new work after two health checks, a second apart.
+constexpr core::Duration ReadyDrain = std::chrono::milliseconds(2300);
+
+/// Share of the time allowed, in percent, after which the requests that are
+/// left are answered; above five sixths of it, up to which operators expect
+/// upstreams to be waited for.
+constexpr int ConclusionPercent = 87;
+
+/// Share of the time allowed, in percent, at which the process ends with
+/// answers that could not be written.
+constexpr int EndPercent = 92;
+
+} // namespace
+
+core::Result<DrainPlan> DrainPlan::create(core::Duration allowed) {
+  if (allowed <= core::Duration::zero())
+    return core::fail(core::ErrorKind::InvalidArgument,
+                      "the time allowed for a stop is not positive");
+  return DrainPlan(allowed);
+}
+
+DrainPlan::DrainPlan(core::Duration allowed)
+    : Readiness(std::min<core::Duration>(ReadyDrain, allowed / 2)),
+      Conclusion(allowed * ConclusionPercent / 100),
+      End(allowed * EndPercent / 100) {}
+
+DrainStep DrainPlan::next(core::Duration age, bool isIdle) const {
+  if (age < Readiness)
+    return DrainStep::Serve;
+  if (isIdle || age >= End)
+    return DrainStep::Stop;
+  return age < Conclusion ? DrainStep::Refuse : DrainStep::Conclude;
+}
+
+} // namespace acaciaroad::sidecar
--- /dev/null
+++ b/Source/Sidecar/DrainPlan.h
@@ -0,0 +1,51 @@
+/// \file
+/// The steps by which a node stops.
+
+#ifndef ACACIAROAD_SIDECAR_DRAINPLAN_H
+#define ACACIAROAD_SIDECAR_DRAINPLAN_H
+
+#include <cstdint>
+
+#include "Core/Clock.h"
+#include "Core/Error.h"
+
+namespace acaciaroad::sidecar {
+
+/// What a node that was asked to stop does at a moment.
+enum class DrainStep : std::uint8_t {
+  /// Serves on, until its clients have seen its failing health checks.
+  Serve,
+  /// Refuses new requests and waits for the answers to those it has.
+  Refuse,
+  /// Answers the requests that are left itself.
+  Conclude,
+  /// Ends the process.
+  Stop,
+};
+
+/// Pure; it leaves each request enough time to be answered before the process
+/// is killed.
+class DrainPlan {
+public:
+  /// \p allowed is the time from the signal until the process is killed. Fails
+  /// with InvalidArgument unless it is positive.
+  static core::Result<DrainPlan> create(core::Duration allowed);
+
+  /// \p age is the time since the signal; \p isIdle tells that no request is
+  /// without its answer.
+  DrainStep next(core::Duration age, bool isIdle) const;
+
+  /// Time from the signal until the requests that are left are answered.
+  core::Duration concludesAfter() const { return Conclusion; }
+
+private:
+  explicit DrainPlan(core::Duration allowed);
+
+  core::Duration Readiness;
+  core::Duration Conclusion;
+  core::Duration End;
+};
+
+} // namespace acaciaroad::sidecar
+
+#endif
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// Clients stop sending new work after two health checks, a second apart.
-constexpr core::Duration ReadyDrain = milliseconds(2300);
-
 /// Interval at which a drain looks for the end of the last request.
 constexpr core::Duration DrainInterval = milliseconds(50);
 
@@ -52,19 +49,21 @@
   auto logger = logging::Logger::create(std::move(options));
   if (!logger)
     return tl::unexpected(logger.error());
+  const auto drain = DrainPlan::create(settings.Limits.Drain);
+  if (!drain)
+    return tl::unexpected(drain.error());
   std::unique_ptr<Sidecar> out(
-      new Sidecar(settings, std::move(parts), std::move(*logger)));
+      new Sidecar(settings, *drain, std::move(parts), std::move(*logger)));
   if (auto done = out->bind(); !done)
     return tl::unexpected(done.error());
   return out;
 }
 
-Sidecar::Sidecar(const settings::SidecarSettings &settings, SidecarParts parts,
-                 std::shared_ptr<logging::Logger> logger)
-    : Settings(settings), DrainLimit(settings.Limits.Drain),
-      Parts(std::move(parts)), Log(std::move(logger)),
-      Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP), DrainTimer(TrafficLoop),
-      SettingsTimer(ControlLoop) {}
+Sidecar::Sidecar(const settings::SidecarSettings &settings, DrainPlan drain,
+                 SidecarParts parts, std::shared_ptr<logging::Logger> logger)
+    : Settings(settings), Drain(drain), Parts(std::move(parts)),
+      Log(std::move(logger)), Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP),
+      DrainTimer(TrafficLoop), SettingsTimer(ControlLoop) {}
 
 Sidecar::~Sidecar() = default;
 
@@ -234,23 +233,41 @@
 }
 
 void Sidecar::beginDrain() {
+  const auto now = core::BootClock::now();
   Draining = true;
-  continueDrain(core::BootClock::now());
+  Entry->stopAt(now + Drain.concludesAfter());
+  continueDrain(now);
+}
+
+void Sidecar::refuseNewRequests() {
+  if (CallerServer->isDraining())
+    return;
+  CallerServer->beginDrain();
+  PeerServer->beginDrain();
+  Entry->beginDrain();
+  Upstream->beginDrain();
+}
+
+void Sidecar::concludeRequests() {
+  Entry->conclude();
+  Peers->conclude();
+  Upstream->conclude();
 }
 
 void Sidecar::continueDrain(core::TimePoint started) {
-  const core::Duration age = core::BootClock::now() - started;
-  if (age >= ReadyDrain && !CallerServer->isDraining()) {
-    CallerServer->beginDrain();
-    PeerServer->beginDrain();
-    Entry->beginDrain();
-    Upstream->beginDrain();
-  }
   const bool isIdle =
       CallerServer->inFlight() == 0 && PeerServer->inFlight() == 0;
-  const bool isOver =
-      (CallerServer->isDraining() && isIdle) || age >= DrainLimit;
-  if (isOver) {
+  switch (Drain.next(core::BootClock::now() - started, isIdle)) {
+  case DrainStep::Serve:
+    break;
+  case DrainStep::Refuse:
+    refuseNewRequests();
+    break;
+  case DrainStep::Conclude:
+    refuseNewRequests();
+    concludeRequests();
+    break;
+  case DrainStep::Stop:
     stop();
     return;
   }
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -16,6 +16,7 @@
 #include "Proxy/PeerService.h"
 #include "Settings/SidecarSettings.h"
 #include "Sidecar/Control.h"
+#include "Sidecar/DrainPlan.h"
 
 namespace acaciaroad::sidecar {
 
@@ -44,8 +45,8 @@
   void run();
 
 private:
-  Sidecar(const settings::SidecarSettings &settings, SidecarParts parts,
-          std::shared_ptr<logging::Logger> logger);
+  Sidecar(const settings::SidecarSettings &settings, DrainPlan drain,
+          SidecarParts parts, std::shared_ptr<logging::Logger> logger);
   core::Result<void> bind();
   core::Result<std::unique_ptr<net::HttpServer>>
   listen(const core::Endpoint &address, net::ExchangeHandler handler);
@@ -61,12 +62,14 @@
   void watchSettings();
   void beginDrain();
   void continueDrain(core::TimePoint started);
+  void refuseNewRequests();
+  void concludeRequests();
   void stop();
 
   /// Changed by the control thread alone once it runs; what the traffic thread
   /// reads stays as it was at the start.
   settings::SidecarSettings Settings;
-  const core::Duration DrainLimit;
+  const DrainPlan Drain;
   SidecarParts Parts;
   std::shared_ptr<logging::Logger> Log;
   /// Declared before all that lives on them.
--- a/Source/Upstream/HandoverWait.cpp
+++ b/Source/Upstream/HandoverWait.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace acaciaroad::upstream {
 
@@ -24,6 +25,13 @@
   return true;
 }
 
+std::vector<Ticket> HandoverWait::takeAll() {
+  std::vector<Ticket> out;
+  for (const auto &[id, entry] : std::exchange(Waiting, {}))
+    out.push_back(id);
+  return out;
+}
+
 std::vector<HandoverWait::Settled> HandoverWait::settle(
     const std::function<KeyStanding(std::uint32_t)> &standingOf,
     core::TimePoint now) {
--- a/Source/Upstream/HandoverWait.h
+++ b/Source/Upstream/HandoverWait.h
@@ -38,6 +38,9 @@
   /// Takes an order out; returns false if it does not wait.
   bool cancel(Ticket id) { return Waiting.erase(id) > 0; }
 
+  /// Takes all orders out, in the order of their coming.
+  std::vector<Ticket> takeAll();
+
   /// An order that waits no more; Awaited if it has waited for too long.
   struct Settled {
     Ticket Id = 0;
--- a/Tests/Requests/AttemptPlanTest.cpp
+++ b/Tests/Requests/AttemptPlanTest.cpp
@@ -198,6 +198,19 @@
   cr_assert(!AttemptPlan::create(policy(Idempotent), Start, Start));
 }
 
+Test(AttemptPlanTest, stopTellsNotRunUnlessAnOrderIsUnderWay) {
+  for (const bool isUnderWay : {false, true}) {
+    AttemptPlan plan =
+        AttemptPlan::create(policy(AtMostOnce), Start + seconds(1), Start)
+            .value();
+    plan.started();
+    if (!isUnderWay)
+      plan.withdrawn();
+    cr_assert(plan.giveUp(E::NodeStopping).Reason ==
+              (isUnderWay ? E::OutcomeUnknown : E::NodeStopping));
+  }
+}
+
 Test(AttemptPlanTest, onlyIdempotentClassesAreHedged) {
   for (const Execution runs : {Idempotent, AtMostOnce}) {
     RetryBudget budget = RetryBudget::create(1, Start).value();
--- a/Tests/Upstream/HandoverWaitTest.cpp
+++ b/Tests/Upstream/HandoverWaitTest.cpp
@@ -71,6 +71,14 @@
   cr_assert(wait.isEmpty());
 }
 
+Test(HandoverWait, GivesAllBack) {
+  HandoverWait wait;
+  for (const Ticket it : {2U, 1U})
+    cr_assert(wait.add(it, 1, TimePoint() + milliseconds(500), TimePoint()));
+  cr_assert(wait.takeAll() == std::vector<Ticket>({1, 2}));
+  cr_assert(wait.isEmpty());
+}
+
 Test(HandoverWait, IsBounded) {
   HandoverWait wait;
   Ticket id = 0;
