An answer that ends its connection isn't dropped with it

Callers could lose an answer that had been written: the node closed the connection right behind it while bytes of the client were unread, so the kernel reset the connection and dropped what hadn't gone out (or, across a network, the reset overtook the answer).

The session now ends its sending half, drops what comes until the client closes, and closes after 2 s at the latest. After: the whole answer comes.

--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -19,6 +19,14 @@
 /// uploads.
 constexpr std::uint64_t ChunkedReserve = 256U << 10U;
 
+/// A client has this long to take in an answer that ends its connection; some
+/// retransmissions. Closing with unread bytes would reset the connection and
+/// drop the answer.
+constexpr core::Duration LingerTimeout = std::chrono::seconds(2);
+
+/// Read at a time of what is dropped.
+constexpr std::size_t DiscardBytes = 4096;
+
 } // namespace
 
 void Exchange::respond(HttpResponse response) {
@@ -58,7 +66,8 @@
 
 void ServerSession::enter(Phase phase) {
   const auto hasRequest = [](Phase it) {
-    return it != Phase::Idle && it != Phase::Closed;
+    return it == Phase::Reading || it == Phase::Handling ||
+           it == Phase::Writing;
   };
   const bool wasBusy = hasRequest(State);
   const bool isBusy = hasRequest(phase);
@@ -220,13 +229,9 @@
     return;
   }
   enter(Phase::Idle);
-  if (close) {
-    error_code ignored; // The connection ends in any case.
-    Socket.shutdown(tcp::socket::shutdown_send, ignored);
-    this->close();
-    return;
-  }
-  if (Buffer.size() > 0)
+  if (close)
+    linger();
+  else if (Buffer.size() > 0)
     read();
   else {
     // Gives the memory of a large request back while the client is idle.
@@ -235,6 +240,30 @@
   }
 }
 
+void ServerSession::linger() {
+  enter(Phase::Lingering);
+  Buffer = {};
+  error_code ec;
+  Socket.shutdown(tcp::socket::shutdown_send, ec);
+  if (ec)
+    close();
+  else
+    discard();
+}
+
+void ServerSession::discard() {
+  Socket.async_read_some(
+      Buffer.prepare(DiscardBytes),
+      [self = shared_from_this()](error_code ec, std::size_t) {
+        if (self->State != Phase::Lingering)
+          return;
+        if (ec)
+          self->close();
+        else
+          self->discard();
+      });
+}
+
 void ServerSession::closeIfLate(core::TimePoint now) {
   if (!Server)
     return;
@@ -245,7 +274,9 @@
                       now - Since > limits.HeaderTimeout;
   const bool isStuck = (State == Phase::Writing || State == Phase::Reading) &&
                        now - Since > limits.IdleTimeout + limits.HeaderTimeout;
-  if (isIdle || isSlow || isStuck)
+  const bool hasLingered =
+      State == Phase::Lingering && now - Since > LingerTimeout;
+  if (isIdle || isSlow || isStuck || hasLingered)
     close(UnansweredCause::WriteTimedOut);
 }
 
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -33,7 +33,7 @@
   void detach();
 
 private:
-  enum class Phase { Idle, Reading, Handling, Writing, Closed };
+  enum class Phase { Idle, Reading, Handling, Writing, Lingering, Closed };
 
   void enter(Phase phase);
   void waitReadable();
@@ -49,6 +49,9 @@
   void onRead(boost::beast::error_code ec);
   void refuse(boost::beast::error_code ec);
   void onWritten(boost::beast::error_code ec, bool close);
+  /// Ends the sending half and drops what comes until the client closes too.
+  void linger();
+  void discard();
   /// Tells the server if the connection ends with a request unanswered.
   void reportUnanswered(UnansweredCause cause);
   void close(UnansweredCause cause = UnansweredCause::ClientLeft);
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -253,6 +253,71 @@
                row.Name, answer.c_str());
 }
 
+namespace {
+
+/// In bytes; the answer doesn't fit into what the client takes in unread.
+constexpr std::size_t LargeAnswer = 300'000;
+constexpr int SmallWindow = 4096;
+
+/// Requests that are answered while their client still sends.
+const RequestRow EarlyAnswerRows[] = {
+    {"a body above the limit",
+     "POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n", 0,
+     "HTTP/1.1 413 Payload Too Large"},
+    {"a body beyond what is held",
+     "POST / HTTP/1.1\r\nContent-Length: 550000\r\n\r\n", 0,
+     "HTTP/1.1 503 Service Unavailable"},
+    {"no HTTP", "garbage\r\n\r\n", 0, "HTTP/1.1 400 Bad Request"},
+    {"bytes behind the last request",
+     "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", 1,
+     "HTTP/1.1 200 OK"},
+};
+
+} // namespace
+
+// Closing a socket with unread bytes resets it, and drops what has not gone
+// out.
+ACACIA_TABLE_TEST(HttpServer, AnswerOutlivesUnreadBytes, EarlyAnswerRows) {
+  boost::asio::io_context loop;
+  int requests = 0;
+  const auto server =
+      HttpServer::create(loop, {"127.0.0.1", 0},
+                         {4096, 600'000, seconds(1), seconds(2), 512U << 10U},
+                         [&](const std::shared_ptr<Exchange> &exchange) {
+                           ++requests;
+                           HttpResponse out(http::status::ok, 11);
+                           out.body().assign(LargeAnswer, 'x');
+                           exchange->respond(std::move(out));
+                         });
+  cr_assert(server.has_value());
+  tcp::socket socket(loop, tcp::v4());
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(SmallWindow));
+  socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
+  const std::string sent = row.Bytes + std::string(4U << 20U, 'x');
+  boost::asio::async_write(socket, boost::asio::buffer(sent),
+                           [](error_code, std::size_t) {});
+  // The client reads only after it has sent for a while.
+  std::string answer;
+  error_code end;
+  boost::asio::steady_timer timer(loop, milliseconds(200));
+  timer.async_wait([&](error_code) {
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer),
+                            [&](error_code ec, std::size_t) {
+                              end = ec;
+                              loop.stop();
+                            });
+  });
+  loop.run_for(seconds(3));
+  cr_assert_eq(requests, row.Requests, "%s: %d", row.Name, requests);
+  cr_assert_eq(answer.substr(0, answer.find("\r\n")), row.Status, "%s: %s",
+               row.Name, answer.c_str());
+  if (row.Requests > 0)
+    cr_assert_gt(answer.size(), LargeAnswer, "%s: %zu", row.Name,
+                 answer.size());
+  cr_assert(end == boost::asio::error::eof, "%s: %s", row.Name,
+            end.message().c_str());
+}
+
 Test(HttpServer, TellsThatAClientHasLeft) {
   boost::asio::io_context loop;
   bool hasLeft = false;
