Soak: callers that wait longer than a drain, and requests without an answer

The soak took each connection that ended as 'promises nothing' and sent requests with 0.8 s to live, so that no request outlasted the drain of a node. Now upstreams stand still by turns, half of the requests have 7 s, there are 12 callers, and a request that ran and whose connection ends without an answer breaks a promise, unless its node was killed or paused or its link disturbed since it was sent.

--- a/Tests/Processes/soak.py
+++ b/Tests/Processes/soak.py
@@ -26,19 +26,22 @@
 from standin_platform import Store, Upstream
 
 NODES = 4
-CLIENTS = 6
+CLIENTS = 12
 # Of the settings below: a withdrawn key is refused within it.
 WITHDRAWN_KEY_S = 5.0
 # A message that its sender's pause or a link's repair held up may arrive late.
 THAW_S = 0.3
 # The lease, a turn, and two heartbeats, after all is well again.
 RECOVERY_S = 15.0
+# Of the routes; beyond the time that a node has to stop.
+LONGEST_CALL_S = 7.0
 # Requests that are refused with these never run.
 PROMISES = (408, 421, 429, 503)
 
 
 def make_configuration(version, key):
-    return configuration(version, key, {"safe": "/s/", "unsafe": "/u/"})
+    return configuration(version, key, {"safe": "/s/", "unsafe": "/u/"},
+                         timeout="%ds" % LONGEST_CALL_S)
 
 
 class Proxy:
@@ -48,7 +51,7 @@
 
     def __init__(self, listen, target):
         self.target, self.mode, self.links = target, "open", set()
-        self.healed_at = 0.0
+        self.disturbed_at = 0.0
         self.listener = socket.create_server(listen, reuse_port=False)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -93,7 +96,12 @@
             except OSError:
                 pass  # Closed by the other direction.
 
+    def disturb(self, mode):
+        self.disturbed_at = time.monotonic()
+        self.mode = mode
+
     def reset(self):
+        self.disturbed_at = time.monotonic()
         for near, far in list(self.links):
             for it in (near, far):
                 try:
@@ -104,9 +112,7 @@
                     pass  # Closed already.
 
     def heal(self):
-        if self.mode != "open":
-            self.healed_at = time.monotonic()
-        self.mode = "open"
+        self.disturb("open")
 
     def close(self):
         # Ends the wait for a connection, which would keep the port.
@@ -167,6 +173,15 @@
             elif sent > self.withdrawn.get(key, sent) + WITHDRAWN_KEY_S:
                 self.fault("%s ran with a withdrawn key" % request_id)
 
+    def unanswered(self, request_id, disturbed_at):
+        """The connection of a request ended, or was given up, without an
+        answer; its node or its link was last disturbed at disturbed_at."""
+        with self.lock:
+            sent = self.sent[request_id][1]
+            if request_id in self.runs and sent > disturbed_at:
+                self.fault("%s ran and got no answer in %.1f s" %
+                           (request_id, time.monotonic() - sent))
+
     def answered(self, request_id, path, status, headers, body):
         with self.lock:
             ran = self.runs.get(request_id, 0)
@@ -196,12 +211,24 @@
         self.upstream = Upstream("u-%d" % index, SERVICE, self.at(UPSTREAM),
                                  self.at(13), watch)
         self.is_paused = False
+        self.killed_at = 0.0
         self.launch(self.at(11), self.at(12))
 
+    def kill(self):
+        self.killed_at = time.monotonic()
+        self.process.kill()
+        self.process.wait()
+
+    def disturbed_at(self):
+        """Since then, what callers see is the node's own doing."""
+        if self.is_paused or self.links["callers"].mode != "open":
+            return time.monotonic()
+        return max(self.killed_at, self.links["callers"].disturbed_at)
+
 
 class Soak:
     def __init__(self, binary, port, seed):
-        self.draw = random.Random(seed)
+        self.seed, self.draw = seed, random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-%d-" % seed))
         self.watch = Watch()
         self.store = Store(("127.0.0.1", port + 10))
@@ -211,18 +238,23 @@
         self.nodes = [Node(binary, self.folder, n, port, self.watch)
                       for n in range(NODES)]
         self.watch.upstreams = [it.upstream for it in self.nodes]
-        self.is_over = False
+        self.is_over, self.calm = False, threading.Event()
         self.later = []
 
-    def call(self, link, path, key, account_key):
+    def call(self, node, link, path, key, patience_s=0.8):
         request_id = os.urandom(8).hex()
-        self.watch.sent[request_id] = (account_key, time.monotonic())
+        self.watch.sent[request_id] = (self.key, time.monotonic())
         body = b"x" * 100 if path.startswith("/u/") else None
-        link.request("POST" if body else "GET", path, body, {
-            "Host": "h", "Request-Id": request_id, "Deadline-Ms": "800",
-            "Shard-Key": str(key), "Authorization": "Bearer " + account_key})
-        answer = link.getresponse()
-        data = answer.read()
+        try:
+            link.request("POST" if body else "GET", path, body, {
+                "Host": "h", "Request-Id": request_id,
+                "Deadline-Ms": str(int(patience_s * 1000)),
+                "Shard-Key": str(key), "Authorization": "Bearer " + self.key})
+            answer = link.getresponse()
+            data = answer.read()
+        except (OSError, http.client.HTTPException):
+            self.watch.unanswered(request_id, node.disturbed_at())
+            raise
         self.watch.answered(request_id, path, answer.status, answer.headers,
                             data)
         return answer.status
@@ -232,12 +264,13 @@
         links = {}
         while not self.is_over:
             node = draw.choice(self.nodes)
-            link = links.get(node) or http.client.HTTPConnection(*node.entry,
-                                                                 timeout=2)
+            link = links.get(node) or http.client.HTTPConnection(
+                *node.entry, timeout=LONGEST_CALL_S + 1)
             links[node] = link
             try:
-                self.call(link, draw.choice(("/s/x", "/u/x")),
-                          draw.randrange(65536), self.key)
+                self.call(node, link, draw.choice(("/s/x", "/u/x")),
+                          draw.randrange(65536),
+                          draw.choice((0.8, LONGEST_CALL_S)))
             except (OSError, http.client.HTTPException):
                 link.close()  # Promises nothing; the next call connects anew.
                 links.pop(node)
@@ -264,7 +297,7 @@
 
     def fault_link(self, node, length):
         link = self.draw.choice(list(node.links.values()))
-        link.mode = self.draw.choice(Proxy.MODES)
+        link.disturb(self.draw.choice(Proxy.MODES))
         self.after(length, lambda: self.heal(link))
 
     def heal(self, link):
@@ -277,15 +310,13 @@
     def restart(self, node, length):
         def start():
             if node.is_running():
-                node.process.kill()  # It has outlived its time to drain.
-                node.process.wait()
+                node.kill()  # It has outlived its time to drain.
             node.start()
         self.after(length, start)
 
     def fault_kill(self, node, length):
         if node.is_running() and not node.is_paused:
-            node.process.kill()
-            node.process.wait()
+            node.kill()
             self.restart(node, length)
 
     def fault_stop(self, node, length):
@@ -301,7 +332,7 @@
         node.is_paused = True
 
         def resume():
-            self.watch.thawed_at = time.monotonic()
+            self.watch.thawed_at = node.killed_at = time.monotonic()
             node.is_paused = False
             process.send_signal(signal.SIGCONT)
         self.after(length, resume)
@@ -334,9 +365,21 @@
         if former != self.key:
             self.watch.withdrawn[former] = time.monotonic()
 
+    def stall(self):
+        """Upstreams stand still by turns, so that requests outlast what else
+        happens; drawn apart from the other faults."""
+        draw = random.Random(self.seed)
+        while not self.calm.is_set():
+            upstream = draw.choice(self.nodes).upstream
+            time.sleep(draw.uniform(0.0, 2.0))
+            upstream.may_end.clear()
+            self.calm.wait(draw.uniform(0.5, LONGEST_CALL_S))
+            upstream.may_end.set()
+
     def run(self, seconds):
         threads = [threading.Thread(target=self.client, args=(n,), daemon=True)
                    for n in range(CLIENTS)]
+        threads.append(threading.Thread(target=self.stall, daemon=True))
         time.sleep(4)
         for it in threads:
             it.start()
@@ -351,10 +394,11 @@
         while self.later:
             self.run_due()
             time.sleep(0.02)
+        self.calm.set()
         self.check_recovery()
         self.is_over = True
         for it in threads:
-            it.join(5)
+            it.join(2 * LONGEST_CALL_S)
         self.stop()
         return kinds
 
@@ -367,8 +411,7 @@
                 link = http.client.HTTPConnection(*node.entry, timeout=2)
                 for key in range(0, 65536, 8192):
                     try:
-                        missing += self.call(link, "/s/x", key,
-                                             self.key) != 200
+                        missing += self.call(node, link, "/s/x", key) != 200
                     except (OSError, http.client.HTTPException):
                         missing += 1
                         link.close()
