A stopping node gives its upstream no more time than it has itself

Cause: the same as of the requests without an answer, on the other side: a node that stops went on taking orders of other nodes, with deadlines beyond its end.

From the signal on the queue takes and starts only what can end before the node does, the upstream gets no more time than that, so that it ends the request itself, and other nodes see no free slots. An order that began before the signal and outlasts the drain is still broken off; nothing can end it sooner.

--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -73,7 +73,8 @@
   /// New requests are refused from now on.
   void beginDrain() { Draining = true; }
 
-  /// Answers all open requests: those that have not been sent as not run.
+  /// Answers all open requests: those that wait for the upstream beside the
+  /// node as not run, what is under way as unknown.
   void conclude();
 
   void handle(const std::shared_ptr<net::Exchange> &exchange);
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -25,7 +25,7 @@
     return;
   case upstream::Verdict::Refused:
     Log->write(logging::Level::Info, "body_refused", {{"bytes", bytes}});
-    refuseRoom(*exchange);
+    refuseRoom(*exchange, core::ErrorKind::QueueFull);
     return;
   case upstream::Verdict::Queued:
     break;
@@ -39,10 +39,10 @@
     advanceRooms();
 }
 
-void PeerService::refuseRoom(net::Exchange &exchange) {
+void PeerService::refuseRoom(net::Exchange &exchange, core::ErrorKind reason) {
   ForwardOutcome outcome;
   outcome.Outcome = requests::AttemptOutcome::RefusedNotRun;
-  outcome.Reason = core::ErrorKind::QueueFull;
+  outcome.Reason = reason;
   outcome.RetryAfter = RefusedRetry;
   outcome.Load = Upstream.load();
   net::HttpResponse out(net::http::status::service_unavailable, 11);
@@ -76,7 +76,7 @@
 void PeerService::conclude() {
   for (const auto &[room, exchange] : std::exchange(Waiting, {})) {
     Gate.cancel(room);
-    refuseRoom(*exchange);
+    refuseRoom(*exchange, core::ErrorKind::NodeStopping);
   }
 }
 
--- a/Source/Proxy/PeerService.h
+++ b/Source/Proxy/PeerService.h
@@ -38,7 +38,7 @@
 private:
   void askForRoom(const std::shared_ptr<net::Exchange> &exchange,
                   std::uint64_t bytes);
-  void refuseRoom(net::Exchange &exchange);
+  void refuseRoom(net::Exchange &exchange, core::ErrorKind reason);
   void giveRoom(net::Exchange &exchange, upstream::Ticket room);
   void advanceRooms();
 
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -217,6 +217,8 @@
 void UpstreamService::send(upstream::Ticket id) {
   Running &run = Orders.at(id);
   run.SentAt = core::BootClock::now();
+  if (EndsAt)
+    run.Data.Deadline = std::min(run.Data.Deadline, *EndsAt);
   Speech.WriteOrder(run.Data.Request,
                     {run.Data.Deadline - run.SentAt, run.Data.ExpectedUpstream,
                      run.Data.Account, run.Data.CallerService});
@@ -329,6 +331,12 @@
     handler(std::move(result));
 }
 
+void UpstreamService::stopAt(core::TimePoint end) {
+  EndsAt = end;
+  Queue.endAt(end);
+  advance();
+}
+
 void UpstreamService::conclude() {
   for (const upstream::Dequeued &it : Queue.refuseAll(ErrorKind::NodeStopping))
     refuse(it.Id, it.Reason);
@@ -353,7 +361,7 @@
 }
 
 requests::ReportedLoad UpstreamService::load() const {
-  const bool isOpen = View->Own.IsOpen && !Draining;
+  const bool isOpen = View->Own.IsOpen && !EndsAt && !Draining;
   return {Queue.running(), Queue.waiting(), isOpen ? Queue.slots() : 0};
 }
 
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -72,6 +72,10 @@
   void setView(std::shared_ptr<const TrafficView> view,
                const routing::Service *service);
 
+  /// The node stops at \p end: the upstream gets no more time than that, and
+  /// other nodes are told to go elsewhere.
+  void stopAt(core::TimePoint end);
+
   /// New orders are refused from now on.
   void beginDrain() { Draining = true; }
 
@@ -138,6 +142,7 @@
   boost::asio::steady_timer LoadTimer;
   bool IsTicking = false;
   bool Draining = false;
+  std::optional<core::TimePoint> EndsAt;
   std::unordered_map<upstream::Ticket, Running> Orders;
   upstream::Ticket NextTicket = 1;
   double ColdRate = 0;
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -235,7 +235,9 @@
 void Sidecar::beginDrain() {
   const auto now = core::BootClock::now();
   Draining = true;
-  Entry->stopAt(now + Drain.concludesAfter());
+  const core::TimePoint end = now + Drain.concludesAfter();
+  Entry->stopAt(end);
+  Upstream->stopAt(end);
   continueDrain(now);
 }
 
--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -44,12 +44,22 @@
   return OverallMean * (ahead + 1) / slots;
 }
 
+std::optional<core::ErrorKind>
+OrderQueue::whyLate(const QueuedOrder &order, core::TimePoint start) const {
+  const core::TimePoint end =
+      start + expected(order.WorkClass) * NeededPercent / 100;
+  if (order.Deadline <= end)
+    return core::ErrorKind::DeadlineTooShort;
+  if (End && *End <= end)
+    return core::ErrorKind::NodeStopping;
+  return std::nullopt;
+}
+
 Decision OrderQueue::offer(const QueuedOrder &order, core::TimePoint now) {
   if (Slots == 0)
     return {Verdict::Refused, core::ErrorKind::NoUpstream};
-  const core::Duration needed = expected(order.WorkClass) * NeededPercent / 100;
-  if (order.Deadline <= now + needed)
-    return {Verdict::Refused, core::ErrorKind::DeadlineTooShort};
+  if (const auto reason = whyLate(order, now))
+    return {Verdict::Refused, *reason};
   if (Running.size() < Slots && Waiting.empty() && Rate.mayStart(now)) {
     start(order, now);
     return {Verdict::Start, core::ErrorKind::Internal};
@@ -58,8 +68,7 @@
   begin += waitBefore(order);
   const core::TimePoint latest =
       order.Target + (order.Target - now) * LatePercent / 100;
-  if (order.Deadline <= begin + needed ||
-      latest < begin + expected(order.WorkClass))
+  if (whyLate(order, begin) || latest < begin + expected(order.WorkClass))
     return {Verdict::Refused, core::ErrorKind::QueueFull};
   Waiting.insert({order.Rank, order.Deadline, order.Id});
   Orders.emplace(order.Id, order);
@@ -97,11 +106,8 @@
   std::vector<Dequeued> out;
   for (auto it = Waiting.begin(); it != Waiting.end();) {
     const QueuedOrder &order = Orders.at(it->Id);
-    const core::Duration needed =
-        expected(order.WorkClass) * NeededPercent / 100;
-    if (order.Deadline <= now + needed) {
-      out.push_back(
-          {order.Id, Verdict::Refused, core::ErrorKind::DeadlineTooShort});
+    if (const auto reason = whyLate(order, now)) {
+      out.push_back({order.Id, Verdict::Refused, *reason});
     } else if (Running.size() < Slots && Rate.mayStart(now)) {
       start(order, now);
       out.push_back({order.Id, Verdict::Start, core::ErrorKind::Internal});
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -51,6 +52,9 @@
   /// Requests a second while the upstream is cold; 0 once it is warm.
   void setColdRate(std::uint32_t perSecond) { Rate.setBound(perSecond); }
 
+  /// The node stops at \p end: orders that can't end by then are refused.
+  void endAt(core::TimePoint end) { End = end; }
+
   /// Returns Start, Queued or Refused.
   Decision offer(const QueuedOrder &order, core::TimePoint now);
 
@@ -99,8 +103,12 @@
   void start(const QueuedOrder &order, core::TimePoint now);
   core::Duration expected(std::string_view workClass) const;
   core::Duration waitBefore(const QueuedOrder &order) const;
+  /// Returns why an order that starts at \p start can't end in time, if so.
+  std::optional<core::ErrorKind> whyLate(const QueuedOrder &order,
+                                         core::TimePoint start) const;
 
   std::uint32_t Slots = 0;
+  std::optional<core::TimePoint> End;
   RequestRate Rate;
   std::map<Ticket, Started> Running;
   std::set<Place> Waiting;
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -155,9 +155,9 @@
         assert node.ask(1, account_key="other-key")[0] == 200
 
 
-def stop_with_open_requests(fleet, entry, holder):
-    """Stops entry while SLOTS requests run at the upstream of holder and WAITING
-    wait there; returns the statuses of both kinds."""
+def stop_with_open_requests(fleet, entry, holder, stopped):
+    """Stops a node while SLOTS requests of entry run at the upstream of holder
+    and WAITING wait there; returns the statuses of both kinds."""
     fleet.store.put("keyed.op", "config",
                     configuration(2, "secret-key",
                                   {"safe": "/s/", "unsafe": "/u/"},
@@ -176,15 +176,15 @@
         it.start()
         time.sleep(0.02)
     time.sleep(0.3)
-    entry.process.send_signal(signal.SIGTERM)
-    assert entry.process.wait(8) == 0
+    stopped.process.send_signal(signal.SIGTERM)
+    assert stopped.process.wait(8) == 0
     for it in callers:
         it.join()
     holder.upstream.may_end.set()
     time.sleep(0.5)
     ran = set(holder.upstream.runs).intersection(ids)
     assert len(ran) == SLOTS, ran
-    entry.start()
+    stopped.start()
     assert fleet.wait_served(10), fleet.served()
     return ({answers[it] for it in ran},
             {answers[it] for it in ids if it not in ran})
@@ -192,19 +192,74 @@
 
 def open_requests_at_stop(fleet):
     """Whether those that wait elsewhere have run is not known in time."""
-    statuses = stop_with_open_requests(fleet, fleet.nodes[0], fleet.nodes[1])
+    entry, holder, _ = fleet.nodes
+    statuses = stop_with_open_requests(fleet, entry, holder, stopped=entry)
     assert statuses == ({504}, {504}), statuses
 
 
 def open_orders_at_stop(fleet):
-    statuses = stop_with_open_requests(fleet, fleet.nodes[0], fleet.nodes[0])
+    node = fleet.nodes[0]
+    statuses = stop_with_open_requests(fleet, node, node, stopped=node)
+    assert statuses == ({504}, {503}), statuses
+
+
+def orders_of_others_at_stop(fleet):
+    """What waits at a stopping node is refused, what runs is unknown."""
+    entry, holder, _ = fleet.nodes
+    statuses = stop_with_open_requests(fleet, entry, holder, stopped=holder)
     assert statuses == ({504}, {503}), statuses
 
 
+def stops_in_series(fleet):
+    """A node that stops gives its upstream no more time than it has, so that the
+    upstream ends the request and not the sender, which stops a little later."""
+    entry, holder, _ = fleet.nodes
+    fleet.store.put("keyed.op", "config",
+                    configuration(2, "secret-key",
+                                  {"safe": "/s/", "unsafe": "/u/"},
+                                  timeout="20s"))
+    time.sleep(2)
+    key = holder.upstream.held[0][0]
+    holder.upstream.may_end.clear()
+    holder.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(
+        entry.ask(key, path="/u/x", request_id="5" * 16, patience_s=10)))
+    caller.start()
+    time.sleep(1)
+    entry.process.send_signal(signal.SIGTERM)
+    assert holder.process.wait(8) == 0
+    assert entry.process.wait(8) == 0
+    caller.join()
+    holder.upstream.may_end.set()
+    ran = holder.upstream.runs.count("5" * 16)
+    for it in (holder, entry):
+        it.start()
+    assert fleet.wait_served(10), fleet.served()
+    assert answers == [(504, b"late")] if ran else answers[0][0] == 503, answers
+
+
+def open_requests_at_short_stop(fleet):
+    """Also a drain that is shorter than its steps answers them."""
+    entry, holder, _ = fleet.nodes
+    entry.process.send_signal(signal.SIGTERM)
+    assert entry.process.wait(8) == 0
+    entry.file.write_text(entry.file.read_text().replace('drain = "5s"',
+                                                         'drain = "600ms"'))
+    entry.start()
+    assert fleet.wait_served(10), fleet.served()
+    statuses = stop_with_open_requests(fleet, entry, holder, stopped=entry)
+    assert statuses == ({504}, {504}), statuses
+
+
 ROWS = {row.__name__: row for row in (calm, killed_node, lost_node,
                                       restarted_upstream, store_outage,
                                       withdrawn_key, open_requests_at_stop,
-                                      open_orders_at_stop)}
+                                      open_orders_at_stop,
+                                      orders_of_others_at_stop,
+                                      stops_in_series,
+                                      open_requests_at_short_stop)}
 
 
 def main():
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -202,8 +202,12 @@
             self.runs.append(call.headers["Request-Id"])
             if self.watch:
                 self.watch.ran(self, call.headers["Request-Id"], call.path)
-            self.may_end.wait()
-            call.answer(200, b"whole", common + [("Response-Signature", "s")])
+            patience_s = int(call.headers.get("Deadline-Ms", 0)) / 1000
+            common.append(("Response-Signature", "s"))
+            if self.may_end.wait(max(0.0, patience_s)):
+                call.answer(200, b"whole", common)
+            else:
+                call.answer(504, b"late", common)
 
     def beat(self, born):
         while self.is_up and self.born == born:
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -134,6 +134,51 @@
   cr_assert_eq(out[0].Id, 3U);
 }
 
+namespace {
+
+struct EndRow {
+  const char *Name;
+  /// When the node stops, and when the queue is looked at.
+  int EndMs;
+  int AtMs;
+  /// Verdict on an order of 500 ms that comes then, and its reason if refused.
+  Verdict What;
+  core::ErrorKind Reason;
+  /// Orders that waited and are refused.
+  std::size_t Refused;
+};
+
+const EndRow EndRows[] = {
+    {"time for all", 400, 0, Verdict::Queued, {}, 0},
+    {"time for one more round", 60, 0, Verdict::Refused,
+     core::ErrorKind::QueueFull, 0},
+    {"no time left", 400, 390, Verdict::Refused, core::ErrorKind::NodeStopping,
+     1},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(OrderQueue, StartsNothingThatOutlastsTheNode, EndRows) {
+  const TimePoint start{};
+  OrderQueue queue = makeQueue(start);
+  const auto orderOf = [&](Ticket id) -> QueuedOrder {
+    return {id, "work", 0, start + milliseconds(500),
+            start + milliseconds(500)};
+  };
+  for (const Ticket it : {1U, 2U, 3U})
+    queue.offer(orderOf(it), start);
+  queue.endAt(start + milliseconds(row.EndMs));
+  const auto now = start + milliseconds(row.AtMs);
+  const auto decision = queue.offer(orderOf(4), now);
+  cr_assert(decision.What == row.What, "%s", row.Name);
+  if (row.What == Verdict::Refused)
+    cr_assert(decision.Reason == row.Reason, "%s", row.Name);
+  const auto out = queue.advance(now);
+  cr_assert_eq(out.size(), row.Refused, "%s: %zu", row.Name, out.size());
+  for (const Dequeued &it : out)
+    cr_assert(it.Reason == core::ErrorKind::NodeStopping, "%s", row.Name);
+}
+
 Test(OrderQueue, TakesNothingWithoutSlots) {
   OrderQueue queue;
   const TimePoint now{};
