A drain concludes open requests however late it looks

The step that answers what is left came only if the node looked within 5% of the time allowed: not if it is short, or if the loop stood still for longer. The plan now keeps whether it has concluded, does so once before it ends the process, and drain_concluded tells how many were left.

--- a/Source/Sidecar/DrainPlan.cpp
+++ b/Source/Sidecar/DrainPlan.cpp
@@ -1,6 +1,7 @@
 #include "Sidecar/DrainPlan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciaroad::sidecar {
 
@@ -32,12 +33,16 @@
       Conclusion(allowed * ConclusionPercent / 100),
       End(allowed * EndPercent / 100) {}
 
-DrainStep DrainPlan::next(core::Duration age, bool isIdle) const {
+DrainStep DrainPlan::next(core::Duration age, bool isIdle) {
   if (age < Readiness)
     return DrainStep::Serve;
-  if (isIdle || age >= End)
+  if (isIdle)
     return DrainStep::Stop;
-  return age < Conclusion ? DrainStep::Refuse : DrainStep::Conclude;
+  if (age < Conclusion)
+    return DrainStep::Refuse;
+  if (!std::exchange(HasConcluded, true))
+    return DrainStep::Conclude;
+  return age < End ? DrainStep::Refuse : DrainStep::Stop;
 }
 
 } // namespace acaciaroad::sidecar
--- a/Source/Sidecar/DrainPlan.h
+++ b/Source/Sidecar/DrainPlan.h
@@ -15,7 +15,7 @@
 enum class DrainStep : std::uint8_t {
   /// Serves on, until its clients have seen its failing health checks.
   Serve,
-  /// Refuses new requests and waits for the answers to those it has.
+  /// Refuses new requests and waits for the answers to go out.
   Refuse,
   /// Answers the requests that are left itself.
   Conclude,
@@ -23,17 +23,18 @@
   Stop,
 };
 
-/// Pure; it leaves each request enough time to be answered before the process
-/// is killed.
+/// Decides when each step comes. Requests that are open at the conclusion are
+/// concluded once, however late it is, before the process ends. Pure; the
+/// caller serialises all calls.
 class DrainPlan {
 public:
   /// \p allowed is the time from the signal until the process is killed. Fails
   /// with InvalidArgument unless it is positive.
   static core::Result<DrainPlan> create(core::Duration allowed);
 
-  /// \p age is the time since the signal; \p isIdle tells that no request is
-  /// without its answer.
-  DrainStep next(core::Duration age, bool isIdle) const;
+  /// Returns what to do now. \p age is the time since the signal; \p isIdle
+  /// tells that no request is without its answer and no answer still going out.
+  DrainStep next(core::Duration age, bool isIdle);
 
   /// Time from the signal until the requests that are left are answered.
   core::Duration concludesAfter() const { return Conclusion; }
@@ -44,6 +45,7 @@
   core::Duration Readiness;
   core::Duration Conclusion;
   core::Duration End;
+  bool HasConcluded = false;
 };
 
 } // namespace acaciaroad::sidecar
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -251,6 +251,9 @@
 }
 
 void Sidecar::concludeRequests() {
+  Log->write(logging::Level::Info, "drain_concluded",
+             {{"in_flight", CallerServer->inFlight()},
+              {"orders", PeerServer->inFlight()}});
   Entry->conclude();
   Peers->conclude();
   Upstream->conclude();
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -69,7 +69,7 @@
   /// Changed by the control thread alone once it runs; what the traffic thread
   /// reads stays as it was at the start.
   settings::SidecarSettings Settings;
-  const DrainPlan Drain;
+  DrainPlan Drain;
   SidecarParts Parts;
   std::shared_ptr<logging::Logger> Log;
   /// Declared before all that lives on them.
