A field above 64 KB behind a body ends no process

Callers saw: every request that the node held at that moment lost its connection (LOST). One request without a key is enough: a body in chunks with a trailer whose name or value is above 64 KB.

Cause: Beast's fields hold names and values up to 16 bits of length and throw std::length_error beyond. The limit of the header doesn't count trailers, so the exception left the event loop. A configuration with maxHeaderBytes above 64 KB opened the same way for the header itself; an answer of an upstream or another node with such a trailer did it in the client.

Evidence: net_test HttpServer SurvivesHugeFields and HttpClient SurvivesHugeFields.

Messages are read through a buffer of at most 65,535 bytes, so that no line of them can be longer; it also bounds what a trailer can take of memory. A request that doesn't fit is refused with 431 as before for the header.

--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -10,7 +10,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "Net/HttpClient.h"
@@ -50,7 +49,7 @@
   std::shared_ptr<HttpClient> Client;
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
-  boost::beast::flat_buffer Buffer;
+  MessageBuffer Buffer;
   std::optional<HttpRequest> Request;
   std::optional<http::response_parser<http::string_body>> Parser;
   CallHandler Handler;
--- a/Source/Net/HttpMessage.h
+++ b/Source/Net/HttpMessage.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -29,6 +30,15 @@
   return {text.data(), text.size()};
 }
 
+/// What is read of a message before it is parsed. HttpFields throws for a name
+/// or value that doesn't fit into 16 bits, wherever in the message it stands.
+class MessageBuffer : public boost::beast::flat_buffer {
+public:
+  static constexpr std::size_t MostBytes = 65'535;
+
+  MessageBuffer() : basic_flat_buffer(MostBytes) {}
+};
+
 /// Returns the value of the field \p name, or nothing at all.
 inline std::string_view fieldOf(const HttpFields &fields,
                                 std::string_view name) {
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -193,7 +193,7 @@
     return;
   }
   http::status status = http::status::bad_request;
-  if (ec == http::error::header_limit)
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
     status = http::status::request_header_fields_too_large;
   else if (ec == http::error::body_limit)
     status = http::status::payload_too_large;
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -8,7 +8,6 @@
 #include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "Net/HttpServer.h"
@@ -58,7 +57,7 @@
 
   HttpServer *Server;
   boost::asio::ip::tcp::socket Socket;
-  boost::beast::flat_buffer Buffer;
+  MessageBuffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   std::optional<HttpResponse> Response;
   std::weak_ptr<Exchange> Current;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -172,6 +172,41 @@
 
 } // namespace
 
+namespace {
+
+struct HugeAnswerRow {
+  const char *Name;
+  std::string Bytes;
+};
+
+const HugeAnswerRow HugeAnswerRows[] = {
+    {"value in the header", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: " +
+                                std::string(70'000, 'a') + "\r\n\r\n"},
+    {"value behind the body",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " +
+         std::string(70'000, 'a') + "\r\n\r\n"},
+};
+
+} // namespace
+
+// The library throws for them, which ended the process.
+ACACIA_TABLE_TEST(HttpClient, SurvivesHugeFields, HugeAnswerRows) {
+  boost::asio::io_context loop;
+  ScriptedServer server(loop, row.Bytes, AfterAnswer::Keep);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  CallResult result;
+  result.End = CallEnd::NotSent;
+  const auto call =
+      client->send({http::verb::get, "/", 11}, [&](CallResult it) {
+        result = std::move(it);
+        loop.stop();
+      });
+  loop.run_for(seconds(2));
+  cr_assert(result.End == CallEnd::Broken, "%s", row.Name);
+  client->dropIdle();
+}
+
 ACACIA_TABLE_TEST(HttpClient, ReadsAnswers, AnswerRows) {
   boost::asio::io_context loop;
   ScriptedServer server(loop, row.Bytes, row.After);
@@ -318,6 +353,68 @@
             end.message().c_str());
 }
 
+namespace {
+
+/// Above what a field of a message can hold, 64 KB; in bytes.
+constexpr std::size_t HugeField = 70'000;
+
+std::string chunkedWith(const std::string &trailer) {
+  return "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0\r\n" +
+         trailer + "\r\n\r\n";
+}
+
+struct HugeFieldRow {
+  const char *Name;
+  /// Of a server that lets large headers in.
+  std::string Request;
+  /// First line of what comes back.
+  const char *Status;
+};
+
+const HugeFieldRow HugeFieldRows[] = {
+    {"value in the header",
+     "GET / HTTP/1.1\r\nA: " + std::string(HugeField, 'a') + "\r\n\r\n",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"name in the header",
+     "GET / HTTP/1.1\r\n" + std::string(HugeField, 'a') + ": a\r\n\r\n",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"folded value in the header",
+     "GET / HTTP/1.1\r\nA: a\r\n " + std::string(9000, 'a') + "\r\n\r\n",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"value behind the body", chunkedWith("A: " + std::string(HugeField, 'a')),
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"name behind the body", chunkedWith(std::string(HugeField, 'a') + ": a"),
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"small value behind the body", chunkedWith("A: a"), "HTTP/1.1 200 OK"},
+};
+
+} // namespace
+
+// The library throws for them, which ended the process.
+ACACIA_TABLE_TEST(HttpServer, SurvivesHugeFields, HugeFieldRows) {
+  boost::asio::io_context loop;
+  const auto server = HttpServer::create(
+      loop, {"127.0.0.1", 0}, {1U << 20U, 600'000, seconds(1), seconds(2)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  cr_assert(server.has_value());
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
+  boost::asio::async_write(
+      socket, boost::asio::buffer(row.Request), [&](error_code, std::size_t) {
+        error_code ignored; // The server may close first.
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+      });
+  std::string answer;
+  boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer),
+                          [&](error_code, std::size_t) { loop.stop(); });
+  loop.run_for(seconds(3));
+  cr_assert_eq(answer.substr(0, answer.find("\r\n")), row.Status, "%s: %s",
+               row.Name, answer.c_str());
+}
+
 Test(HttpServer, TellsThatAClientHasLeft) {
   boost::asio::io_context loop;
   bool hasLeft = false;
