A node accepts again once descriptors are free

Callers saw: connections to the node that are never accepted, until it is started anew.

Cause: the retry of a failed accept and the look for late connections shared a timer. If the look was due when an accept failed, as after a pause of the process, its handler set the timer anew and so cancelled the retry; nothing accepted any more.

Evidence: net_test HttpServer AcceptsAgainOnceDescriptorsAreFree takes all descriptors while both are due, and frees them. Before: no answer within 3 s; after: answered.

Each has a timer of its own.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -61,8 +61,8 @@
 
 HttpServer::HttpServer(boost::asio::io_context &loop, ServerLimits limits,
                        ExchangeHandler handler)
-    : Loop(loop), Acceptor(loop), Sweep(loop), Limits(limits),
-      Handler(std::move(handler)) {}
+    : Loop(loop), Acceptor(loop), AcceptRetry(loop), Sweep(loop),
+      Limits(limits), Handler(std::move(handler)) {}
 
 HttpServer::~HttpServer() {
   const std::vector<ServerSession *> sessions(Sessions.begin(), Sessions.end());
@@ -76,12 +76,10 @@
     if (ec == boost::asio::error::operation_aborted)
       return;
     if (ec) {
-      Sweep.expires_after(AcceptPause);
-      Sweep.async_wait([this](error_code e) {
-        if (!e) {
+      AcceptRetry.expires_after(AcceptPause);
+      AcceptRetry.async_wait([this](error_code e) {
+        if (!e)
           accept();
-          sweep();
-        }
       });
       return;
     }
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -136,6 +136,7 @@
 
   boost::asio::io_context &Loop;
   boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptRetry;
   boost::asio::steady_timer Sweep;
   ServerLimits Limits;
   ExchangeHandler Handler;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -5,8 +5,10 @@
 #include <vector>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <unistd.h>
 
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
@@ -415,6 +417,36 @@
                row.Name, answer.c_str());
 }
 
+// A retry of the accept and the look for late connections once shared a timer.
+Test(HttpServer, AcceptsAgainOnceDescriptorsAreFree) {
+  boost::asio::io_context loop;
+  const auto server = HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  cr_assert(server.has_value());
+  loop.run_for(milliseconds(10));
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
+  boost::asio::write(
+      socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  // Both are due when the loop goes on, as after a pause of the process.
+  std::this_thread::sleep_for(milliseconds(700));
+  std::vector<int> taken;
+  for (int it = ::dup(0); it >= 0; it = ::dup(0))
+    taken.push_back(it);
+  loop.run_for(milliseconds(100));
+  for (const int it : taken)
+    ::close(it);
+  std::string answer;
+  boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer),
+                                "\r\n\r\n",
+                                [&](error_code, std::size_t) { loop.stop(); });
+  loop.run_for(seconds(3));
+  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+}
+
 Test(HttpServer, TellsThatAClientHasLeft) {
   boost::asio::io_context loop;
   bool hasLeft = false;
