A TRACE with a body ends no process

Callers saw: every request that the node held at that moment lost its connection (LOST). One TRACE with a body on any public route is enough, or with a key on the others.

Cause: Beast's message::prepare_payload throws std::invalid_argument for such a request, and the client calls it before it sends; the exception left the event loop.

Evidence: proxy_test EntryService SurvivesMethods. Before: the first of 5 rows ended with "invalid request body"; after: all pass.

Such a request is malformed (RFC 9110, section 9.3.8), so it is refused as malformed_request, 400, before it takes credit or a try, and never run. Other nodes can't be sent one any more. Methods that the library doesn't know and bodies of GET and CONNECT are forwarded as before; the table holds that too.

--- a/Source/Net/HttpMessage.cpp
+++ b/Source/Net/HttpMessage.cpp
@@ -20,6 +20,10 @@
     fields.erase(it);
 }
 
+bool isSendable(const HttpRequest &request) {
+  return request.method() != http::verb::trace || request.body().empty();
+}
+
 boost::asio::ip::tcp::endpoint toSocketAddress(const core::Endpoint &endpoint) {
   return {boost::asio::ip::make_address(endpoint.Host), endpoint.Port};
 }
--- a/Source/Net/HttpMessage.h
+++ b/Source/Net/HttpMessage.h
@@ -50,6 +50,10 @@
 /// names (RFC 9110, section 7.6.1), with the length of the body.
 void eraseConnectionFields(HttpFields &fields);
 
+/// Whether HttpClient can send \p request; a TRACE has no body (RFC 9110,
+/// section 9.3.8).
+bool isSendable(const HttpRequest &request);
+
 /// Converts an address that parseEndpoint accepted.
 boost::asio::ip::tcp::endpoint toSocketAddress(const core::Endpoint &endpoint);
 
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -125,6 +125,10 @@
     refuse(*exchange, ErrorKind::NodeStopping, DefaultRetryAfter, {});
     return;
   }
+  if (!net::isSendable(request)) {
+    refuse(*exchange, ErrorKind::MalformedRequest, {}, "TRACE with a body");
+    return;
+  }
   if (!View->Routes) {
     refuse(*exchange, ErrorKind::NodeIsolated, DefaultRetryAfter,
            "no configuration is known");
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -3,10 +3,15 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 #include "Support/Table.h"
 
 using namespace acaciaroad;
 using namespace acaciaroad::proxy;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
 using net::HttpFields;
 using net::HttpRequest;
 using net::HttpResponse;
@@ -223,6 +228,53 @@
     cr_assert_eq(answer.body(), row.Body, "%s", row.Name);
 }
 
+namespace {
+
+struct MethodRow {
+  const char *Name;
+  const char *Method;
+  const char *Body;
+  const char *Status;
+  bool IsSent;
+};
+
+const MethodRow MethodRows[] = {
+    {"TRACE with a body", "TRACE", "body", "HTTP/1.1 400 Bad Request", false},
+    {"TRACE", "TRACE", "", "HTTP/1.1 200 OK", true},
+    {"unknown method with a body", "BREW", "body", "HTTP/1.1 200 OK", true},
+    {"GET with a body", "GET", "body", "HTTP/1.1 200 OK", true},
+    {"CONNECT with a body", "CONNECT", "body", "HTTP/1.1 200 OK", true},
+};
+
+} // namespace
+
+// The library throws for a TRACE with a body, which ended the process.
+ACACIA_TABLE_TEST(EntryService, SurvivesMethods, MethodRows) {
+  bool isSent = false;
+  Fixture fixture([&](const std::shared_ptr<net::Exchange> &exchange) {
+    isSent = true;
+    answerWith(*exchange, 200, "signed");
+  });
+  fixture.setView(makeTable());
+  fixture.Entry->configurationConfirmed(core::BootClock::now());
+  const std::string body = row.Body;
+  const std::string request =
+      std::string(row.Method) + " /open/x HTTP/1.1\r\nHost: h\r\nid: r-1\r\n" +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  tcp::socket socket(fixture.Loop);
+  socket.connect(
+      {boost::asio::ip::address_v4::loopback(), fixture.Server->port()});
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string answer;
+  boost::asio::async_read_until(
+      socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n",
+      [&](error_code, std::size_t) { fixture.Loop.stop(); });
+  fixture.Loop.run_for(seconds(3));
+  cr_assert_eq(answer.substr(0, answer.find("\r\n")), row.Status, "%s: %s",
+               row.Name, answer.c_str());
+  cr_assert_eq(isSent, row.IsSent, "%s", row.Name);
+}
+
 // The configuration is replaced while credit is asked for; route and account
 // of the request have to outlive that.
 Test(EntryService, KeepsTheConfigurationOfARequest) {
