A handler that throws costs its own request, not all of the node's

Callers saw: one exception in any handler ended the process, and with it every request that it held lost its connection (LOST); further requests to the node failed until it was started anew.

Cause: nothing stood between a handler and std::terminate. After an exception of the traffic thread, the control thread was destroyed while it ran; after one of the control thread, terminate was called at once.

Evidence: sidecar_parts_test Sidecar OutlivesAHandlerThatThrows. Before: both rows end with SIGABRT. net_test DatagramSocket ReceivesAfterAHandlerThatThrows. Before: the second datagram isn't received. After: all pass.

The two loops differ, because their state does: - Traffic: requests stand apart from each other, each has a deadline that answers it as unknown, and the three ways that were found (fields above 64 KB, TRACE with a body, the freed route of docs/INCIDENTS.md) begin in one request or connection. The loop goes on. A request whose handler throws as it comes is answered 500; whether it ran is unknown. - Control: half of a change may be made, and much of the state is a chain of timers and reads that a lost step ends for good (a feed that isn't read any more, an append that never ends). Going on would leave a node that looks well and isn't; ending at once loses the requests. So the loop isn't run on and the process stops in order: open requests are answered, grants of keys lapse by their time, and a new process makes the state anew.

What re-arms itself does so before its work, so that a throw can't end it: the accept, the look for late connections, the receipt of datagrams, the steps of a stop. `handler_failed` names thread and exception. Memory errors still end the process at once, as does an exception that isn't a std::exception.

--- a/Source/Net/DatagramSocket.cpp
+++ b/Source/Net/DatagramSocket.cpp
@@ -38,11 +38,20 @@
                               if (ec == boost::asio::error::operation_aborted)
                                 return;
                               if (!ec)
-                                OnDatagram({Buffer.data(), n});
+                                handle({Buffer.data(), n});
                               receive();
                             });
 }
 
+void DatagramSocket::handle(std::string_view bytes) {
+  try {
+    OnDatagram(bytes);
+  } catch (...) {
+    receive();
+    throw;
+  }
+}
+
 void DatagramSocket::send(const core::Endpoint &to, std::string_view bytes) {
   error_code ignored; // The next datagram replaces one that is lost.
   Socket.send_to(boost::asio::buffer(bytes.data(), bytes.size()),
--- a/Source/Net/DatagramSocket.h
+++ b/Source/Net/DatagramSocket.h
@@ -33,6 +33,8 @@
 private:
   DatagramSocket(boost::asio::io_context &loop, Handler handler);
   void receive();
+  /// What the handler throws doesn't end the receiving.
+  void handle(std::string_view bytes);
 
   /// Larger ones are cut off and then refused as unreadable.
   static constexpr std::size_t LargestDatagram = 1400;
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -83,10 +83,10 @@
       });
       return;
     }
+    accept();
     error_code ignored; // Without it, answers only come later.
     socket.set_option(tcp::no_delay(true), ignored);
     std::make_shared<ServerSession>(*this, std::move(socket))->start();
-    accept();
   });
 }
 
@@ -95,12 +95,12 @@
   Sweep.async_wait([this](error_code ec) {
     if (ec)
       return;
+    sweep();
     const auto now = core::BootClock::now();
     const std::vector<ServerSession *> sessions(Sessions.begin(),
                                                 Sessions.end());
     for (ServerSession *it : sessions)
       it->closeIfLate(now);
-    sweep();
   });
 }
 
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -181,7 +181,12 @@
   Current = exchange;
   enter(Phase::Handling);
   waitReadable();
-  Server->Handler(exchange);
+  try {
+    Server->Handler(exchange);
+  } catch (...) {
+    exchange->respond(HttpResponse(http::status::internal_server_error, 11));
+    throw;
+  }
 }
 
 void ServerSession::refuse(error_code ec) {
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -8,6 +8,8 @@
 #include <fmt/core.h>
 #include <unistd.h>
 
+#include "Net/RunLoop.h"
+
 namespace acaciaroad::sidecar {
 
 using boost::system::error_code;
@@ -233,6 +235,8 @@
 }
 
 void Sidecar::beginDrain() {
+  if (Draining)
+    return;
   const auto now = core::BootClock::now();
   Draining = true;
   Entry->stopAt(now + Drain.concludesAfter());
@@ -255,6 +259,12 @@
 }
 
 void Sidecar::continueDrain(core::TimePoint started) {
+  // First, so that the drain goes on if a request's handler throws.
+  DrainTimer.expires_after(DrainInterval);
+  DrainTimer.async_wait([this, started](error_code ec) {
+    if (!ec)
+      continueDrain(started);
+  });
   const bool isIdle =
       CallerServer->inFlight() == 0 && PeerServer->inFlight() == 0;
   switch (Drain.next(core::BootClock::now() - started, isIdle)) {
@@ -271,11 +281,6 @@
     stop();
     return;
   }
-  DrainTimer.expires_after(DrainInterval);
-  DrainTimer.async_wait([this, started](error_code ec) {
-    if (!ec)
-      continueDrain(started);
-  });
 }
 
 void Sidecar::stop() {
@@ -294,9 +299,25 @@
               {"callers", core::toString(Settings.Callers.Listen)}});
   waitForSignals();
   watchSettings();
-  std::thread control([this] { ControlLoop.run(); });
-  TrafficLoop.run();
+  std::thread control([this] {
+    net::runLoop(ControlLoop, [this](std::string_view what) {
+      // Control state may be half changed. It is made anew by a new process.
+      noteFailure("control", what);
+      boost::asio::post(TrafficLoop, [this] { beginDrain(); });
+      return net::AfterFailure::Stop;
+    });
+  });
+  net::runLoop(TrafficLoop, [this](std::string_view what) {
+    // Requests stand apart from each other, and each has its deadline.
+    noteFailure("traffic", what);
+    return net::AfterFailure::Continue;
+  });
   control.join();
 }
 
+void Sidecar::noteFailure(std::string_view thread, std::string_view what) {
+  Log->write(logging::Level::Error, "handler_failed",
+             {{"thread", thread}, {"detail", what}});
+}
+
 } // namespace acaciaroad::sidecar
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -40,8 +40,8 @@
   create(const settings::SidecarSettings &settings, SidecarParts parts);
   ~Sidecar();
 
-  /// Returns after SIGTERM, once all requests have ended or the drain time is
-  /// over.
+  /// Returns after SIGTERM or a failure of the control thread, once all
+  /// requests have ended or the drain time is over.
   void run();
 
 private:
@@ -65,6 +65,7 @@
   void refuseNewRequests();
   void concludeRequests();
   void stop();
+  void noteFailure(std::string_view thread, std::string_view what);
 
   /// Changed by the control thread alone once it runs; what the traffic thread
   /// reads stays as it was at the start.
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -10,8 +11,10 @@
 #include <boost/asio/write.hpp>
 #include <unistd.h>
 
+#include "Net/DatagramSocket.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
+#include "Net/RunLoop.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -23,6 +26,9 @@
 
 namespace {
 
+/// One case alone uses it.
+constexpr std::uint16_t DatagramPort = 23479;
+
 enum class AfterAnswer { Keep, Close, Reset };
 
 /// Accepts one connection, reads what comes, and answers with fixed bytes.
@@ -447,6 +453,27 @@
   cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
 }
 
+Test(DatagramSocket, ReceivesAfterAHandlerThatThrows) {
+  boost::asio::io_context loop;
+  int received = 0;
+  const auto socket = DatagramSocket::create(
+      loop, {"127.0.0.1", DatagramPort}, [&](std::string_view) {
+        if (++received == 1)
+          throw std::length_error("first");
+        loop.stop();
+      });
+  cr_assert(socket.has_value());
+  for (int n = 0; n < 2; ++n)
+    (*socket)->send({"127.0.0.1", DatagramPort}, "datagram");
+  int failures = 0;
+  runLoop(loop, [&](std::string_view) {
+    ++failures;
+    return AfterFailure::Continue;
+  });
+  cr_assert_eq(failures, 1);
+  cr_assert_eq(received, 2);
+}
+
 Test(HttpServer, TellsThatAClientHasLeft) {
   boost::asio::io_context loop;
   bool hasLeft = false;
--- /dev/null
+++ b/Tests/Sidecar/SidecarTest.cpp
@@ -0,0 +1,117 @@
+#include "Sidecar/Sidecar.h"
+
+#include <csignal>
+#include <future>
+#include <stdexcept>
+#include <string>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::sidecar;
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Rows run at the same time, each with ports of its own from here on.
+constexpr std::uint16_t FirstPort = 23420;
+constexpr std::uint16_t PortsOfRow = 10;
+constexpr std::uint16_t ControlOffset = 2;
+
+/// Requests that name it make the handler throw.
+constexpr std::string_view Poison = "poison";
+
+settings::SidecarSettings makeSettings(std::uint16_t port) {
+  settings::SidecarSettings out;
+  out.Node = {"n", "dc", "s"};
+  std::uint16_t n = port;
+  for (auto *it : {&out.Callers, &out.Peers, &out.Control, &out.Gossip,
+                   &out.Credit, &out.Relay})
+    it->Listen = {"127.0.0.1", n++};
+  out.Health = {{"127.0.0.1", n++}, "/metrics"};
+  out.Upstream = {{"127.0.0.1", n++}, seconds(1), seconds(10)};
+  out.Store.Address = {"127.0.0.1", n};
+  out.Limits = {seconds(4), seconds(1), seconds(5), 0.1, 10};
+  return out;
+}
+
+SidecarParts makeParts(const settings::SidecarSettings &settings) {
+  SidecarParts out;
+  out.Dialect.ReadCaller = [](const net::HttpFields &fields) {
+    if (net::fieldOf(fields, "id") == Poison)
+      throw std::length_error("poisoned");
+    return proxy::CallerFields();
+  };
+  out.Dialect.WriteRequestId = [](net::HttpFields &, std::string_view) {};
+  out.Dialect.ReadAnswer = [](const net::HttpFields &) {
+    return proxy::AnswerFields();
+  };
+  out.Codec.ParseCall = [](const net::HttpRequest &request) {
+    if (net::fieldOf(request, "id") == Poison)
+      throw std::length_error("poisoned");
+    return UpstreamCall();
+  };
+  out.MakeLogs = [](boost::asio::io_context &, const core::Endpoint &) {
+    feed::KeyedLog silent;
+    silent.ReadNewest = [](std::string_view, const feed::PageHandler &) {};
+    return ControlLogs{silent, silent};
+  };
+  out.ReadSettings = [settings] { return settings; };
+  return out;
+}
+
+/// Sends one request and returns the first line of the answer.
+std::string ask(std::uint16_t port, std::string_view id) {
+  boost::asio::io_context loop;
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), port});
+  boost::asio::write(socket,
+                     boost::asio::buffer("GET / HTTP/1.1\r\nHost: h\r\nid: " +
+                                         std::string(id) + "\r\n\r\n"));
+  std::string answer;
+  boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer),
+                                "\r\n\r\n",
+                                [](boost::system::error_code, std::size_t) {});
+  loop.run_for(seconds(2));
+  return answer.substr(0, answer.find("\r\n"));
+}
+
+struct FailureRow {
+  const char *Name;
+  std::uint16_t PortOffset;
+  /// Whether the process stops, in order, without a signal.
+  bool Stops;
+};
+
+const FailureRow FailureRows[] = {
+    {"a handler of the traffic", 0, false},
+    {"a handler of the control state", ControlOffset, true},
+};
+
+} // namespace
+
+// One exception lost all requests that the process held.
+ACACIA_TABLE_TEST(Sidecar, OutlivesAHandlerThatThrows, FailureRows) {
+  const auto port =
+      static_cast<std::uint16_t>(FirstPort + PortsOfRow * (&row - FailureRows));
+  const auto settings = makeSettings(port);
+  auto node = Sidecar::create(settings, makeParts(settings));
+  cr_assert(node.has_value());
+  auto end = std::async(std::launch::async, [&] { (*node)->run(); });
+  cr_assert_eq(ask(port + row.PortOffset, Poison),
+               "HTTP/1.1 500 Internal Server Error", "%s", row.Name);
+  // No configuration is known.
+  cr_assert_eq(ask(port, "other"), "HTTP/1.1 503 Service Unavailable", "%s",
+               row.Name);
+  const bool hasStopped = end.wait_for(seconds(2)) == std::future_status::ready;
+  cr_assert_eq(hasStopped, row.Stops, "%s", row.Name);
+  if (!hasStopped)
+    std::raise(SIGTERM);
+  cr_assert(end.wait_for(seconds(2)) == std::future_status::ready, "%s",
+            row.Name);
+}
