A deadline of ages isn't refused as too short

Callers saw: 503 deadline_too_short for a request whose deadline in milliseconds is above 9,223,372,036,854, such as the largest number of 64 bits for "none".

Cause: the number is converted to nanoseconds, which overflows and gives a time in the past.

Evidence: UndefinedBehaviorSanitizer on an asan build of acacia-sidecar ("signed integer overflow: * 1000000", platform/Dialect.cpp), with that answer. adapter_test Adapter ReadsLongDeadlines.

--- a/Tests/Adapter/AdapterTest.cpp
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -187,6 +187,40 @@
     cr_assert_eq(load->DurationPercent, row.DurationPercent, "%s", row.Name);
 }
 
+namespace {
+
+struct PatienceRow {
+  const char *Text;
+  /// In milliseconds; -1 if none is stated. Large ones may be cut to it.
+  std::int64_t AtLeast;
+};
+
+const PatienceRow PatienceRows[] = {
+    {"250", 250},
+    {"0", 0},
+    {"-1", -1},
+    {"x", -1},
+    {"9223372036854", 3'600'000},
+    {"9223372036855", 3'600'000},
+    {"9223372036854775807", 3'600'000},
+};
+
+} // namespace
+
+// Long deadlines overflowed the clock's unit and were refused as too short.
+ACACIA_TABLE_TEST(Adapter, ReadsLongDeadlines, PatienceRows) {
+  net::HttpFields fields;
+  fields.set("Deadline-Ms", row.Text);
+  const auto patience = makeDialect().ReadCaller(fields).Patience;
+  cr_assert_eq(patience.has_value(), row.AtLeast >= 0, "%s", row.Text);
+  if (!patience)
+    return;
+  const core::Duration atLeast = milliseconds(row.AtLeast);
+  cr_assert_geq(patience->count(), atLeast.count(), "%s", row.Text);
+  const auto left = makeDialect().ReadOrder(fields).TimeLeft;
+  cr_assert_geq(left.count(), atLeast.count(), "%s", row.Text);
+}
+
 Test(Adapter, ReplacesWhatACallerForged) {
   net::HttpFields fields;
   for (const char *it : {"Tenant", "Caller-Service", "Expected-Instance",
