A class of work isn't kept out for good after a pause

Callers saw: 503 deadline_too_short for every request of a class at one node, with no order running or waiting there, until the node is started anew.

Cause: the upstream's queue refuses an order whose deadline is under 60% of what its class takes on average, and only orders that ran teach it that. An order that was answered across a pause of the process counts with the pause; after it all of the class was refused, so nothing corrected the mean.

A mean that would refuse and that nothing has confirmed for 2 s is forgotten, so that the next orders teach it anew. GoesOnRefusingWhatTakesTooLong holds that an upstream which is really too slow gets a few tries only.

--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -21,6 +21,11 @@
 /// the target: the expectation is a mean.
 constexpr int LatePercent = 25;
 
+/// A class that is refused altogether teaches nothing. Its mean may come from a
+/// pause of the process, so some orders are let in after this time; above the
+/// deadlines of most work.
+constexpr core::Duration MeanLifetime = std::chrono::seconds(2);
+
 /// The shortest time after which a refused caller is asked to come back; about
 /// two round trips to it.
 constexpr core::Duration ShortestRetry = std::chrono::milliseconds(50);
@@ -33,7 +38,17 @@
 
 core::Duration OrderQueue::expected(std::string_view workClass) const {
   const auto it = Means.find(workClass);
-  return it == Means.end() ? OverallMean : it->second;
+  return it == Means.end() ? OverallMean : it->second.Service;
+}
+
+bool OrderQueue::forgetStale(std::string_view workClass, core::TimePoint now) {
+  const auto it = Means.find(workClass);
+  const core::TimePoint learnt =
+      it == Means.end() ? LearntAt : it->second.LearntAt;
+  if (now - learnt < MeanLifetime)
+    return false;
+  Means[std::string(workClass)] = {core::Duration{}, now};
+  return true;
 }
 
 core::Duration OrderQueue::waitBefore(const QueuedOrder &order) const {
@@ -47,9 +62,12 @@
 Decision OrderQueue::offer(const QueuedOrder &order, core::TimePoint now) {
   if (Slots == 0)
     return {Verdict::Refused, core::ErrorKind::NoUpstream};
-  const core::Duration needed = expected(order.WorkClass) * NeededPercent / 100;
-  if (order.Deadline <= now + needed)
-    return {Verdict::Refused, core::ErrorKind::DeadlineTooShort};
+  core::Duration needed = expected(order.WorkClass) * NeededPercent / 100;
+  if (order.Deadline <= now + needed) {
+    if (order.Deadline <= now || !forgetStale(order.WorkClass, now))
+      return {Verdict::Refused, core::ErrorKind::DeadlineTooShort};
+    needed = {};
+  }
   if (Running.size() < Slots && Waiting.empty() && Rate.mayStart(now)) {
     start(order, now);
     return {Verdict::Start, core::ErrorKind::Internal};
@@ -77,7 +95,10 @@
     return;
   if (didRun) {
     const core::Duration taken = now - it->second.At;
-    learn(Means[it->second.WorkClass], taken, MeanWeight);
+    Mean &mean = Means[it->second.WorkClass];
+    learn(mean.Service, taken, MeanWeight);
+    mean.LearntAt = now;
+    LearntAt = now;
     learn(OverallMean, taken, MeanWeight);
     learn(SteadyMean, taken, SteadyWeight);
   }
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -88,6 +88,10 @@
     std::string WorkClass;
     core::TimePoint At{};
   };
+  struct Mean {
+    core::Duration Service{};
+    core::TimePoint LearntAt{};
+  };
   struct Place {
     std::int32_t Rank = 0;
     core::TimePoint Deadline{};
@@ -98,6 +102,9 @@
 
   void start(const QueuedOrder &order, core::TimePoint now);
   core::Duration expected(std::string_view workClass) const;
+  /// Forgets what the class takes if that was learnt too long ago to refuse
+  /// all of it; returns whether it was.
+  bool forgetStale(std::string_view workClass, core::TimePoint now);
   core::Duration waitBefore(const QueuedOrder &order) const;
 
   std::uint32_t Slots = 0;
@@ -106,8 +113,9 @@
   std::set<Place> Waiting;
   std::map<Ticket, QueuedOrder> Orders;
   /// Mean service time of each class of work.
-  std::map<std::string, core::Duration, std::less<>> Means;
+  std::map<std::string, Mean, std::less<>> Means;
   core::Duration OverallMean{};
+  core::TimePoint LearntAt{};
   core::Duration SteadyMean{};
 };
 
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -11,6 +11,7 @@
 using namespace acaciaroad::upstream;
 using core::TimePoint;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -134,6 +135,49 @@
   cr_assert_eq(out[0].Id, 3U);
 }
 
+// What a pause of the process seemed to take kept all others of the class out.
+Test(OrderQueue, LearnsAnewAfterAPause) {
+  OrderQueue queue;
+  queue.setSlots(2);
+  TimePoint now{seconds(100)};
+  const auto offer = [&](Ticket id) {
+    return queue
+        .offer(
+            {id, "work", 0, now + milliseconds(800), now + milliseconds(300)},
+            now)
+        .What;
+  };
+  cr_assert(offer(1) == Verdict::Start);
+  now += seconds(3);
+  queue.finished(1, true, now);
+  Ticket id = 1;
+  int started = 0;
+  for (const auto end = now + seconds(4); now < end; now += milliseconds(50)) {
+    if (offer(++id) != Verdict::Start)
+      continue;
+    ++started;
+    queue.finished(id, true, now + milliseconds(20));
+  }
+  cr_assert_geq(started, 30, "%d", started);
+}
+
+// As long as work takes too long, little of it is tried.
+Test(OrderQueue, GoesOnRefusingWhatTakesTooLong) {
+  OrderQueue queue;
+  queue.setSlots(2);
+  TimePoint now{seconds(100)};
+  int started = 0;
+  for (Ticket id = 1; id <= 400; ++id, now += milliseconds(50)) {
+    const auto verdict = queue.offer(
+        {id, "work", 0, now + milliseconds(800), now + milliseconds(300)}, now);
+    if (verdict.What != Verdict::Start)
+      continue;
+    ++started;
+    queue.finished(id, true, now + milliseconds(1500));
+  }
+  cr_assert_leq(started, 20, "%d", started);
+}
+
 Test(OrderQueue, TakesNothingWithoutSlots) {
   OrderQueue queue;
   const TimePoint now{};
