--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -61,8 +61,8 @@
 
 HttpServer::HttpServer(boost::asio::io_context &loop, ServerLimits limits,
                        ExchangeHandler handler)
-    : Loop(loop), Acceptor(loop), Sweep(loop), Limits(limits),
-      Handler(std::move(handler)) {}
+    : Loop(loop), Acceptor(loop), AcceptRetry(loop), Sweep(loop),
+      Limits(limits), Handler(std::move(handler)) {}
 
 HttpServer::~HttpServer() {
   const std::vector<ServerSession *> sessions(Sessions.begin(), Sessions.end());
@@ -76,19 +76,17 @@
     if (ec == boost::asio::error::operation_aborted)
       return;
     if (ec) {
-      Sweep.expires_after(AcceptPause);
-      Sweep.async_wait([this](error_code e) {
-        if (!e) {
+      AcceptRetry.expires_after(AcceptPause);
+      AcceptRetry.async_wait([this](error_code e) {
+        if (!e)
           accept();
-          sweep();
-        }
       });
       return;
     }
+    accept();
     error_code ignored; // Without it, answers only come later.
     socket.set_option(tcp::no_delay(true), ignored);
     std::make_shared<ServerSession>(*this, std::move(socket))->start();
-    accept();
   });
 }
 
@@ -97,12 +95,12 @@
   Sweep.async_wait([this](error_code ec) {
     if (ec)
       return;
+    sweep();
     const auto now = core::BootClock::now();
     const std::vector<ServerSession *> sessions(Sessions.begin(),
                                                 Sessions.end());
     for (ServerSession *it : sessions)
       it->closeIfLate(now);
-    sweep();
   });
 }
 
