A refusal counts only for the request that it names

Seen by callers (report of another operator): a faulty upstream wrote an earlier refusal once more on a kept connection. Requests that it had run or was running were answered "not run, try again" (REFUSED), or ran at a second upstream (TWICE). It could happen here.

Cause: an answer without a name was taken for the request that waited, and a name could be sent twice on one connection, so that a refusal of the first request couldn't be told from one of the second. Two requests without a name on one connection have the same fault.

Now an answer on a kept connection has to name its request. One without a name counts only as the first answer on its connection, where nothing earlier can be repeated; others are skipped, and the connection ends with the call, as for foreign names. A connection carries each name once; a request without a name gets a new connection, in place of the kept one that was used least recently, so that the number doesn't grow. Names are kept as hashes; a connection ends after 1,024 requests, which bounds them. Ordinary answers and refusals keep their connection, as before.

Evidence, before: net_test TakesNoAnswerOfAnotherRequest failed in 11 of 26 rows (no name: 503, 429, 421, cut in two, after an interim answer, after a named one, a success; no name in one or both requests; one name twice). proxy_test RefusesOnlyWhatDidNotRun failed in 9 of 12: the caller got 503 though the upstream ran the request, or the request ran at the peer too. The other rows passed before and show what can't happen: a refusal that bears the earlier name, with the answer, cut in two, between requests, or after the next request. After: all pass. The two cases on the number of connections are new with the change and were not run on the code before it.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 #include <boost/beast/http/read.hpp>
@@ -19,10 +20,17 @@
 /// Foreign answers that are passed over before a connection is given up.
 constexpr int MostSkipped = 2;
 
+/// Requests on one connection; bounds the names that it keeps to 8 KiB.
+constexpr std::size_t MostNames = 1024;
+
 /// Share of the server's stated keep-alive time that is used, in percent; the
 /// rest is room for the way.
 constexpr int KeepAliveShare = 70;
 
+std::size_t hashOf(std::string_view name) {
+  return std::hash<std::string_view>()(name);
+}
+
 /// Returns the seconds of "timeout=N", if any.
 std::optional<int> keepAliveSeconds(std::string_view value) {
   constexpr std::string_view Name = "timeout=";
@@ -55,6 +63,8 @@
   Handler = std::move(handler);
   Skipped = 0;
   IsFinished = false;
+  if (Client->Options.RequestName)
+    Names.push_back(hashOf(Client->Options.RequestName(*Request)));
   if (Connected)
     write();
   else
@@ -84,6 +94,14 @@
   return n < 0 && errno == EAGAIN;
 }
 
+bool ClientConnection::mayCarry(const HttpRequest &request) const {
+  if (!Client->Options.RequestName)
+    return true;
+  const std::string_view name = Client->Options.RequestName(request);
+  return !name.empty() &&
+         std::find(Names.begin(), Names.end(), hashOf(name)) == Names.end();
+}
+
 void ClientConnection::connect() {
   ++Client->Connects;
   ConnectTimer.expires_after(Client->Options.ConnectTimeout);
@@ -171,12 +189,11 @@
   }
   const auto &response = Parser->get();
   const bool isInterim = response.result_int() < 200;
-  const bool isForeign = !isInterim && Client->Options.Belongs &&
-                         !Client->Options.Belongs(*Request, response);
-  if (!isInterim && !isForeign) {
+  if (!isInterim && isOwn(response)) {
     finish();
     return;
   }
+  IsFresh = IsFresh && isInterim;
   Reusable = Reusable && isInterim;
   if (++Skipped > MostSkipped || Parser->need_eof())
     fail(CallEnd::Broken, boost::asio::error::invalid_argument);
@@ -184,8 +201,17 @@
     read();
 }
 
+bool ClientConnection::isOwn(const HttpResponse &response) const {
+  if (!Client->Options.AnswerName)
+    return true;
+  const std::string_view name = Client->Options.AnswerName(response);
+  return name.empty() ? IsFresh : name == Client->Options.RequestName(*Request);
+}
+
 void ClientConnection::noteKeepAlive() {
-  Reusable = Reusable && Parser->keep_alive() && Buffer.size() == 0;
+  IsFresh = false;
+  Reusable = Reusable && Parser->keep_alive() && Buffer.size() == 0 &&
+             Names.size() < MostNames;
   IdleLimit = Client->Options.IdleLimit;
   const auto stated =
       keepAliveSeconds(toView(Parser->get()[http::field::keep_alive]));
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +32,9 @@
   /// Whether it can carry another request: open, young enough, and nothing has
   /// come on it since the last answer.
   bool isUsable(core::TimePoint now);
+  /// Whether the answer to \p request could be told from late answers to the
+  /// requests that it has carried.
+  bool mayCarry(const HttpRequest &request) const;
   void close();
 
 private:
@@ -42,6 +46,7 @@
   void park();
   void read();
   void onRead(boost::beast::error_code ec);
+  bool isOwn(const HttpResponse &response) const;
   void finish();
   void fail(CallEnd end, boost::beast::error_code ec);
   void setSocketOptions();
@@ -62,6 +67,10 @@
   bool IsWriting = false;
   bool IsFinished = false;
   int Skipped = 0;
+  /// Hashes of the names that it has carried.
+  std::vector<std::size_t> Names;
+  /// Nothing but interim answers has come on it.
+  bool IsFresh = true;
 };
 
 } // namespace acaciaroad::net
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -41,7 +41,9 @@
 
 std::shared_ptr<ClientCall> HttpClient::send(HttpRequest request,
                                              CallHandler handler) {
-  auto connection = takeIdle();
+  auto connection = takeIdle(request);
+  if (!connection)
+    dropOldest(); // What can't be used makes room.
   if (!connection && Open >= Options.MostConnections) {
     auto call = std::make_shared<RefusedCall>(std::move(handler));
     boost::asio::post(Loop, [call] { call->run(); });
@@ -53,19 +55,31 @@
   return connection;
 }
 
-std::shared_ptr<ClientConnection> HttpClient::takeIdle() {
+std::shared_ptr<ClientConnection>
+HttpClient::takeIdle(const HttpRequest &request) {
   const auto now = core::BootClock::now();
-  while (!Idle.empty()) {
-    // The one that was used last is the least likely to have been closed.
-    auto out = std::move(Idle.back());
-    Idle.pop_back();
-    if (out->isUsable(now))
+  // The one that was used last is the least likely to have been closed.
+  for (std::size_t n = Idle.size(); n > 0; --n) {
+    const auto at = Idle.begin() + static_cast<std::ptrdiff_t>(n - 1);
+    const bool isUsable = (*at)->isUsable(now);
+    if (isUsable && !(*at)->mayCarry(request))
+      continue;
+    auto out = std::move(*at);
+    Idle.erase(at);
+    if (isUsable)
       return out;
     out->close();
   }
   return nullptr;
 }
 
+void HttpClient::dropOldest() {
+  if (Idle.empty())
+    return;
+  Idle.front()->close();
+  Idle.erase(Idle.begin());
+}
+
 void HttpClient::release(std::shared_ptr<ClientConnection> connection) {
   if (Retired)
     connection->close();
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -39,6 +40,9 @@
   bool IsRefused = false;
 };
 
+/// Returns the name that the fields carry, or nothing at all.
+using NameReader = std::function<std::string_view(const HttpFields &)>;
+
 struct ClientOptions {
   core::Duration ConnectTimeout{};
   /// Unacknowledged bytes end a connection after it (TCP_USER_TIMEOUT).
@@ -49,9 +53,14 @@
   std::uint64_t BodyBytes = 0;
   /// Open connections, idle ones included.
   std::size_t MostConnections = 0;
-  /// Whether an answer belongs to the request that waits for it; one that does
-  /// not is skipped, and its connection is not used again.
-  std::function<bool(const HttpRequest &, const HttpResponse &)> Belongs;
+  /// Read the names of requests, and of the requests that answers belong to.
+  /// Without them, each answer belongs to the request that waits for one.
+  ///
+  /// With them, an answer of another name is skipped, and so is one without a
+  /// name unless it is the first on its connection. A connection carries each
+  /// name once, and a request without a name only as its first.
+  NameReader RequestName;
+  NameReader AnswerName;
 };
 
 using CallHandler = std::function<void(CallResult)>;
@@ -96,7 +105,10 @@
   friend class ClientConnection;
   HttpClient(boost::asio::io_context &loop, core::Endpoint server,
              ClientOptions options);
-  std::shared_ptr<ClientConnection> takeIdle();
+  /// Returns a kept connection that may carry \p request, if any.
+  std::shared_ptr<ClientConnection> takeIdle(const HttpRequest &request);
+  /// Closes the kept connection that was used least recently.
+  void dropOldest();
   void release(std::shared_ptr<ClientConnection> connection);
 
   boost::asio::io_context &Loop;
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -63,11 +63,11 @@
   options.IdleLimit = IdleLimit;
   options.BodyBytes = LargestAnswer;
   options.MostConnections = MostConnections;
-  options.Belongs = [read = Speech.ReadCaller, answer = Speech.ReadAnswer](
-                        const net::HttpRequest &request,
-                        const net::HttpResponse &response) {
-    const std::string_view id = answer(response).RequestId;
-    return id.empty() || id == read(request).RequestId;
+  options.RequestName = [read = Speech.ReadCaller](const auto &fields) {
+    return read(fields).RequestId;
+  };
+  options.AnswerName = [read = Speech.ReadAnswer](const auto &fields) {
+    return read(fields).RequestId;
   };
   Client = net::HttpClient::create(loop, upstream, std::move(options));
   reportLoad();
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -10,6 +10,7 @@
 
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
+#include "Support/ByteServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -73,12 +74,12 @@
 };
 
 ClientOptions makeOptions() {
-  ClientOptions out{milliseconds(500), seconds(1), seconds(5),
-                    1U << 20U,         4,          {}};
-  out.Belongs = [](const HttpRequest &request, const HttpResponse &response) {
-    const auto id = fieldOf(response, "id");
-    return id.empty() || id == fieldOf(request, "id");
+  ClientOptions out{
+      milliseconds(500), seconds(1), seconds(5), 1U << 20U, 4, {}, {}};
+  out.RequestName = [](const HttpFields &fields) {
+    return fieldOf(fields, "id");
   };
+  out.AnswerName = out.RequestName;
   return out;
 }
 
@@ -407,7 +408,7 @@
       });
   const auto client =
       HttpClient::create(loop, {"127.0.0.1", server->port()},
-                         {seconds(1), seconds(1), seconds(5), 1024, 4, {}});
+                         {seconds(1), seconds(1), seconds(5), 1024, 4, {}, {}});
   std::vector<CallEnd> ends;
   const HttpRequest request(http::verb::get, "/", 11);
   sendWithTimeout(loop, *client, request, Timeout, [&](const CallResult &one) {
@@ -434,9 +435,9 @@
       [](const std::shared_ptr<Exchange> &exchange) {
         exchange->respond(HttpResponse(http::status::ok, 11));
       });
-  const auto client =
-      HttpClient::create(loop, {"127.0.0.1", server->port()},
-                         {seconds(1), seconds(1), seconds(60), 1024, 4, {}});
+  const auto client = HttpClient::create(
+      loop, {"127.0.0.1", server->port()},
+      {seconds(1), seconds(1), seconds(60), 1024, 4, {}, {}});
   const auto call =
       client->send({http::verb::get, "/", 11}, [](const CallResult &) {});
   loop.run_for(milliseconds(50));
@@ -456,9 +457,9 @@
       [](const std::shared_ptr<Exchange> &exchange) {
         exchange->respond(HttpResponse(http::status::ok, 11));
       });
-  const auto client =
-      HttpClient::create(loop, {"127.0.0.1", server->port()},
-                         {seconds(1), seconds(1), seconds(60), 1024, 4, {}});
+  const auto client = HttpClient::create(
+      loop, {"127.0.0.1", server->port()},
+      {seconds(1), seconds(1), seconds(60), 1024, 4, {}, {}});
   bool isAnswered = false;
   const auto call =
       client->send({http::verb::get, "/", 11}, [&](const CallResult &it) {
@@ -469,3 +470,239 @@
   cr_assert(isAnswered);
   cr_assert_eq(client->idle(), 0U);
 }
+
+namespace {
+
+using tests::ByteAnswer;
+using tests::ByteServer;
+using tests::ConnectionEnd;
+
+/// When a server writes something that nobody asked for.
+enum class ExtraAt {
+  /// With the first answer, in one segment.
+  Answer,
+  /// With the first answer, but its second half only later.
+  AnswerCut,
+  /// Between two requests.
+  Idle,
+  /// After the second request, before its answer.
+  Request,
+  /// The same, its second half 20 ms after its first.
+  RequestCut,
+  /// The same, in one segment with the answer.
+  RequestJoined,
+};
+
+struct ExtraRow {
+  const char *Name;
+  /// Names of the two requests; empty for none.
+  const char *FirstId;
+  const char *SecondId;
+  const char *Extra;
+  ExtraAt When;
+  /// How the second request ends, and the status of its answer.
+  CallEnd End;
+  unsigned Status;
+  /// Connections in use up to a third request.
+  std::size_t Connections;
+};
+
+#define REFUSAL(Status, Fields)                                                \
+  "HTTP/1.1 " Status "\r\nContent-Length: 0\r\nrefused: 1\r\n" Fields "\r\n"
+
+const ExtraRow ExtraRows[] = {
+    {"nothing", "1", "2", "", ExtraAt::Idle, CallEnd::Answered, 200, 1},
+    {"earlier refusal with its answer", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), ExtraAt::Answer, CallEnd::Answered, 200,
+     2},
+    {"earlier refusal, cut in two", "1", "2", REFUSAL("503 Busy", "id: 1\r\n"),
+     ExtraAt::AnswerCut, CallEnd::Answered, 200, 2},
+    {"earlier refusal between requests", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), ExtraAt::Idle, CallEnd::Answered, 200,
+     2},
+    {"earlier refusal after the request", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), ExtraAt::Request, CallEnd::Answered, 200,
+     2},
+    {"earlier refusal after the request, cut in two", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), ExtraAt::RequestCut, CallEnd::Answered,
+     200, 2},
+    {"earlier refusal joined with the answer", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), ExtraAt::RequestJoined,
+     CallEnd::Answered, 200, 2},
+    {"earlier 429", "1", "2", REFUSAL("429 Slow", "id: 1\r\n"),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier 421", "1", "2", REFUSAL("421 Other", "id: 1\r\n"),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"two earlier refusals", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n") REFUSAL("503 Busy", "id: 1\r\n"),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"three earlier refusals", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n") REFUSAL("503 Busy", "id: 1\r\n")
+         REFUSAL("503 Busy", "id: 1\r\n"),
+     ExtraAt::Request, CallEnd::Broken, 0, 2},
+    {"interim answer and earlier refusal", "1", "2",
+     "HTTP/1.1 102 Wait\r\n\r\n" REFUSAL("503 Busy", "id: 1\r\n"),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier refusal and interim answer", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n") "HTTP/1.1 102 Wait\r\n\r\n",
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier refusal without a name", "1", "2", REFUSAL("503 Busy", ""),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier refusal without a name, cut in two", "1", "2",
+     REFUSAL("503 Busy", ""), ExtraAt::RequestCut, CallEnd::Answered, 200, 2},
+    {"earlier 421 without a name", "1", "2", REFUSAL("421 Other", ""),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier 429 without a name after an interim answer", "1", "2",
+     "HTTP/1.1 102 Wait\r\n\r\n" REFUSAL("429 Slow", ""), ExtraAt::Request,
+     CallEnd::Answered, 200, 2},
+    {"earlier refusals with and without a name", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n") REFUSAL("503 Busy", ""), ExtraAt::Request,
+     CallEnd::Answered, 200, 2},
+    {"success without a name", "1", "2",
+     "HTTP/1.1 201 OK\r\nContent-Length: 3\r\n\r\nold", ExtraAt::Request,
+     CallEnd::Answered, 200, 2},
+    {"earlier refusal of a request without a name", "", "2",
+     REFUSAL("400 No", ""), ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier refusal before a request without a name", "1", "",
+     REFUSAL("503 Busy", ""), ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier refusal, both requests without a name", "", "",
+     REFUSAL("400 No", ""), ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"earlier refusal of the same name", "1", "1",
+     REFUSAL("503 Busy", "id: 1\r\n"), ExtraAt::Request, CallEnd::Answered, 200,
+     2},
+    {"earlier refusal of the same name after an interim answer", "1", "1",
+     "HTTP/1.1 102 Wait\r\n\r\n" REFUSAL("503 Busy", "id: 1\r\n"),
+     ExtraAt::Request, CallEnd::Answered, 200, 2},
+    {"refusal cut in a name, and the answer", "1", "2",
+     "HTTP/1.1 503 Busy\r\nref", ExtraAt::RequestJoined, CallEnd::Broken, 0, 2},
+    {"refusal cut after a field, and the answer", "1", "2",
+     "HTTP/1.1 503 Busy\r\nrefused: 1\r\n", ExtraAt::RequestJoined,
+     CallEnd::Broken, 0, 2},
+};
+
+/// A named or unnamed answer that ends after its body.
+std::string answerFor(const HttpRequest &request, const char *status) {
+  std::string out = "HTTP/1.1 " + std::string(status) + "\r\n";
+  if (const auto id = fieldOf(request, "id"); !id.empty())
+    out += "id: " + std::string(id) + "\r\n";
+  return out + "Content-Length: 2\r\n\r\nok";
+}
+
+ByteAnswer answerWithExtra(const ExtraRow &row, const HttpRequest &request,
+                           int number, std::size_t onConnection) {
+  const std::string extra = row.Extra;
+  const std::string half = extra.substr(0, extra.size() / 2);
+  const std::string rest = extra.substr(half.size());
+  constexpr auto Pause = milliseconds(20);
+  ByteAnswer out;
+  if (number == 0) {
+    const std::string refusal = answerFor(request, "503 Busy");
+    if (row.When == ExtraAt::Answer)
+      out.Pieces = {{{}, refusal + extra}};
+    else if (row.When == ExtraAt::AnswerCut)
+      out.Pieces = {{{}, refusal + half}, {Pause, rest}};
+    else if (row.When == ExtraAt::Idle)
+      out.Pieces = {{{}, refusal}, {Pause, extra}};
+    else
+      out.Pieces = {{{}, refusal}};
+    return out;
+  }
+  const std::string answer = answerFor(request, "200 OK");
+  out.Pieces = {{{}, answer}};
+  if (number > 1 || onConnection == 0)
+    return out;
+  if (row.When == ExtraAt::Request)
+    out.Pieces = {{{}, extra}, {Pause, answer}};
+  else if (row.When == ExtraAt::RequestCut)
+    out.Pieces = {{{}, half}, {Pause, rest}, {Pause, answer}};
+  else if (row.When == ExtraAt::RequestJoined)
+    out.Pieces = {{{}, extra + answer}};
+  return out;
+}
+
+/// Sends a request named \p id, or without a name, and waits for its end.
+CallResult ask(boost::asio::io_context &loop, HttpClient &client,
+               const std::string &id) {
+  HttpRequest request{http::verb::get, "/", 11};
+  if (!id.empty())
+    request.set("id", id);
+  CallResult out;
+  out.Detail = "nothing came";
+  const auto call = client.send(std::move(request), [&](CallResult it) {
+    out = std::move(it);
+    loop.stop();
+  });
+  loop.restart();
+  loop.run_for(seconds(1));
+  return out;
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(HttpClient, TakesNoAnswerOfAnotherRequest, ExtraRows) {
+  boost::asio::io_context loop;
+  int requests = 0;
+  ByteServer server(
+      loop, [&](const HttpRequest &request, std::size_t onConnection) {
+        return answerWithExtra(row, request, requests++, onConnection);
+      });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  const CallResult first = ask(loop, *client, row.FirstId);
+  cr_assert(first.End == CallEnd::Answered, "%s", row.Name);
+  cr_assert_eq(first.Response.result_int(), 503U, "%s", row.Name);
+  loop.restart();
+  loop.run_for(milliseconds(60));
+  const CallResult second = ask(loop, *client, row.SecondId);
+  cr_assert(second.End == row.End, "%s: %s", row.Name, second.Detail.c_str());
+  if (row.End == CallEnd::Answered)
+    cr_assert_eq(second.Response.result_int(), row.Status, "%s: %u", row.Name,
+                 second.Response.result_int());
+  const CallResult third = ask(loop, *client, "3");
+  cr_assert(third.End == CallEnd::Answered, "%s", row.Name);
+  cr_assert_eq(third.Response.result_int(), 200U, "%s", row.Name);
+  cr_assert_eq(requests, 3, "%s", row.Name);
+  cr_assert_eq(server.connections(), row.Connections, "%s: %zu", row.Name,
+               server.connections());
+  client->dropIdle();
+}
+
+// A request without a name takes the place of a kept connection, so that their
+// number doesn't grow.
+Test(HttpClient, UsesANewConnectionForEachRequestWithoutAName) {
+  constexpr std::size_t Requests = 5;
+  boost::asio::io_context loop;
+  const ByteServer server(loop, [](const HttpRequest &request, std::size_t) {
+    return ByteAnswer{{{{}, answerFor(request, "400 No")}},
+                      ConnectionEnd::None};
+  });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  for (std::size_t n = 0; n < Requests; ++n) {
+    const CallResult result = ask(loop, *client, "");
+    cr_assert(result.End == CallEnd::Answered);
+    cr_assert_eq(result.Response.result_int(), 400U);
+    cr_assert_eq(client->idle(), 1U);
+  }
+  cr_assert_eq(server.connections(), Requests);
+  cr_assert(ask(loop, *client, "1").End == CallEnd::Answered);
+  cr_assert_eq(server.connections(), Requests);
+  client->dropIdle();
+}
+
+// The names that a connection remembers are bounded.
+Test(HttpClient, ReplacesAConnectionOnceIn1024Requests) {
+  boost::asio::io_context loop;
+  const ByteServer server(loop, [](const HttpRequest &request, std::size_t) {
+    return ByteAnswer{{{{}, answerFor(request, "200 OK")}},
+                      ConnectionEnd::None};
+  });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  for (int n = 0; n < 1024; ++n)
+    cr_assert(ask(loop, *client, std::to_string(n)).End == CallEnd::Answered);
+  cr_assert_eq(server.connections(), 1U);
+  cr_assert(ask(loop, *client, "next").End == CallEnd::Answered);
+  cr_assert_eq(server.connections(), 2U);
+  client->dropIdle();
+}
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "Support/ByteServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -64,7 +65,11 @@
   routing::Configuration out;
   out.Version = 1;
   out.Services.emplace_back().Name = "service";
-  out.Routes = {makeRoute("closed", false), makeRoute("open", true)};
+  out.Routes = {makeRoute("closed", false), makeRoute("open", true),
+                makeRoute("again", true)};
+  out.Routes.back().Kind = routing::WorkKind::Idempotent;
+  for (routing::Route &it : out.Routes)
+    it.MostAttempts = 2;
   routing::ClientAccount account;
   account.Name = "account";
   account.Keys = {"right"};
@@ -79,16 +84,23 @@
   using Behaviour = std::function<void(std::shared_ptr<net::Exchange>)>;
 
   explicit Fixture(Behaviour behaviour) {
-    constexpr net::ServerLimits Limits{4096, 4096, seconds(1), seconds(5)};
     UpstreamServer = *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
                                               std::move(behaviour));
+    start(UpstreamServer->port());
+  }
+
+  explicit Fixture(tests::ByteServer::Hook hook) {
+    ByteUpstream = std::make_unique<tests::ByteServer>(Loop, std::move(hook));
+    start(ByteUpstream->port());
+  }
+
+  void start(std::uint16_t upstream) {
     logging::LoggerOptions options;
     options.Sink = [](std::string_view) {};
     Log = *logging::Logger::create(std::move(options));
     Upstream = std::make_unique<UpstreamService>(
-        Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
-        makeDialect(), Log, Counters,
-        UpstreamHooks{[] {}, [](const auto &) {}});
+        Loop, core::Endpoint{"127.0.0.1", upstream}, makeDialect(), Log,
+        Counters, UpstreamHooks{[] {}, [](const auto &) {}});
     Entry = std::make_unique<EntryService>(
         Loop, EntryIdentity{NodeName, "dc", "service"},
         EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeDialect(), Log,
@@ -98,6 +110,26 @@
                                  [this](const auto &it) { Entry->handle(it); });
   }
 
+  /// Another node in another data centre, beside an upstream that runs what it
+  /// gets.
+  void startPeer() {
+    Peer = *net::HttpServer::create(
+        Loop, {"127.0.0.1", 0}, Limits,
+        [this](const std::shared_ptr<net::Exchange> &exchange) {
+          ++PeerRuns;
+          HttpResponse out(net::http::status::ok, 11);
+          out.set("id", exchange->request()["id"]);
+          out.set("signed", "1");
+          out.body() = "peer";
+          ForwardOutcome outcome;
+          outcome.Outcome = requests::AttemptOutcome::Answered;
+          outcome.ReachedUpstream = true;
+          outcome.Load = {0, 0, 2};
+          writeOutcome(out, outcome);
+          exchange->respond(std::move(out));
+        });
+  }
+
   void setView(std::shared_ptr<const routing::RouteTable> table) {
     auto view = std::make_shared<TrafficView>();
     view->Routes = std::move(table);
@@ -111,7 +143,13 @@
                                                {"u", 1},
                                                true});
     view->Services["service"].Peers.push_back(
-        {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
+        {"peer",
+         "far",
+         Peer ? core::Endpoint{"127.0.0.1", Peer->port()}
+              : core::Endpoint{"127.0.0.2", 1},
+         core::InstanceId{2},
+         {"v", 1},
+         Peer != nullptr});
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
     view->Nodes = {NodeName, "peer"};
@@ -120,13 +158,15 @@
   }
 
   /// Sends one request and returns the answer.
-  HttpResponse ask(const std::string &path, const std::string &key) {
+  HttpResponse ask(const std::string &path, const std::string &key,
+                   const std::string &id = "r-1") {
     const auto client = net::HttpClient::create(
         Loop, {"127.0.0.1", Server->port()},
-        {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}});
+        {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}, {}});
     HttpRequest request{net::http::verb::post, path, 11};
     request.set(net::http::field::host, "h");
-    request.set("id", "r-1");
+    if (!id.empty())
+      request.set("id", id);
     if (!key.empty())
       request.set("account-key", key);
     HttpResponse out;
@@ -141,10 +181,14 @@
     return out;
   }
 
+  static constexpr net::ServerLimits Limits{4096, 4096, seconds(1), seconds(5)};
   boost::asio::io_context Loop;
   TrafficCounters Counters;
   std::shared_ptr<logging::Logger> Log;
   std::unique_ptr<net::HttpServer> UpstreamServer;
+  std::unique_ptr<tests::ByteServer> ByteUpstream;
+  std::unique_ptr<net::HttpServer> Peer;
+  int PeerRuns = 0;
   std::unique_ptr<UpstreamService> Upstream;
   std::unique_ptr<EntryService> Entry;
   std::unique_ptr<net::HttpServer> Server;
@@ -251,7 +295,7 @@
       });
   const auto client = net::HttpClient::create(
       fixture.Loop, {"127.0.0.1", fixture.Server->port()},
-      {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}});
+      {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}, {}});
   HttpRequest request{net::http::verb::post, "/closed/x", 11};
   request.set(net::http::field::host, "h");
   request.set("id", "r-1");
@@ -268,3 +312,100 @@
   cr_assert_eq(status, 200U, "%u", status);
   cr_assert(wasAlive);
 }
+
+namespace {
+
+using tests::ByteAnswer;
+using tests::ConnectionEnd;
+
+#define REFUSAL(Status, Fields)                                                \
+  "HTTP/1.1 " Status "\r\nContent-Length: 0\r\nnot-run: 1\r\n" Fields "\r\n"
+
+struct RefusalRow {
+  const char *Name;
+  const char *Path;
+  /// Names of two requests; empty for none.
+  const char *FirstId;
+  const char *SecondId;
+  /// What the upstream writes before its answer to the second.
+  const char *Extra;
+  /// Whether another upstream is there.
+  bool HasPeer;
+  /// Answer to the second request.
+  unsigned Status;
+  /// Runs of the second request at the other upstream.
+  int PeerRuns;
+};
+
+const RefusalRow RefusalRows[] = {
+    {"nothing", "/open/x", "1", "2", "", false, 200, 0},
+    {"503 with the earlier name", "/open/x", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), false, 200, 0},
+    {"503 without a name", "/open/x", "1", "2", REFUSAL("503 Busy", ""), false,
+     200, 0},
+    {"503 without a name, beside a peer", "/open/x", "1", "2",
+     REFUSAL("503 Busy", ""), true, 200, 0},
+    {"429 without a name, beside a peer", "/open/x", "1", "2",
+     REFUSAL("429 Slow", ""), true, 200, 0},
+    {"421 without a name, beside a peer", "/open/x", "1", "2",
+     REFUSAL("421 Other", ""), true, 200, 0},
+    {"503 of the same name", "/open/x", "1", "1",
+     REFUSAL("503 Busy", "id: 1\r\n"), false, 200, 0},
+    {"503 of the same name, beside a peer", "/open/x", "1", "1",
+     REFUSAL("503 Busy", "id: 1\r\n"), true, 200, 0},
+    {"400, both requests without a name", "/open/x", "", "",
+     REFUSAL("400 No", ""), false, 200, 0},
+    {"success without a name", "/open/x", "1", "2",
+     "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 3\r\n\r\nold", true, 200,
+     0},
+    {"three, at most once", "/open/x", "1", "2",
+     REFUSAL("503 Busy", "") REFUSAL("503 Busy", "") REFUSAL("503 Busy", ""),
+     true, 502, 0},
+    {"three, may be repeated", "/again/x", "1", "2",
+     REFUSAL("503 Busy", "") REFUSAL("503 Busy", "") REFUSAL("503 Busy", ""),
+     true, 200, 1},
+};
+
+std::string signedAnswer(const HttpRequest &request, const char *status,
+                         const char *field) {
+  std::string out = "HTTP/1.1 " + std::string(status) + "\r\n";
+  if (const auto id = net::fieldOf(request, "id"); !id.empty())
+    out += "id: " + std::string(id) + "\r\n";
+  return out + field + ": 1\r\nContent-Length: 5\r\n\r\nwhole";
+}
+
+} // namespace
+
+// The upstream refuses a first request, and writes a refusal once more when it
+// is given a second one, which it runs.
+ACACIA_TABLE_TEST(EntryService, RefusesOnlyWhatDidNotRun, RefusalRows) {
+  int requests = 0;
+  Fixture fixture([&](const HttpRequest &request, std::size_t onConnection) {
+    ByteAnswer out;
+    if (requests++ == 0) {
+      out.Pieces = {{{}, signedAnswer(request, "503 Busy", "not-run")}};
+      return out;
+    }
+    const std::string extra = onConnection == 0 ? "" : row.Extra;
+    out.Pieces = {{{}, extra + signedAnswer(request, "200 OK", "signed")}};
+    return out;
+  });
+  fixture.setView(makeTable());
+  fixture.Entry->configurationConfirmed(core::BootClock::now());
+  fixture.ask("/open/x", "", row.FirstId);
+  cr_assert_eq(requests, 1, "%s", row.Name);
+  if (row.HasPeer) {
+    fixture.startPeer();
+    fixture.setView(makeTable());
+  }
+  const HttpResponse answer = fixture.ask(row.Path, "", row.SecondId);
+  cr_assert_eq(answer.result_int(), row.Status, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert_eq(requests, 2, "%s", row.Name);
+  cr_assert_eq(fixture.PeerRuns, row.PeerRuns, "%s: %d", row.Name,
+               fixture.PeerRuns);
+  cr_assert_eq(net::fieldOf(answer, "id"), row.SecondId, "%s", row.Name);
+  if (row.Status == 200)
+    cr_assert_eq(answer.body(), row.PeerRuns > 0 ? "peer" : "whole", "%s",
+                 row.Name);
+}
--- /dev/null
+++ b/Tests/Support/ByteServer.h
@@ -0,0 +1,130 @@
+/// \file
+/// A server whose answers are bytes that the test chooses.
+
+#ifndef ACACIAROAD_TESTS_SUPPORT_BYTESERVER_H
+#define ACACIAROAD_TESTS_SUPPORT_BYTESERVER_H
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "Core/Clock.h"
+#include "Net/HttpMessage.h"
+
+namespace acaciaroad::tests {
+
+/// How a connection ends.
+enum class ConnectionEnd { None, Close, Reset };
+
+/// What is written for a request, piece by piece.
+struct ByteAnswer {
+  struct Piece {
+    core::Duration Delay{};
+    std::string Bytes;
+  };
+  std::vector<Piece> Pieces;
+  ConnectionEnd End = ConnectionEnd::None;
+};
+
+/// Reads requests one after the other on each connection. \p hook gets each
+/// with its number on its connection, from 0.
+class ByteServer {
+public:
+  using Hook = std::function<ByteAnswer(const net::HttpRequest &, std::size_t)>;
+
+  ByteServer(boost::asio::io_context &loop, Hook hook)
+      : Loop(loop),
+        Acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0}),
+        OnRequest(std::move(hook)) {
+    accept();
+  }
+
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+  std::size_t connections() const { return Accepted; }
+
+private:
+  using Tcp = boost::asio::ip::tcp;
+  using Error = boost::system::error_code;
+
+  class Session : public std::enable_shared_from_this<Session> {
+  public:
+    Session(ByteServer &server, Tcp::socket socket)
+        : Server(server), Socket(std::move(socket)), Timer(server.Loop) {}
+
+    void read() {
+      Request = {};
+      net::http::async_read(Socket, Buffer, Request,
+                            [self = shared_from_this()](Error ec, std::size_t) {
+                              if (ec)
+                                return;
+                              self->Answer = self->Server.OnRequest(
+                                  self->Request, self->Count++);
+                              self->write(0);
+                            });
+    }
+
+  private:
+    void write(std::size_t n) {
+      if (n == Answer.Pieces.size()) {
+        end();
+        return;
+      }
+      Timer.expires_after(Answer.Pieces[n].Delay);
+      Timer.async_wait([self = shared_from_this(), n](Error) {
+        Error ignored; // The client may have gone.
+        boost::asio::write(self->Socket,
+                           boost::asio::buffer(self->Answer.Pieces[n].Bytes),
+                           ignored);
+        self->write(n + 1);
+      });
+    }
+
+    void end() {
+      if (Answer.End == ConnectionEnd::None) {
+        read();
+        return;
+      }
+      Error ignored; // The client may have gone.
+      if (Answer.End == ConnectionEnd::Reset)
+        Socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      Socket.close(ignored);
+    }
+
+    ByteServer &Server;
+    Tcp::socket Socket;
+    boost::asio::steady_timer Timer;
+    boost::beast::flat_buffer Buffer;
+    net::HttpRequest Request;
+    ByteAnswer Answer;
+    std::size_t Count = 0;
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](Error ec, Tcp::socket socket) {
+      if (ec)
+        return;
+      ++Accepted;
+      std::make_shared<Session>(*this, std::move(socket))->read();
+      accept();
+    });
+  }
+
+  boost::asio::io_context &Loop;
+  Tcp::acceptor Acceptor;
+  Hook OnRequest;
+  std::size_t Accepted = 0;
+};
+
+} // namespace acaciaroad::tests
+
+#endif
