An answer cut short doesn't take over the fields of the next

A refusal written once more may itself be cut short. If the cut lay in the reason or in a value, the answer behind it was read as the rest of that line: status 503, "not run" and the name of a request that had run, so that its caller was told to try again, or it ran at a second upstream.

A head with a status line inside its reason or a value is now read as an answer that broke off: outcome unknown. Cuts elsewhere in the head were caught before by the parser.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -46,6 +46,29 @@
   return out;
 }
 
+/// Whether \p text holds the beginning of a status line.
+bool holdsStatusLine(std::string_view text) {
+  constexpr std::string_view Version = "HTTP/1.";
+  constexpr std::string_view Pattern = "HTTP/1.1 200";
+  const auto isDigit = [](char it) { return it >= '0' && it <= '9'; };
+  for (auto at = text.find(Version); at != std::string_view::npos;
+       at = text.find(Version, at + 1)) {
+    const std::string_view rest = text.substr(at).substr(0, Pattern.size());
+    if (rest.size() == Pattern.size() && isDigit(rest[7]) && rest[8] == ' ' &&
+        std::all_of(rest.begin() + 9, rest.end(), isDigit))
+      return true;
+  }
+  return false;
+}
+
+/// Whether the head of an answer that broke off runs into another answer.
+bool isJoined(const HttpResponse &response) {
+  return holdsStatusLine(toView(response.reason())) ||
+         std::any_of(response.begin(), response.end(), [](const auto &it) {
+           return holdsStatusLine(toView(it.value()));
+         });
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<HttpClient> client)
@@ -188,6 +211,10 @@
     return;
   }
   const auto &response = Parser->get();
+  if (isJoined(response)) {
+    fail(CallEnd::Broken, boost::asio::error::invalid_argument);
+    return;
+  }
   const bool isInterim = response.result_int() < 200;
   if (!isInterim && isOwn(response)) {
     finish();
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -364,6 +364,10 @@
     {"three, may be repeated", "/again/x", "1", "2",
      REFUSAL("503 Busy", "") REFUSAL("503 Busy", "") REFUSAL("503 Busy", ""),
      true, 200, 1},
+    {"one cut in a value, at most once", "/open/x", "1", "2",
+     "HTTP/1.1 503 Busy\r\nnot-run: ", true, 502, 0},
+    {"one cut in a value, may be repeated", "/again/x", "1", "2",
+     "HTTP/1.1 503 Busy\r\nnot-run: ", true, 200, 1},
 };
 
 std::string signedAnswer(const HttpRequest &request, const char *status,
