A reset behind a failed write doesn't end an answer as whole

Here it could happen for an answer without length that the upstream resets while the request's body is still being sent: the pending write takes the socket's error, and the read that follows sees an orderly end, which ends such an answer.

An answer that ends with its connection now counts as broken off if the write has failed. An orderly end still ends it, and an answer with a length or chunks that came whole still counts.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -176,8 +176,10 @@
 
 void ClientConnection::onWritten(error_code ec) {
   IsWriting = false;
-  if (ec)
+  if (ec) {
     Reusable = false;
+    HasWriteFailed = true;
+  }
   if (!IsFinished)
     return;
   // The answer came before the whole body was sent.
@@ -210,6 +212,11 @@
     fail(CallEnd::Broken, ec);
     return;
   }
+  // The write has taken the error of the reset; the read sees an orderly end.
+  if (HasWriteFailed && Parser->need_eof()) {
+    fail(CallEnd::Broken, boost::asio::error::connection_reset);
+    return;
+  }
   const auto &response = Parser->get();
   if (isJoined(response)) {
     fail(CallEnd::Broken, boost::asio::error::invalid_argument);
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -66,6 +66,7 @@
   bool ConnectLate = false;
   bool IsWriting = false;
   bool IsFinished = false;
+  bool HasWriteFailed = false;
   int Skipped = 0;
   /// Hashes of the names that it has carried.
   std::vector<std::size_t> Names;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -711,3 +711,53 @@
   cr_assert_eq(server.connections(), 2U);
   client->dropIdle();
 }
+
+namespace {
+
+struct EarlyEndRow {
+  const char *Name;
+  std::size_t BodyBytes;
+  const char *Bytes;
+  AfterAnswer After;
+  CallEnd End;
+};
+
+/// The answer comes while the body is still being sent, if it is large. Closing
+/// with unread bytes resets the connection.
+const EarlyEndRow EarlyEndRows[] = {
+    {"small body, closed", 10, "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Close, CallEnd::Answered},
+    {"small body, reset", 10, "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Reset, CallEnd::Broken},
+    {"large body, reset", 8U << 20U, "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Reset, CallEnd::Broken},
+    {"large body, reset in the head", 8U << 20U, "HTTP/1.1 200 OK\r\nid: 1\r\n",
+     AfterAnswer::Reset, CallEnd::Broken},
+    {"large body, closed", 8U << 20U, "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Close, CallEnd::Broken},
+    {"large body, reset behind an answer with a length", 8U << 20U,
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nid: 1\r\n\r\nok",
+     AfterAnswer::Reset, CallEnd::Answered},
+};
+
+} // namespace
+
+// A write that is pending takes the error of a reset; the read then sees an
+// orderly end.
+ACACIA_TABLE_TEST(HttpClient, TakesNoResetForTheEndOfAnAnswer, EarlyEndRows) {
+  boost::asio::io_context loop;
+  ScriptedServer server(loop, row.Bytes, row.After);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  HttpRequest request{http::verb::post, "/", 11};
+  request.set("id", "1");
+  request.body().assign(row.BodyBytes, 'x');
+  CallResult result;
+  const auto call = client->send(std::move(request), [&](CallResult it) {
+    result = std::move(it);
+    loop.stop();
+  });
+  loop.run_for(seconds(2));
+  cr_assert(result.End == row.End, "%s: %s", row.Name, result.Detail.c_str());
+  client->dropIdle();
+}
