Table of answers that are cut short, as callers see them

Report of another operator: an upstream stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. The table cuts an answer at each place of the head, of a body with a length and of chunks, with and without a length, closed and reset, on a new and on a kept connection, for requests that run at most once and for those that may be repeated.

--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -27,7 +27,8 @@
     CallerFields caller;
     caller.RequestId = net::fieldOf(fields, "id");
     caller.AccountKey = net::fieldOf(fields, "account-key");
-    caller.Patience = milliseconds(400);
+    caller.Patience =
+        fields.count("patient") > 0 ? milliseconds(2500) : milliseconds(400);
     return caller;
   };
   out.WriteOrder = [](HttpFields &fields, const OrderFields &order) {
@@ -54,7 +55,7 @@
   out.Host = "h";
   out.PathPrefix = "/" + name + "/";
   out.Kind = routing::WorkKind::AtMostOnce;
-  out.Timeout = milliseconds(400);
+  out.Timeout = seconds(3);
   out.LatencyTarget = milliseconds(200);
   out.Parts = {{"service", 1}};
   out.IsPublic = isPublic;
@@ -89,8 +90,10 @@
     start(UpstreamServer->port());
   }
 
-  explicit Fixture(tests::ByteServer::Hook hook) {
-    ByteUpstream = std::make_unique<tests::ByteServer>(Loop, std::move(hook));
+  explicit Fixture(tests::ByteServer::Hook hook,
+                   tests::AnswerAfter when = tests::AnswerAfter::Body) {
+    ByteUpstream =
+        std::make_unique<tests::ByteServer>(Loop, std::move(hook), when);
     start(ByteUpstream->port());
   }
 
@@ -116,8 +119,13 @@
     Peer = *net::HttpServer::create(
         Loop, {"127.0.0.1", 0}, Limits,
         [this](const std::shared_ptr<net::Exchange> &exchange) {
-          ++PeerRuns;
           HttpResponse out(net::http::status::ok, 11);
+          if (readRoomRequest(exchange->request())) {
+            writeRoom(out, 1);
+            exchange->respond(std::move(out));
+            return;
+          }
+          ++PeerRuns;
           out.set("id", exchange->request()["id"]);
           out.set("signed", "1");
           out.body() = "peer";
@@ -159,12 +167,16 @@
 
   /// Sends one request and returns the answer.
   HttpResponse ask(const std::string &path, const std::string &key,
-                   const std::string &id = "r-1") {
+                   const std::string &id = "r-1",
+                   const std::string &body = "") {
     const auto client = net::HttpClient::create(
         Loop, {"127.0.0.1", Server->port()},
         {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}, {}});
     HttpRequest request{net::http::verb::post, path, 11};
     request.set(net::http::field::host, "h");
+    request.body() = body;
+    if (!body.empty())
+      request.set("patient", "1"); // A large body takes a while.
     if (!id.empty())
       request.set("id", id);
     if (!key.empty())
@@ -181,7 +193,8 @@
     return out;
   }
 
-  static constexpr net::ServerLimits Limits{4096, 4096, seconds(1), seconds(5)};
+  static constexpr net::ServerLimits Limits{4096, 8U << 20U, seconds(1),
+                                            seconds(5)};
   boost::asio::io_context Loop;
   TrafficCounters Counters;
   std::shared_ptr<logging::Logger> Log;
@@ -413,3 +426,127 @@
     cr_assert_eq(answer.body(), row.PeerRuns > 0 ? "peer" : "whole", "%s",
                  row.Name);
 }
+
+namespace {
+
+struct CutRow {
+  const char *Name;
+  /// What the upstream writes before it ends the connection.
+  const char *Bytes;
+  ConnectionEnd End;
+  /// Bytes of the request's body; the upstream answers before it has read them.
+  std::size_t BodyBytes;
+  /// Answer to a request that runs at most once, and its kind in the body if
+  /// this node made it.
+  unsigned Status;
+  const char *Kind;
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\nid: 2\r\nsigned: 1\r\n"
+const char *const Incomplete = "answer_incomplete";
+
+const CutRow CutRows[] = {
+    {"nothing", "", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the version", "HTTP/1", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the status", "HTTP/1.1 20", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the reason", "HTTP/1.1 200 O", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in the end of the status line", "HTTP/1.1 200 OK\r", ConnectionEnd::Close,
+     0, 502, Incomplete},
+    {"after the status line", "HTTP/1.1 200 OK\r\n", ConnectionEnd::Close, 0,
+     502, Incomplete},
+    {"in a name", HEAD "Content-Le", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after a name", HEAD "Content-Length", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"after a colon", HEAD "Content-Length:", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in a value", HEAD "Content-Length: 1", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in the end of a field", HEAD "Content-Length: 10\r", ConnectionEnd::Close,
+     0, 502, Incomplete},
+    {"after a length", HEAD "Content-Length: 10\r\n", ConnectionEnd::Close, 0,
+     502, Incomplete},
+    {"after a length of nothing", HEAD "Content-Length: 0\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after the mark of chunks", HEAD "Transfer-Encoding: chunked\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after a field, without a length", HEAD, ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in the blank line", HEAD "\r", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the head of a refusal", "HTTP/1.1 503 Busy\r\nid: 2\r\nnot-run: 1\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the head of a failure", "HTTP/1.1 500 No\r\nid: 2\r\nsigned: 1\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the status, reset", "HTTP/1.1 20", ConnectionEnd::Reset, 0, 502,
+     Incomplete},
+    {"in a value, reset", HEAD "Content-Length: 1", ConnectionEnd::Reset, 0,
+     502, Incomplete},
+    {"after a field, reset", HEAD, ConnectionEnd::Reset, 0, 502, Incomplete},
+    {"after the head, with a length", HEAD "Content-Length: 10\r\n\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after the head, in chunks", HEAD "Transfer-Encoding: chunked\r\n\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the size of a chunk", HEAD "Transfer-Encoding: chunked\r\n\r\n5",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"before the last chunk",
+     HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the end of the last chunk",
+     HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the body, reset", HEAD "\r\nwho", ConnectionEnd::Reset, 0, 502,
+     Incomplete},
+    {"in the body, reset while the request is sent", HEAD "\r\nwho",
+     ConnectionEnd::Reset, 6U << 20U, 502, Incomplete},
+    {"in a value, reset while the request is sent", HEAD "Content-Length: 1",
+     ConnectionEnd::Reset, 6U << 20U, 502, Incomplete},
+    {"a body that ends with its connection", HEAD "\r\nwhole",
+     ConnectionEnd::Close, 0, 200, ""},
+};
+
+} // namespace
+
+// An answer that ends early is no success, and what the caller gets is framed.
+ACACIA_TABLE_TEST(EntryService, TakesNoCutAnswerForAWhole, CutRows) {
+  for (const bool isKept : {false, true})
+    for (const bool mayRepeat : {false, true}) {
+      int runs = 0;
+      Fixture fixture(
+          [&](const HttpRequest &request, std::size_t) {
+            if (net::fieldOf(request, "id") == "1")
+              return ByteAnswer{
+                  {{{}, signedAnswer(request, "200 OK", "signed")}},
+                  ConnectionEnd::None};
+            ++runs;
+            return ByteAnswer{{{{}, row.Bytes}}, row.End};
+          },
+          row.BodyBytes > 0 ? tests::AnswerAfter::Head
+                            : tests::AnswerAfter::Body);
+      fixture.setView(makeTable());
+      fixture.Entry->configurationConfirmed(core::BootClock::now());
+      if (isKept)
+        cr_assert_eq(fixture.ask("/open/x", "", "1").result_int(), 200U);
+      fixture.startPeer();
+      fixture.setView(makeTable());
+      const HttpResponse answer =
+          fixture.ask(mayRepeat ? "/again/x" : "/open/x", "", "2",
+                      std::string(row.BodyBytes, 'x'));
+      const bool isMadeHere = row.Kind[0] != '\0';
+      const bool isRepeated = mayRepeat && isMadeHere;
+      cr_assert_eq(answer.result_int(), isRepeated ? 200U : row.Status,
+                   "%s: %u", row.Name, answer.result_int());
+      cr_assert_eq(runs, 1, "%s: %d", row.Name, runs);
+      cr_assert_eq(fixture.PeerRuns, isRepeated ? 1 : 0, "%s", row.Name);
+      cr_assert_eq(net::fieldOf(answer, "id"), "2", "%s", row.Name);
+      cr_assert_eq(net::fieldOf(answer, "Content-Length"),
+                   std::to_string(answer.body().size()), "%s", row.Name);
+      cr_assert(answer.keep_alive(), "%s", row.Name);
+      if (isRepeated)
+        cr_assert_eq(answer.body(), "peer", "%s", row.Name);
+      else if (isMadeHere)
+        cr_assert(answer.body().find(row.Kind) != std::string::npos, "%s: %s",
+                  row.Name, answer.body().c_str());
+      else
+        cr_assert_eq(answer.body(), "whole", "%s", row.Name);
+    }
+}
--- a/Tests/Support/ByteServer.h
+++ b/Tests/Support/ByteServer.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "Core/Clock.h"
@@ -36,16 +38,20 @@
   ConnectionEnd End = ConnectionEnd::None;
 };
 
+/// When a request is answered.
+enum class AnswerAfter { Head, Body };
+
 /// Reads requests one after the other on each connection. \p hook gets each
 /// with its number on its connection, from 0.
 class ByteServer {
 public:
   using Hook = std::function<ByteAnswer(const net::HttpRequest &, std::size_t)>;
 
-  ByteServer(boost::asio::io_context &loop, Hook hook)
+  ByteServer(boost::asio::io_context &loop, Hook hook,
+             AnswerAfter when = AnswerAfter::Body)
       : Loop(loop),
         Acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0}),
-        OnRequest(std::move(hook)) {
+        OnRequest(std::move(hook)), When(when) {
     accept();
   }
 
@@ -62,15 +68,20 @@
         : Server(server), Socket(std::move(socket)), Timer(server.Loop) {}
 
     void read() {
-      Request = {};
-      net::http::async_read(Socket, Buffer, Request,
-                            [self = shared_from_this()](Error ec, std::size_t) {
-                              if (ec)
-                                return;
-                              self->Answer = self->Server.OnRequest(
-                                  self->Request, self->Count++);
-                              self->write(0);
-                            });
+      Parser.emplace();
+      Parser->body_limit(64U << 20U);
+      auto handler = [self = shared_from_this()](Error ec, std::size_t) {
+        if (ec)
+          return;
+        self->Answer =
+            self->Server.OnRequest(self->Parser->get(), self->Count++);
+        self->write(0);
+      };
+      if (Server.When == AnswerAfter::Head)
+        net::http::async_read_header(Socket, Buffer, *Parser,
+                                     std::move(handler));
+      else
+        net::http::async_read(Socket, Buffer, *Parser, std::move(handler));
     }
 
   private:
@@ -104,7 +115,7 @@
     Tcp::socket Socket;
     boost::asio::steady_timer Timer;
     boost::beast::flat_buffer Buffer;
-    net::HttpRequest Request;
+    std::optional<net::http::request_parser<net::http::string_body>> Parser;
     ByteAnswer Answer;
     std::size_t Count = 0;
   };
@@ -122,6 +133,7 @@
   boost::asio::io_context &Loop;
   Tcp::acceptor Acceptor;
   Hook OnRequest;
+  AnswerAfter When;
   std::size_t Accepted = 0;
 };
 
