Table of refusals between nodes that are cut short

The answer of another node, cut after each of its bytes, closed or reset: the outcome of the order is unknown until the answer is whole; of a question for room, nothing has been sent.

--- a/Tests/Proxy/PeerClientsTest.cpp
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -1,11 +1,14 @@
 #include "Proxy/PeerClients.h"
 
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include "Net/HttpServer.h"
+#include "Support/ByteServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -116,3 +119,67 @@
   cr_assert_eq(requests, row.Requests, "%s", row.Name);
   cr_assert_leq(leftMs, row.MostLeftMs, "%s", row.Name);
 }
+
+namespace {
+
+struct CutRow {
+  const char *Name;
+  std::size_t BodyBytes;
+  tests::ConnectionEnd End;
+  /// What an answer means that is not whole.
+  AttemptOutcome Outcome;
+  bool ReachedUpstream;
+};
+
+const CutRow CutRows[] = {
+    {"closed", 100, tests::ConnectionEnd::Close, AttemptOutcome::SentNoAnswer,
+     true},
+    {"reset", 100, tests::ConnectionEnd::Reset, AttemptOutcome::SentNoAnswer,
+     true},
+    {"question for room, closed", 60'000, tests::ConnectionEnd::Close,
+     AttemptOutcome::NotSent, false},
+    {"question for room, reset", 60'000, tests::ConnectionEnd::Reset,
+     AttemptOutcome::NotSent, false},
+};
+
+std::string textOf(const HttpResponse &response) {
+  std::ostringstream out;
+  out << response;
+  return out.str();
+}
+
+} // namespace
+
+// A refusal of another node, cut after each of its bytes.
+ACACIA_TABLE_TEST(PeerClients, TakesNoCutRefusalForAWhole, CutRows) {
+  HttpResponse refusal(net::http::status::service_unavailable, 11);
+  writeOutcome(refusal, makeOutcome(AttemptOutcome::RefusedNotRun, false));
+  refusal.prepare_payload();
+  const std::string whole = textOf(refusal);
+  int leftMs = 0;
+  const Dialect dialect = makeDialect(leftMs);
+  for (std::size_t n = 0; n <= whole.size(); ++n) {
+    boost::asio::io_context loop;
+    const tests::ByteServer server(
+        loop, [&](const net::HttpRequest &, std::size_t) {
+          return tests::ByteAnswer{{{{}, whole.substr(0, n)}}, row.End};
+        });
+    PeerClients clients(loop);
+    std::vector<OrderResult> results;
+    const auto call =
+        clients.send({"127.0.0.1", server.port()}, makeOrder(row.BodyBytes),
+                     dialect, [&](OrderResult result) {
+                       results.push_back(std::move(result));
+                       loop.stop();
+                     });
+    loop.run_for(seconds(3));
+    const bool isWhole = n == whole.size();
+    cr_assert_eq(results.size(), 1U, "%s %zu", row.Name, n);
+    const ForwardOutcome &outcome = results[0].Outcome;
+    cr_assert(outcome.Outcome ==
+                  (isWhole ? AttemptOutcome::RefusedNotRun : row.Outcome),
+              "%s %zu", row.Name, n);
+    cr_assert_eq(outcome.ReachedUpstream, isWhole ? false : row.ReachedUpstream,
+                 "%s %zu", row.Name, n);
+  }
+}
