An answer to HEAD carries no body

Found with the table of what a client reads behind an answer: answers to HEAD were written with their body, refusals included. On a kept connection a caller takes these bytes for the answer to its next request.

The session now drops the body and leaves its length.

--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -175,6 +175,7 @@
     return;
   }
   KeepAlive = Parser->get().keep_alive();
+  IsHead = Parser->get().method() == http::verb::head;
   const auto exchange = std::make_shared<Exchange>(
       shared_from_this(), Parser->release(), core::BootClock::now());
   Parser.reset();
@@ -213,6 +214,8 @@
   Response.emplace(std::move(response));
   Response->keep_alive(!close);
   Response->prepare_payload();
+  if (IsHead)
+    Response->body().clear(); // Its length stays (RFC 9110, section 9.3.2).
   enter(Phase::Writing);
   http::async_write(
       Socket, *Response,
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -65,6 +65,7 @@
   Phase State = Phase::Idle;
   core::TimePoint Since;
   bool KeepAlive = true;
+  bool IsHead = false;
   bool WaitPending = false;
   /// Bytes reserved for the body of the present request.
   std::uint64_t Reserved = 0;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -761,3 +761,100 @@
   cr_assert(result.End == row.End, "%s: %s", row.Name, result.Detail.c_str());
   client->dropIdle();
 }
+
+namespace {
+
+/// What a handler does with an exchange beside answering it.
+enum class Beside { Nothing, AnswerAgain, AnswerAgainLater };
+
+struct OnceRow {
+  const char *Name;
+  http::verb Method;
+  unsigned Status;
+  Beside What;
+};
+
+const OnceRow OnceRows[] = {
+    {"answered", http::verb::get, 200, Beside::Nothing},
+    {"answered twice", http::verb::get, 200, Beside::AnswerAgain},
+    {"answered once more later", http::verb::get, 200,
+     Beside::AnswerAgainLater},
+    {"refused twice", http::verb::get, 503, Beside::AnswerAgain},
+    {"refused once more later", http::verb::get, 503, Beside::AnswerAgainLater},
+    {"HEAD answered", http::verb::head, 200, Beside::Nothing},
+    {"HEAD refused", http::verb::head, 503, Beside::Nothing},
+};
+
+} // namespace
+
+// What a client reads behind an answer would count as the answer to its next
+// request.
+ACACIA_TABLE_TEST(HttpServer, WritesNothingBehindAnAnswer, OnceRows) {
+  boost::asio::io_context loop;
+  std::shared_ptr<Exchange> kept;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        const auto again = kept ? std::exchange(kept, nullptr) : exchange;
+        HttpResponse out(static_cast<http::status>(row.Status), 11);
+        out.body() = "body";
+        if (row.What == Beside::AnswerAgainLater) {
+          again->respond(out);
+          kept = exchange;
+        }
+        exchange->respond(out);
+        if (row.What == Beside::AnswerAgain)
+          exchange->respond(out);
+      });
+  const auto client = HttpClient::create(
+      loop, {"127.0.0.1", server->port()},
+      {seconds(1), seconds(1), seconds(60), 1024, 4, {}, {}});
+  for (int n = 0; n < 3; ++n) {
+    CallResult result;
+    const auto call = client->send({row.Method, "/", 11}, [&](CallResult it) {
+      result = std::move(it);
+      loop.stop();
+    });
+    loop.restart();
+    loop.run_for(seconds(1));
+    cr_assert(result.End == CallEnd::Answered, "%s: %s", row.Name,
+              result.Detail.c_str());
+    cr_assert_eq(result.Response.result_int(), row.Status, "%s", row.Name);
+    cr_assert_eq(fieldOf(result.Response, "Content-Length"), "4", "%s",
+                 row.Name);
+    loop.restart();
+    loop.run_for(milliseconds(20));
+  }
+  cr_assert_eq(client->connectsStarted(), 1U, "%s: %zu", row.Name,
+               static_cast<std::size_t>(client->connectsStarted()));
+  client->dropIdle();
+}
+
+// A node that ends while it writes leaves an answer that is visibly short.
+Test(HttpServer, LeavesNoAnswerThatLooksWholeWhenItEnds) {
+  // More than the system takes in for a client that doesn't read.
+  constexpr std::size_t Bytes = 32U << 20U;
+  boost::asio::io_context loop;
+  auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        HttpResponse out(http::status::ok, 11);
+        out.body().assign(Bytes, 'x');
+        exchange->respond(std::move(out));
+      });
+  tcp::socket socket(loop, tcp::v4());
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(SmallWindow));
+  socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+  boost::asio::write(
+      socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  loop.run_for(milliseconds(50));
+  server.reset();
+  loop.restart();
+  loop.run_for(milliseconds(50));
+  std::string answer;
+  error_code ec;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+  cr_assert(ec);
+  cr_assert(answer.find("Content-Length: 33554432\r\n") != std::string::npos);
+  cr_assert_lt(answer.size(), Bytes, "%zu", answer.size());
+}
