Only an upstream that says so has not run a request

Callers take 408, 429 and 503 for "not run, try again".

Such an answer now counts as one that broke off: 502 to callers, and idempotent requests may go to a second upstream. 421 says it by its status and is passed on as before, as are other failures.

Evidence, before: proxy_test EntryService Answers failed in the rows "503", "429" and "408 that doesn't say not run" (the status was passed on).

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -46,6 +46,12 @@
 /// for this long; longer than two heartbeats.
 constexpr core::Duration SuspicionLength = std::chrono::seconds(4);
 
+/// Whether callers take the status for "not run", which only the upstream's
+/// statement makes true. A 421 is such a statement by itself.
+bool promisesNotRun(unsigned status) {
+  return status == 408 || status == 429 || status == 503;
+}
+
 } // namespace
 
 UpstreamService::UpstreamService(boost::asio::io_context &loop,
@@ -257,13 +263,15 @@
   const AnswerFields answer = Speech.ReadAnswer(result.Response);
   const auto status = result.Response.result_int();
   const bool isSuccess = status >= 200 && status < 300;
+  const bool isForeign =
+      isSuccess &&
+      (!answer.IsSigned ||
+       result.Response.count(net::http::field::content_encoding) > 0);
   if (answer.IsNotRun) {
     out.Outcome = AttemptOutcome::RefusedNotRun;
     out.Reason =
         status == 421 ? ErrorKind::OwnerChanged : ErrorKind::UpstreamShedding;
-  } else if (isSuccess &&
-             (!answer.IsSigned ||
-              result.Response.count(net::http::field::content_encoding) > 0)) {
+  } else if (isForeign || promisesNotRun(status)) {
     out.Outcome = AttemptOutcome::SentNoAnswer;
     out.Reason = ErrorKind::AnswerIncomplete;
   } else {
