--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -73,6 +73,7 @@
   /// When the phase began, or an answer last went forward.
   core::TimePoint Since;
   bool KeepAlive = true;
+  bool IsHead = false;
   bool WaitPending = false;
   /// Bytes reserved for the body of the present request.
   std::uint64_t Reserved = 0;
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Support/ByteServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -31,7 +32,8 @@
     CallerFields caller;
     caller.RequestId = net::fieldOf(fields, "id");
     caller.AccountKey = net::fieldOf(fields, "account-key");
-    caller.Patience = milliseconds(400);
+    caller.Patience =
+        fields.count("patient") > 0 ? milliseconds(2500) : milliseconds(400);
     return caller;
   };
   out.WriteOrder = [](HttpFields &fields, const OrderFields &order) {
@@ -58,7 +60,7 @@
   out.Host = "h";
   out.PathPrefix = "/" + name + "/";
   out.Kind = routing::WorkKind::AtMostOnce;
-  out.Timeout = milliseconds(400);
+  out.Timeout = seconds(3);
   out.LatencyTarget = milliseconds(200);
   out.Parts = {{"service", 1}};
   out.IsPublic = isPublic;
@@ -69,7 +71,11 @@
   routing::Configuration out;
   out.Version = 1;
   out.Services.emplace_back().Name = "service";
-  out.Routes = {makeRoute("closed", false), makeRoute("open", true)};
+  out.Routes = {makeRoute("closed", false), makeRoute("open", true),
+                makeRoute("again", true)};
+  out.Routes.back().Kind = routing::WorkKind::Idempotent;
+  for (routing::Route &it : out.Routes)
+    it.MostAttempts = 2;
   routing::ClientAccount account;
   account.Name = "account";
   account.Keys = {"right"};
@@ -84,16 +90,25 @@
   using Behaviour = std::function<void(std::shared_ptr<net::Exchange>)>;
 
   explicit Fixture(Behaviour behaviour) {
-    constexpr net::ServerLimits Limits{4096, 4096, seconds(1), seconds(5)};
     UpstreamServer = *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
                                               std::move(behaviour));
+    start(UpstreamServer->port());
+  }
+
+  explicit Fixture(tests::ByteServer::Hook hook,
+                   tests::AnswerAfter when = tests::AnswerAfter::Body) {
+    ByteUpstream =
+        std::make_unique<tests::ByteServer>(Loop, std::move(hook), when);
+    start(ByteUpstream->port());
+  }
+
+  void start(std::uint16_t upstream) {
     logging::LoggerOptions options;
     options.Sink = [](std::string_view) {};
     Log = *logging::Logger::create(std::move(options));
     Upstream = std::make_unique<UpstreamService>(
-        Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
-        makeDialect(), Log, Counters,
-        UpstreamHooks{[] {}, [](const auto &) {}});
+        Loop, core::Endpoint{"127.0.0.1", upstream}, makeDialect(), Log,
+        Counters, UpstreamHooks{[] {}, [](const auto &) {}});
     Entry = std::make_unique<EntryService>(
         Loop, EntryIdentity{NodeName, "dc", "service"},
         EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeDialect(), Log,
@@ -103,6 +118,31 @@
                                  [this](const auto &it) { Entry->handle(it); });
   }
 
+  /// Another node in another data centre, beside an upstream that runs what it
+  /// gets.
+  void startPeer() {
+    Peer = *net::HttpServer::create(
+        Loop, {"127.0.0.1", 0}, Limits,
+        [this](const std::shared_ptr<net::Exchange> &exchange) {
+          HttpResponse out(net::http::status::ok, 11);
+          if (readRoomRequest(exchange->request())) {
+            writeRoom(out, 1);
+            exchange->respond(std::move(out));
+            return;
+          }
+          ++PeerRuns;
+          out.set("id", exchange->request()["id"]);
+          out.set("signed", "1");
+          out.body() = "peer";
+          ForwardOutcome outcome;
+          outcome.Outcome = requests::AttemptOutcome::Answered;
+          outcome.ReachedUpstream = true;
+          outcome.Load = {0, 0, 2};
+          writeOutcome(out, outcome);
+          exchange->respond(std::move(out));
+        });
+  }
+
   void setView(std::shared_ptr<const routing::RouteTable> table) {
     auto view = std::make_shared<TrafficView>();
     view->Routes = std::move(table);
@@ -116,7 +156,13 @@
                                                {"u", 1},
                                                true});
     view->Services["service"].Peers.push_back(
-        {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
+        {"peer",
+         "far",
+         Peer ? core::Endpoint{"127.0.0.1", Peer->port()}
+              : core::Endpoint{"127.0.0.2", 1},
+         core::InstanceId{2},
+         {"v", 1},
+         Peer != nullptr});
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
     view->Nodes = {NodeName, "peer"};
@@ -125,13 +171,19 @@
   }
 
   /// Sends one request and returns the answer.
-  HttpResponse ask(const std::string &path, const std::string &key) {
+  HttpResponse ask(const std::string &path, const std::string &key,
+                   const std::string &id = "r-1",
+                   const std::string &body = "") {
     const auto client = net::HttpClient::create(
         Loop, {"127.0.0.1", Server->port()},
-        {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}});
+        {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}, {}});
     HttpRequest request{net::http::verb::post, path, 11};
     request.set(net::http::field::host, "h");
-    request.set("id", "r-1");
+    request.body() = body;
+    if (!body.empty())
+      request.set("patient", "1"); // A large body takes a while.
+    if (!id.empty())
+      request.set("id", id);
     if (!key.empty())
       request.set("account-key", key);
     HttpResponse out;
@@ -146,10 +198,15 @@
     return out;
   }
 
+  static constexpr net::ServerLimits Limits{4096, 8U << 20U, seconds(1),
+                                            seconds(5)};
   boost::asio::io_context Loop;
   TrafficCounters Counters;
   std::shared_ptr<logging::Logger> Log;
   std::unique_ptr<net::HttpServer> UpstreamServer;
+  std::unique_ptr<tests::ByteServer> ByteUpstream;
+  std::unique_ptr<net::HttpServer> Peer;
+  int PeerRuns = 0;
   std::unique_ptr<UpstreamService> Upstream;
   std::unique_ptr<EntryService> Entry;
   std::unique_ptr<net::HttpServer> Server;
@@ -188,6 +245,14 @@
      false, ""},
     {"not run by the upstream", "/open/x", "", true, true, 503, "not-run", 503,
      true, ""},
+    {"503 that doesn't say not run", "/open/x", "", true, true, 503, "signed",
+     502, false, ""},
+    {"429 that doesn't say not run", "/open/x", "", true, true, 429, "signed",
+     502, false, ""},
+    {"408 that doesn't say not run", "/open/x", "", true, true, 408, "signed",
+     502, false, ""},
+    {"404 of the upstream", "/open/x", "", true, true, 404, "signed", 404,
+     false, "whole"},
     {"silence until the deadline", "/open/x", "", true, true, 0, "", 504, false,
      ""},
     {"no configuration", "/open/x", "", false, false, 200, "signed", 503, true,
@@ -303,7 +368,7 @@
       });
   const auto client = net::HttpClient::create(
       fixture.Loop, {"127.0.0.1", fixture.Server->port()},
-      {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}});
+      {seconds(1), seconds(1), seconds(1), 1U << 20U, 4, {}, {}});
   HttpRequest request{net::http::verb::post, "/closed/x", 11};
   request.set(net::http::field::host, "h");
   request.set("id", "r-1");
@@ -320,3 +385,228 @@
   cr_assert_eq(status, 200U, "%u", status);
   cr_assert(wasAlive);
 }
+
+namespace {
+
+using tests::ByteAnswer;
+using tests::ConnectionEnd;
+
+#define REFUSAL(Status, Fields)                                                \
+  "HTTP/1.1 " Status "\r\nContent-Length: 0\r\nnot-run: 1\r\n" Fields "\r\n"
+
+struct RefusalRow {
+  const char *Name;
+  const char *Path;
+  /// Names of two requests; empty for none.
+  const char *FirstId;
+  const char *SecondId;
+  /// What the upstream writes before its answer to the second.
+  const char *Extra;
+  /// Whether another upstream is there.
+  bool HasPeer;
+  /// Answer to the second request.
+  unsigned Status;
+  /// Runs of the second request at the other upstream.
+  int PeerRuns;
+};
+
+const RefusalRow RefusalRows[] = {
+    {"nothing", "/open/x", "1", "2", "", false, 200, 0},
+    {"503 with the earlier name", "/open/x", "1", "2",
+     REFUSAL("503 Busy", "id: 1\r\n"), false, 200, 0},
+    {"503 without a name", "/open/x", "1", "2", REFUSAL("503 Busy", ""), false,
+     200, 0},
+    {"503 without a name, beside a peer", "/open/x", "1", "2",
+     REFUSAL("503 Busy", ""), true, 200, 0},
+    {"429 without a name, beside a peer", "/open/x", "1", "2",
+     REFUSAL("429 Slow", ""), true, 200, 0},
+    {"421 without a name, beside a peer", "/open/x", "1", "2",
+     REFUSAL("421 Other", ""), true, 200, 0},
+    {"503 of the same name", "/open/x", "1", "1",
+     REFUSAL("503 Busy", "id: 1\r\n"), false, 200, 0},
+    {"503 of the same name, beside a peer", "/open/x", "1", "1",
+     REFUSAL("503 Busy", "id: 1\r\n"), true, 200, 0},
+    {"400, both requests without a name", "/open/x", "", "",
+     REFUSAL("400 No", ""), false, 200, 0},
+    {"success without a name", "/open/x", "1", "2",
+     "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 3\r\n\r\nold", true, 200,
+     0},
+    {"three, at most once", "/open/x", "1", "2",
+     REFUSAL("503 Busy", "") REFUSAL("503 Busy", "") REFUSAL("503 Busy", ""),
+     true, 502, 0},
+    {"three, may be repeated", "/again/x", "1", "2",
+     REFUSAL("503 Busy", "") REFUSAL("503 Busy", "") REFUSAL("503 Busy", ""),
+     true, 200, 1},
+    {"one cut in a value, at most once", "/open/x", "1", "2",
+     "HTTP/1.1 503 Busy\r\nnot-run: ", true, 502, 0},
+    {"one cut in a value, may be repeated", "/again/x", "1", "2",
+     "HTTP/1.1 503 Busy\r\nnot-run: ", true, 200, 1},
+};
+
+std::string signedAnswer(const HttpRequest &request, const char *status,
+                         const char *field) {
+  std::string out = "HTTP/1.1 " + std::string(status) + "\r\n";
+  if (const auto id = net::fieldOf(request, "id"); !id.empty())
+    out += "id: " + std::string(id) + "\r\n";
+  return out + field + ": 1\r\nContent-Length: 5\r\n\r\nwhole";
+}
+
+} // namespace
+
+// The upstream refuses a first request, and writes a refusal once more when it
+// is given a second one, which it runs.
+ACACIA_TABLE_TEST(EntryService, RefusesOnlyWhatDidNotRun, RefusalRows) {
+  int requests = 0;
+  Fixture fixture([&](const HttpRequest &request, std::size_t onConnection) {
+    ByteAnswer out;
+    if (requests++ == 0) {
+      out.Pieces = {{{}, signedAnswer(request, "503 Busy", "not-run")}};
+      return out;
+    }
+    const std::string extra = onConnection == 0 ? "" : row.Extra;
+    out.Pieces = {{{}, extra + signedAnswer(request, "200 OK", "signed")}};
+    return out;
+  });
+  fixture.setView(makeTable());
+  fixture.Entry->configurationConfirmed(core::BootClock::now());
+  fixture.ask("/open/x", "", row.FirstId);
+  cr_assert_eq(requests, 1, "%s", row.Name);
+  if (row.HasPeer) {
+    fixture.startPeer();
+    fixture.setView(makeTable());
+  }
+  const HttpResponse answer = fixture.ask(row.Path, "", row.SecondId);
+  cr_assert_eq(answer.result_int(), row.Status, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert_eq(requests, 2, "%s", row.Name);
+  cr_assert_eq(fixture.PeerRuns, row.PeerRuns, "%s: %d", row.Name,
+               fixture.PeerRuns);
+  cr_assert_eq(net::fieldOf(answer, "id"), row.SecondId, "%s", row.Name);
+  if (row.Status == 200)
+    cr_assert_eq(answer.body(), row.PeerRuns > 0 ? "peer" : "whole", "%s",
+                 row.Name);
+}
+
+namespace {
+
+struct CutRow {
+  const char *Name;
+  /// What the upstream writes before it ends the connection.
+  const char *Bytes;
+  ConnectionEnd End;
+  /// Bytes of the request's body; the upstream answers before it has read them.
+  std::size_t BodyBytes;
+  /// Answer to a request that runs at most once, and its kind in the body if
+  /// this node made it.
+  unsigned Status;
+  const char *Kind;
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\nid: 2\r\nsigned: 1\r\n"
+const char *const Incomplete = "answer_incomplete";
+
+const CutRow CutRows[] = {
+    {"nothing", "", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the version", "HTTP/1", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the status", "HTTP/1.1 20", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the reason", "HTTP/1.1 200 O", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in the end of the status line", "HTTP/1.1 200 OK\r", ConnectionEnd::Close,
+     0, 502, Incomplete},
+    {"after the status line", "HTTP/1.1 200 OK\r\n", ConnectionEnd::Close, 0,
+     502, Incomplete},
+    {"in a name", HEAD "Content-Le", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after a name", HEAD "Content-Length", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"after a colon", HEAD "Content-Length:", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in a value", HEAD "Content-Length: 1", ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in the end of a field", HEAD "Content-Length: 10\r", ConnectionEnd::Close,
+     0, 502, Incomplete},
+    {"after a length", HEAD "Content-Length: 10\r\n", ConnectionEnd::Close, 0,
+     502, Incomplete},
+    {"after a length of nothing", HEAD "Content-Length: 0\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after the mark of chunks", HEAD "Transfer-Encoding: chunked\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after a field, without a length", HEAD, ConnectionEnd::Close, 0, 502,
+     Incomplete},
+    {"in the blank line", HEAD "\r", ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the head of a refusal", "HTTP/1.1 503 Busy\r\nid: 2\r\nnot-run: 1\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the head of a failure", "HTTP/1.1 500 No\r\nid: 2\r\nsigned: 1\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the status, reset", "HTTP/1.1 20", ConnectionEnd::Reset, 0, 502,
+     Incomplete},
+    {"in a value, reset", HEAD "Content-Length: 1", ConnectionEnd::Reset, 0,
+     502, Incomplete},
+    {"after a field, reset", HEAD, ConnectionEnd::Reset, 0, 502, Incomplete},
+    {"after the head, with a length", HEAD "Content-Length: 10\r\n\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"after the head, in chunks", HEAD "Transfer-Encoding: chunked\r\n\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the size of a chunk", HEAD "Transfer-Encoding: chunked\r\n\r\n5",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"before the last chunk",
+     HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the end of the last chunk",
+     HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+     ConnectionEnd::Close, 0, 502, Incomplete},
+    {"in the body, reset", HEAD "\r\nwho", ConnectionEnd::Reset, 0, 502,
+     Incomplete},
+    {"in the body, reset while the request is sent", HEAD "\r\nwho",
+     ConnectionEnd::Reset, 6U << 20U, 502, Incomplete},
+    {"in a value, reset while the request is sent", HEAD "Content-Length: 1",
+     ConnectionEnd::Reset, 6U << 20U, 502, Incomplete},
+    {"a body that ends with its connection", HEAD "\r\nwhole",
+     ConnectionEnd::Close, 0, 200, ""},
+};
+
+} // namespace
+
+// An answer that ends early is no success, and what the caller gets is framed.
+ACACIA_TABLE_TEST(EntryService, TakesNoCutAnswerForAWhole, CutRows) {
+  for (const bool isKept : {false, true})
+    for (const bool mayRepeat : {false, true}) {
+      int runs = 0;
+      Fixture fixture(
+          [&](const HttpRequest &request, std::size_t) {
+            if (net::fieldOf(request, "id") == "1")
+              return ByteAnswer{
+                  {{{}, signedAnswer(request, "200 OK", "signed")}},
+                  ConnectionEnd::None};
+            ++runs;
+            return ByteAnswer{{{{}, row.Bytes}}, row.End};
+          },
+          row.BodyBytes > 0 ? tests::AnswerAfter::Head
+                            : tests::AnswerAfter::Body);
+      fixture.setView(makeTable());
+      fixture.Entry->configurationConfirmed(core::BootClock::now());
+      if (isKept)
+        cr_assert_eq(fixture.ask("/open/x", "", "1").result_int(), 200U);
+      fixture.startPeer();
+      fixture.setView(makeTable());
+      const HttpResponse answer =
+          fixture.ask(mayRepeat ? "/again/x" : "/open/x", "", "2",
+                      std::string(row.BodyBytes, 'x'));
+      const bool isMadeHere = row.Kind[0] != '\0';
+      const bool isRepeated = mayRepeat && isMadeHere;
+      cr_assert_eq(answer.result_int(), isRepeated ? 200U : row.Status,
+                   "%s: %u", row.Name, answer.result_int());
+      cr_assert_eq(runs, 1, "%s: %d", row.Name, runs);
+      cr_assert_eq(fixture.PeerRuns, isRepeated ? 1 : 0, "%s", row.Name);
+      cr_assert_eq(net::fieldOf(answer, "id"), "2", "%s", row.Name);
+      cr_assert_eq(net::fieldOf(answer, "Content-Length"),
+                   std::to_string(answer.body().size()), "%s", row.Name);
+      cr_assert(answer.keep_alive(), "%s", row.Name);
+      if (isRepeated)
+        cr_assert_eq(answer.body(), "peer", "%s", row.Name);
+      else if (isMadeHere)
+        cr_assert(answer.body().find(row.Kind) != std::string::npos, "%s: %s",
+                  row.Name, answer.body().c_str());
+      else
+        cr_assert_eq(answer.body(), "whole", "%s", row.Name);
+    }
+}
