A chunk's line or trailers without end take a client's memory

Callers saw: nothing until their deadline (504 outcome_unknown), while the node took in all that the upstream or the other node sent. No limit but the machine's memory held; a process above it is killed with all its open requests.

Cause: Beast bounds a head (8 KB) and a body, but holds the line of a chunk and the trailers in the connection's buffer until their end comes, and that buffer had no limit. Its read operation also returns to its caller only when no part of a line is missing, so that chunks of one byte with extensions of 4 KB each went on past the limit of the body.

The connection reads by itself, with a buffer of 16 KB at most, and a call reads twice the largest body at most, whatever it parses to. The limit of a head stays as it was and is named.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -4,7 +4,8 @@
 #include <charconv>
 #include <utility>
 
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -19,6 +20,13 @@
 /// Foreign answers that are passed over before a connection is given up.
 constexpr int MostSkipped = 2;
 
+/// The usual limit of servers for a head, in bytes.
+constexpr std::uint32_t HeadBytes = 8U << 10U;
+
+/// Bytes that one call may read, as a multiple of the largest body: chunks of
+/// some bytes each take up as much as their content.
+constexpr std::uint64_t MostTaken = 2;
+
 /// Share of the server's stated keep-alive time that is used, in percent; the
 /// rest is room for the way.
 constexpr int KeepAliveShare = 70;
@@ -54,6 +62,7 @@
   Request->prepare_payload();
   Handler = std::move(handler);
   Skipped = 0;
+  Taken = 0;
   IsFinished = false;
   if (Connected)
     write();
@@ -153,13 +162,53 @@
 
 void ClientConnection::read() {
   Parser.emplace();
+  Parser->eager(true);
+  Parser->header_limit(HeadBytes);
   Parser->body_limit(Client->Options.BodyBytes);
   if (Request->method() == http::verb::head)
     Parser->skip(true);
-  http::async_read(Socket, Buffer, *Parser,
-                   [self = shared_from_this()](error_code ec, std::size_t) {
-                     self->onRead(ec);
-                   });
+  parse();
+}
+
+// Beast's own operations go on for as long as part of a line is missing, so
+// that their caller can't bound what they take in.
+void ClientConnection::parse() {
+  error_code ec;
+  if (Buffer.size() > 0)
+    Buffer.consume(Parser->put(Buffer.data(), ec));
+  if (ec == http::error::need_more)
+    ec = {};
+  const std::size_t size = boost::beast::read_size(Buffer, UnparsedBytes);
+  if (!ec && !Parser->is_done() && size == 0)
+    ec = http::error::buffer_overflow;
+  if (ec || Parser->is_done()) {
+    onRead(ec);
+    return;
+  }
+  Socket.async_read_some(
+      Buffer.prepare(size),
+      [self = shared_from_this()](error_code end, std::size_t n) {
+        self->onReceived(end, n);
+      });
+}
+
+void ClientConnection::onReceived(error_code ec, std::size_t n) {
+  if (!Handler)
+    return;
+  Buffer.commit(n);
+  Taken += n;
+  if (!ec && Taken > HeadBytes + MostTaken * Client->Options.BodyBytes)
+    ec = http::error::body_limit;
+  if (!ec) {
+    parse();
+    return;
+  }
+  if (ec == boost::asio::error::eof) {
+    ec = http::error::end_of_stream;
+    if (Parser->got_some())
+      Parser->put_eof(ec);
+  }
+  onRead(ec);
 }
 
 void ClientConnection::onRead(error_code ec) {
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -4,6 +4,8 @@
 #ifndef ACACIAROAD_NET_CLIENTCONNECTION_H
 #define ACACIAROAD_NET_CLIENTCONNECTION_H
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -21,6 +23,10 @@
 class ClientConnection : public ClientCall,
                          public std::enable_shared_from_this<ClientConnection> {
 public:
+  /// What has come of a head, a chunk's line or the trailers is held until all
+  /// of it is there; twice the usual limit of servers for a head.
+  static constexpr std::size_t UnparsedBytes = 16U << 10U;
+
   explicit ClientConnection(std::shared_ptr<HttpClient> client);
   ~ClientConnection() override;
 
@@ -40,7 +46,11 @@
   void onWritten(boost::beast::error_code ec);
   /// Keeps the connection for another request, or closes it.
   void park();
+  /// Begins the next answer.
   void read();
+  /// Reads on unless the answer is complete.
+  void parse();
+  void onReceived(boost::beast::error_code ec, std::size_t n);
   void onRead(boost::beast::error_code ec);
   void finish();
   void fail(CallEnd end, boost::beast::error_code ec);
@@ -50,7 +60,7 @@
   std::shared_ptr<HttpClient> Client;
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
   std::optional<http::response_parser<http::string_body>> Parser;
   CallHandler Handler;
@@ -62,6 +72,8 @@
   bool IsWriting = false;
   bool IsFinished = false;
   int Skipped = 0;
+  /// Bytes that the present call has read, skipped answers included.
+  std::uint64_t Taken = 0;
 };
 
 } // namespace acaciaroad::net
