A request that was sent isn't told as not run when no other upstream is left

Callers saw: 503 no_upstream, ran no, with Retry-After, for an idempotent request that had been sent and whose answer did not count.

Cause: a retry that found no further upstream failed with no_upstream on its own, past AttemptPlan::fail, which knows that an earlier attempt may have run.

Evidence: EntryService/Answers, new row 'success without a signature, no other upstream': 503 before, 502 answer_incomplete (ran unknown) after. Found with answers without end: the first attempt was broken off after its bound and the caller was told 'no_upstream, ran no'.

The plan now judges this end too, and the caller gets the reason of the attempt that was sent. Requests that were never sent keep no_upstream and no_owner.

--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -101,7 +101,9 @@
   const auto now = core::BootClock::now();
   const Peer *peer = choosePeer(now);
   if (peer == nullptr || !peer->Life.isKnown()) {
-    fail(Key ? ErrorKind::NoOwner : ErrorKind::NoUpstream);
+    // An earlier attempt may have run.
+    const ErrorKind none = Key ? ErrorKind::NoOwner : ErrorKind::NoUpstream;
+    fail(Plan.giveUp(Unanswered.value_or(none)).Reason);
     return;
   }
   Plan.started();
@@ -163,6 +165,8 @@
       outcome.Outcome == AttemptOutcome::RefusedNotRun)
     state->Choice.reported(Target, outcome.Load, now);
   RetryAfter = outcome.RetryAfter;
+  if (outcome.Outcome == AttemptOutcome::SentNoAnswer)
+    Unanswered = outcome.Reason;
   const bool isMoved = hasMoved(outcome);
   if (isMoved)
     Holder = outcome.Holder;
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -71,6 +71,8 @@
   std::shared_ptr<net::ClientCall> Call;
   std::optional<upstream::Ticket> Ticket;
   core::Duration RetryAfter{};
+  /// Why the last attempt that was sent has no answer.
+  std::optional<core::ErrorKind> Unanswered;
   int Redirects = 0;
   bool IsOver = false;
 };
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 const char *const NodeName = "here";
+const char *const UpstreamId = "u";
 /// Two nodes on addresses of their own share it; one case alone uses it.
 constexpr std::uint16_t CreditPort = 23413;
 
@@ -26,14 +27,16 @@
     CallerFields caller;
     caller.RequestId = net::fieldOf(fields, "id");
     caller.AccountKey = net::fieldOf(fields, "account-key");
-    caller.Patience = milliseconds(400);
+    caller.Patience = seconds(5);
     return caller;
   };
   out.WriteOrder = [](HttpFields &fields, const OrderFields &order) {
     fields.erase("account-key");
     fields.set("account", net::toBeast(order.Account));
   };
-  out.ReadOrder = [](const HttpFields &) { return OrderFields(); };
+  out.ReadOrder = [](const HttpFields &) {
+    return OrderFields{seconds(5), UpstreamId, {}, {}};
+  };
   out.ReadAnswer = [](const HttpFields &fields) {
     AnswerFields answer;
     answer.RequestId = net::fieldOf(fields, "id");
@@ -60,11 +63,17 @@
   return out;
 }
 
-std::shared_ptr<const routing::RouteTable> makeTable() {
+std::shared_ptr<const routing::RouteTable>
+makeTable(core::Duration timeout = milliseconds(400)) {
   routing::Configuration out;
   out.Version = 1;
   out.Services.emplace_back().Name = "service";
   out.Routes = {makeRoute("closed", false), makeRoute("open", true)};
+  out.Routes.push_back(makeRoute("again", true));
+  out.Routes.back().Kind = routing::WorkKind::Idempotent;
+  out.Routes.back().MostAttempts = 2;
+  for (routing::Route &it : out.Routes)
+    it.Timeout = timeout;
   routing::ClientAccount account;
   account.Name = "account";
   account.Keys = {"right"};
@@ -85,33 +94,45 @@
     logging::LoggerOptions options;
     options.Sink = [](std::string_view) {};
     Log = *logging::Logger::create(std::move(options));
+    useUpstream(UpstreamServer->port());
+    Server =
+        *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
+                                 [this](const auto &it) { Entry->handle(it); });
+  }
+
+  void useUpstream(std::uint16_t port) {
+    Entry.reset();
     Upstream = std::make_unique<UpstreamService>(
-        Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
-        makeDialect(), Log, Counters,
+        Loop, core::Endpoint{"127.0.0.1", port}, makeDialect(), Log, Counters,
         UpstreamHooks{[] {}, [](const auto &) {}});
     Entry = std::make_unique<EntryService>(
         Loop, EntryIdentity{NodeName, "dc", "service"},
         EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeDialect(), Log,
         Counters, *Upstream);
-    Server =
-        *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
-                                 [this](const auto &it) { Entry->handle(it); });
   }
 
   void setView(std::shared_ptr<const routing::RouteTable> table) {
     auto view = std::make_shared<TrafficView>();
     view->Routes = std::move(table);
-    view->Own.Life = {"u", 1};
+    view->Own.Life = {UpstreamId, 1};
     view->Own.IsOpen = true;
     view->Own.Slots = 2;
     view->Services["service"].Peers.push_back({NodeName,
                                                "dc",
                                                {"127.0.0.1", 1},
                                                core::InstanceId{1},
-                                               {"u", 1},
-                                               true});
-    view->Services["service"].Peers.push_back(
-        {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
+                                               {UpstreamId, 1},
+                                               PeerPort == 0});
+    if (PeerPort == 0)
+      view->Services["service"].Peers.push_back(
+          {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
+    else
+      view->Services["service"].Peers.push_back({"peer",
+                                                 "dc",
+                                                 {"127.0.0.1", PeerPort},
+                                                 core::InstanceId{2},
+                                                 {UpstreamId, 1},
+                                                 true});
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
     view->Nodes = {NodeName, "peer"};
@@ -136,11 +157,14 @@
           Loop.stop();
         });
     Loop.restart();
-    Loop.run_for(seconds(3));
+    Loop.run_for(seconds(6));
     client->dropIdle();
     return out;
   }
 
+  /// If set before setView, another node takes all requests.
+  std::uint16_t PeerPort = 0;
+
   boost::asio::io_context Loop;
   TrafficCounters Counters;
   std::shared_ptr<logging::Logger> Log;
@@ -181,6 +205,8 @@
      false, "whole"},
     {"success without a signature", "/open/x", "", true, true, 200, "", 502,
      false, ""},
+    {"success without a signature, no other upstream", "/again/x", "", true,
+     true, 200, "", 502, false, ""},
     {"not run by the upstream", "/open/x", "", true, true, 503, "not-run", 503,
      true, ""},
     {"silence until the deadline", "/open/x", "", true, true, 0, "", 504, false,
