Tell an answer that exceeds its bound from one that broke off

Callers saw, for a head or a body without end: 502 answer_incomplete ('broke off') when the upstream beside the node sent it, 504 outcome_unknown ('no answer came') when another node did. Neither is so: bytes came, and this node stopped reading. The log named no reason for calls to other nodes.

The client tells which calls met one of its bounds, and the entry logs what failed on the way to another node (forward_failed).

EntryService/RefusesAnswersWithoutEnd, 10 rows (head and body; from the upstream, another node, the upstream of another node; at most once, and idempotent with and without another upstream). After: 502 answer_too_large in all; work that runs at most once is sent once, idempotent work a second time where another upstream is left.

--- a/Source/Codec/TotalsMessages.cpp
+++ b/Source/Codec/TotalsMessages.cpp
@@ -17,7 +17,7 @@
 bool read(const pb::NumberedCount &from, RefusedCount &to) {
   to.Count = from.count();
   return from.count() <= MaxCount &&
-         readEnum(from.number(), core::ErrorKind::Internal, to.Kind);
+         readEnum(from.number(), core::ErrorKind::AnswerTooLarge, to.Kind);
 }
 
 bool read(const pb::NumberedCount &from, BucketCount &to) {
--- a/Source/Core/ErrorKind.cpp
+++ b/Source/Core/ErrorKind.cpp
@@ -78,6 +78,8 @@
      "The message cannot be decoded"},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown, 0,
      "An internal error occurred"},
+    {ErrorKind::AnswerTooLarge, "answer_too_large", 502, Ran::Unknown, 0,
+     "The answer of the upstream exceeds what the node takes in"},
 }};
 
 constexpr bool isInOrder() {
--- a/Source/Core/ErrorKind.h
+++ b/Source/Core/ErrorKind.h
@@ -50,11 +50,13 @@
   LogTrimmed,
   CorruptMessage,
   Internal,
+  // Nodes of other versions know the numbers: new kinds come last.
+  AnswerTooLarge,
 };
 
 /// Number of members of ErrorKind.
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::Internal) + 1;
+    static_cast<std::size_t>(ErrorKind::AnswerTooLarge) + 1;
 
 /// Whether the order that a refused request asked for has run.
 enum class Ran : std::uint8_t { No, Unknown };
--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -269,6 +269,9 @@
   out.Detail = ec.message();
   out.IsRefused =
       end == CallEnd::NotSent && ec == boost::asio::error::connection_refused;
+  out.IsTooLarge = ec == http::error::header_limit ||
+                   ec == http::error::body_limit ||
+                   ec == http::error::buffer_overflow;
   handler(std::move(out));
 }
 
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -37,6 +37,8 @@
   std::string Detail;
   /// Nothing listens at the server's address.
   bool IsRefused = false;
+  /// With CallEnd::Broken: the answer met a bound of this client.
+  bool IsTooLarge = false;
 };
 
 struct ClientOptions {
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -155,6 +155,12 @@
   Ticket.reset();
   const auto now = core::BootClock::now();
   const ForwardOutcome &outcome = result.Outcome;
+  if (!result.Detail.empty())
+    Entry.Log->write(logging::Level::Info, "forward_failed",
+                     {{"request_id", RequestId},
+                      {"node", TargetNode},
+                      {"reason", core::answerFor(outcome.Reason).Name},
+                      {"detail", result.Detail}});
   auto *state = Entry.stateOf(Service);
   if (state == nullptr) {
     fail(outcome.Reason);
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -34,6 +34,7 @@
 
 OrderResult resultOf(net::CallResult call) {
   OrderResult out;
+  out.Detail = call.Detail;
   switch (call.End) {
   case net::CallEnd::NotSent:
     out.Outcome.Outcome = AttemptOutcome::NotSent;
@@ -41,7 +42,8 @@
     break;
   case net::CallEnd::Broken:
     out.Outcome.Outcome = AttemptOutcome::SentNoAnswer;
-    out.Outcome.Reason = core::ErrorKind::OutcomeUnknown;
+    out.Outcome.Reason = call.IsTooLarge ? core::ErrorKind::AnswerTooLarge
+                                         : core::ErrorKind::OutcomeUnknown;
     out.Outcome.ReachedUpstream = true;
     break;
   case net::CallEnd::Answered:
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -249,7 +249,8 @@
     return out;
   case net::CallEnd::Broken:
     out.Outcome = AttemptOutcome::SentNoAnswer;
-    out.Reason = ErrorKind::AnswerIncomplete;
+    out.Reason = result.IsTooLarge ? ErrorKind::AnswerTooLarge
+                                   : ErrorKind::AnswerIncomplete;
     return out;
   case net::CallEnd::Answered:
     break;
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -48,6 +48,8 @@
 struct OrderResult {
   ForwardOutcome Outcome;
   net::HttpResponse Answer;
+  /// What failed on the way to another node.
+  std::string Detail;
 };
 
 using OrderHandler = std::function<void(OrderResult)>;
--- a/Tests/Core/ErrorKindTest.cpp
+++ b/Tests/Core/ErrorKindTest.cpp
@@ -18,6 +18,7 @@
     {ErrorKind::RateExceeded, "rate_exceeded", 429, Ran::No},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", 504, Ran::Unknown},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown},
+    {ErrorKind::AnswerTooLarge, "answer_too_large", 502, Ran::Unknown},
 };
 
 } // namespace
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -11,6 +11,7 @@
 
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
+#include "Support/EndlessServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -473,81 +474,6 @@
 
 namespace {
 
-/// Answers the first request on each connection with a prefix and then a piece
-/// that is repeated until the connection fails or a bound is met.
-class EndlessServer {
-public:
-  EndlessServer(boost::asio::io_context &loop, std::string prefix,
-                std::string_view piece, core::Duration pause = {})
-      : Loop(loop),
-        Acceptor(loop,
-                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-        Prefix(std::move(prefix)), Pause(pause) {
-    // Without pauses, many pieces go out at once.
-    do
-      Pieces += piece;
-    while (pause.count() == 0 && Pieces.size() < BlockBytes);
-    accept();
-  }
-
-  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
-  std::size_t sent() const { return Sent; }
-  /// Connections that the client has not closed.
-  int open() const { return Open; }
-  int accepted() const { return Accepted; }
-
-private:
-  /// Far above what the client may take in.
-  static constexpr std::size_t MostSent = 256U << 20U;
-  static constexpr std::size_t BlockBytes = 16U << 10U;
-
-  struct Peer {
-    explicit Peer(boost::asio::io_context &loop) : Socket(loop), Timer(loop) {}
-    tcp::socket Socket;
-    boost::asio::steady_timer Timer;
-    std::array<char, 4096> Buffer{};
-  };
-
-  void accept() {
-    const auto peer = std::make_shared<Peer>(Loop);
-    Acceptor.async_accept(peer->Socket, [this, peer](error_code ec) {
-      if (ec)
-        return;
-      ++Open;
-      ++Accepted;
-      peer->Socket.async_read_some(
-          boost::asio::buffer(peer->Buffer),
-          [this, peer](error_code, std::size_t) { write(peer, Prefix); });
-      accept();
-    });
-  }
-
-  void write(const std::shared_ptr<Peer> &peer, const std::string &bytes) {
-    boost::asio::async_write(peer->Socket, boost::asio::buffer(bytes),
-                             [this, peer](error_code ec, std::size_t n) {
-                               Sent += n;
-                               if (ec || Sent > MostSent)
-                                 --Open;
-                               else
-                                 pause(peer);
-                             });
-  }
-
-  void pause(const std::shared_ptr<Peer> &peer) {
-    peer->Timer.expires_after(Pause);
-    peer->Timer.async_wait([this, peer](error_code) { write(peer, Pieces); });
-  }
-
-  boost::asio::io_context &Loop;
-  tcp::acceptor Acceptor;
-  std::string Prefix;
-  std::string Pieces;
-  core::Duration Pause;
-  std::size_t Sent = 0;
-  int Open = 0;
-  int Accepted = 0;
-};
-
 /// In bytes; what the buffers of two sockets on one machine take besides.
 constexpr std::size_t SocketBuffers = 8U << 20U;
 
@@ -559,39 +485,41 @@
   std::string Prefix;
   std::string Piece;
   CallEnd End;
+  bool IsTooLarge;
 };
 
 const EndlessRow EndlessRows[] = {
-    {"a status line", "HTTP/1.1 200 ", "x", CallEnd::Broken},
-    {"a header field", "HTTP/1.1 200 OK\r\nX: ", "x", CallEnd::Broken},
+    {"a status line", "HTTP/1.1 200 ", "x", CallEnd::Broken, true},
+    {"a header field", "HTTP/1.1 200 OK\r\nX: ", "x", CallEnd::Broken, true},
     {"a folded header field", "HTTP/1.1 200 OK\r\nX: y", "\r\n y",
-     CallEnd::Broken},
-    {"header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n", CallEnd::Broken},
-    {"no HTTP", "", "x", CallEnd::Broken},
-    {"empty lines", "", "\r\n", CallEnd::Broken},
-    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", CallEnd::Broken},
+     CallEnd::Broken, true},
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n", CallEnd::Broken, true},
+    {"no HTTP", "", "x", CallEnd::Broken, false},
+    {"empty lines", "", "\r\n", CallEnd::Broken, false},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", CallEnd::Broken,
+     false},
     {"answers to another request", "",
      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nid: 0\r\n\r\nold",
-     CallEnd::Broken},
+     CallEnd::Broken, false},
     {"a body without a length", "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "x",
-     CallEnd::Broken},
-    {"chunks", ChunkedHead, "2\r\nok\r\n", CallEnd::Broken},
-    {"a chunk's size", ChunkedHead, "0", CallEnd::Broken},
+     CallEnd::Broken, true},
+    {"chunks", ChunkedHead, "2\r\nok\r\n", CallEnd::Broken, true},
+    {"a chunk's size", ChunkedHead, "0", CallEnd::Broken, true},
     {"a chunk's extension", std::string(ChunkedHead) + "1;a=", "b",
-     CallEnd::Broken},
+     CallEnd::Broken, true},
     {"extensions of a chunk", std::string(ChunkedHead) + "1", ";a=b",
-     CallEnd::Broken},
+     CallEnd::Broken, true},
     {"chunks with long extensions", ChunkedHead,
-     "1;a=" + std::string(4000, 'b') + "\r\nx\r\n", CallEnd::Broken},
+     "1;a=" + std::string(4000, 'b') + "\r\nx\r\n", CallEnd::Broken, true},
     {"extensions of the last chunk", std::string(ChunkedHead) + "0", ";a=b",
-     CallEnd::Broken},
+     CallEnd::Broken, true},
     {"a trailer field", std::string(ChunkedHead) + "0\r\nX: ", "x",
-     CallEnd::Broken},
+     CallEnd::Broken, true},
     {"trailer fields", std::string(ChunkedHead) + "0\r\n", "X: y\r\n",
-     CallEnd::Broken},
+     CallEnd::Broken, true},
     {"bytes after a whole answer",
      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nid: 1\r\n\r\nok", "x",
-     CallEnd::Answered},
+     CallEnd::Answered, false},
 };
 
 } // namespace
@@ -599,7 +527,7 @@
 // An upstream in trouble may send without end until its caller closes.
 ACACIA_TABLE_TEST(HttpClient, EndsAnswersWithoutEnd, EndlessRows) {
   boost::asio::io_context loop;
-  EndlessServer server(loop, row.Prefix, row.Piece);
+  tests::EndlessServer server(loop, row.Prefix, row.Piece);
   const auto client =
       HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
   HttpRequest request{http::verb::get, "/", 11};
@@ -614,6 +542,8 @@
   cr_assert(result.has_value(), "%s: %zu bytes, no end", row.Name,
             server.sent());
   cr_assert(result->End == row.End, "%s: %s", row.Name, result->Detail.c_str());
+  cr_assert_eq(result->IsTooLarge, row.IsTooLarge, "%s: %s", row.Name,
+               result->Detail.c_str());
   cr_assert_leq(server.sent(), SocketBuffers + 2 * makeOptions().BodyBytes,
                 "%s: %zu", row.Name, server.sent());
   cr_assert_eq(server.open(), 0, "%s", row.Name);
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "Proxy/PeerService.h"
+#include "Support/EndlessServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -122,7 +124,7 @@
                                                {"127.0.0.1", 1},
                                                core::InstanceId{1},
                                                {UpstreamId, 1},
-                                               PeerPort == 0});
+                                               IsOpen});
     if (PeerPort == 0)
       view->Services["service"].Peers.push_back(
           {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
@@ -162,8 +164,10 @@
     return out;
   }
 
-  /// If set before setView, another node takes all requests.
+  /// If set before setView, another node takes requests.
   std::uint16_t PeerPort = 0;
+  /// Whether the upstream beside the node takes requests.
+  bool IsOpen = true;
 
   boost::asio::io_context Loop;
   TrafficCounters Counters;
@@ -294,3 +298,90 @@
   cr_assert_eq(status, 200U, "%u", status);
   cr_assert(wasAlive);
 }
+namespace {
+
+/// Which of the servers behind the entry node does not end its answer.
+enum class Endless { Upstream, OtherNode, UpstreamOfOtherNode, Both };
+
+/// A node that runs what others forward.
+class OtherNode {
+public:
+  OtherNode(Fixture &fixture, std::uint16_t upstream)
+      : Upstream(fixture.Loop, {"127.0.0.1", upstream}, makeDialect(),
+                 fixture.Log, fixture.Counters, {[] {}, [](const auto &) {}}),
+        Service(fixture.Loop, makeDialect(), Upstream, fixture.Log),
+        Server(*net::HttpServer::create(
+            fixture.Loop, {"127.0.0.1", 0},
+            {4096, 4096, seconds(1), seconds(5)},
+            [this](const auto &it) { Service.handle(it); })) {
+    auto view = std::make_shared<TrafficView>();
+    view->Own.Life = {UpstreamId, 1};
+    view->Own.IsOpen = true;
+    view->Own.Slots = 2;
+    Upstream.setView(view, nullptr);
+  }
+
+  std::uint16_t port() const { return Server->port(); }
+
+private:
+  UpstreamService Upstream;
+  PeerService Service;
+  std::unique_ptr<net::HttpServer> Server;
+};
+
+const char *const EndlessHead = "HTTP/1.1 200 OK\r\nsigned: 1\r\nX: ";
+const char *const EndlessBody = "HTTP/1.1 200 OK\r\nsigned: 1\r\n\r\n";
+
+struct EndlessRow {
+  const char *Name;
+  Endless Where;
+  const char *Prefix;
+  const char *Path;
+  /// Times that the request is sent.
+  int Sent;
+};
+
+const EndlessRow EndlessRows[] = {
+    {"head, upstream", Endless::Upstream, EndlessHead, "/open/x", 1},
+    {"body, upstream", Endless::Upstream, EndlessBody, "/open/x", 1},
+    {"head, other node", Endless::OtherNode, EndlessHead, "/open/x", 1},
+    {"body, other node", Endless::OtherNode, EndlessBody, "/open/x", 1},
+    {"head, upstream of another node", Endless::UpstreamOfOtherNode,
+     EndlessHead, "/open/x", 1},
+    {"body, upstream of another node", Endless::UpstreamOfOtherNode,
+     EndlessBody, "/open/x", 1},
+    {"head, no other upstream", Endless::Upstream, EndlessHead, "/again/x", 1},
+    {"head, sent again", Endless::Both, EndlessHead, "/again/x", 2},
+    {"body, sent again", Endless::Both, EndlessBody, "/again/x", 2},
+    {"head, at most once", Endless::Both, EndlessHead, "/open/x", 1},
+};
+
+} // namespace
+
+// The caller is told at once, and not that the answer broke off or never came.
+ACACIA_TABLE_TEST(EntryService, RefusesAnswersWithoutEnd, EndlessRows) {
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(fixture.Loop, row.Prefix, "x");
+  std::unique_ptr<OtherNode> other;
+  if (row.Where == Endless::Upstream || row.Where == Endless::Both)
+    fixture.useUpstream(server.port());
+  if (row.Where == Endless::OtherNode || row.Where == Endless::Both)
+    fixture.PeerPort = server.port();
+  if (row.Where == Endless::UpstreamOfOtherNode) {
+    other = std::make_unique<OtherNode>(fixture, server.port());
+    fixture.PeerPort = other->port();
+  }
+  fixture.IsOpen = row.Where == Endless::Upstream || row.Where == Endless::Both;
+  constexpr auto Timeout = seconds(4);
+  fixture.setView(makeTable(Timeout));
+  const auto start = core::BootClock::now();
+  const HttpResponse answer = fixture.ask(row.Path, "");
+  // The bound ended the call, not its deadline.
+  cr_assert(core::BootClock::now() - start < Timeout, "%s", row.Name);
+  cr_assert_eq(answer.result_int(), 502U, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert(answer.body().find("answer_too_large") != std::string::npos,
+            "%s: %s", row.Name, answer.body().c_str());
+  cr_assert_eq(server.accepted(), row.Sent, "%s: %d", row.Name,
+               server.accepted());
+}
