A call to another node outlives its deadline without end

Callers saw nothing of it: 504 at the deadline. The node kept the call and its connection for good if the other node was silent or sent without end slowly; each held a descriptor, the request and what had come of the answer, up to 16 MiB, and after 256 the other node could not be asked any more.

Cause: at the deadline the entry dropped its handle of the call without cancelling it. Only calls to the upstream beside the node were given up (0.3 s after the deadline).

EntryService/EndsCallsAfterTheirDeadline, 6 rows (silence, a head and a body a byte every 20 ms; upstream and other node). Before: the three rows of the other node failed, the connection still open 2 s after the answer. After: all pass.

The call is cancelled 0.6 s after the deadline. Not at once: the other node mostly answers by then, and its connection is kept.

--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -16,6 +16,10 @@
 /// the request; further ones mostly refuse too.
 constexpr int MostRedirects = 2;
 
+/// The node beside an upstream gives up 0.3 s after the deadline and tells so;
+/// twice that leaves room for the way.
+constexpr core::Duration LateAnswer = std::chrono::milliseconds(600);
+
 /// Requests that upstreams make while they run one: a failed one loses the work
 /// of the request that it belongs to.
 constexpr std::int32_t InnerRank = -1;
@@ -149,8 +153,13 @@
 }
 
 void EntryRun::ended(std::uint64_t number, OrderResult result) {
-  if (IsOver || number != Attempt)
+  if (number != Attempt)
+    return;
+  if (IsOver) {
+    Call.reset();
+    Timer.cancel();
     return;
+  }
   Call.reset();
   Ticket.reset();
   const auto now = core::BootClock::now();
@@ -265,7 +274,27 @@
   if (state != nullptr && (Call || Ticket))
     state->Choice.ended(Target, AttemptOutcome::SentNoAnswer, now - SentAt,
                         now);
+  const auto late = Call;
   fail(step.Reason);
+  if (late)
+    awaitLateAnswer(late);
+}
+
+void EntryRun::awaitLateAnswer(std::shared_ptr<net::ClientCall> call) {
+  Call = std::move(call);
+  Timer.expires_after(LateAnswer);
+  Timer.async_wait([self = shared_from_this()](boost::beast::error_code ec) {
+    const auto late = std::exchange(self->Call, nullptr);
+    if (ec || !late)
+      return;
+    late->cancel();
+    self->Entry.Log->write(
+        logging::Level::Info, "forward_failed",
+        {{"request_id", self->RequestId},
+         {"node", self->TargetNode},
+         {"reason", core::answerFor(ErrorKind::OutcomeUnknown).Name},
+         {"detail", "no answer after the deadline"}});
+  });
 }
 
 void EntryRun::conclude() {
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -46,6 +46,9 @@
   void abandon();
   void cancelAttempt();
   void onDeadline();
+  /// Keeps \p call for as long as a late answer takes, which saves its
+  /// connection.
+  void awaitLateAnswer(std::shared_ptr<net::ClientCall> call);
   void finish();
 
   EntryService &Entry;
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -385,3 +385,45 @@
   cr_assert_eq(server.accepted(), row.Sent, "%s: %d", row.Name,
                server.accepted());
 }
+
+namespace {
+
+struct LateRow {
+  const char *Name;
+  Endless Where;
+  const char *Prefix;
+  /// Sent again and again, with pauses.
+  const char *Piece;
+};
+
+const LateRow LateRows[] = {
+    {"silence, upstream", Endless::Upstream, "", ""},
+    {"head, upstream", Endless::Upstream, EndlessHead, "x"},
+    {"body, upstream", Endless::Upstream, EndlessBody, "x"},
+    {"silence, other node", Endless::OtherNode, "", ""},
+    {"head, other node", Endless::OtherNode, EndlessHead, "x"},
+    {"body, other node", Endless::OtherNode, EndlessBody, "x"},
+};
+
+} // namespace
+
+// A call that nobody waits for any more holds its connection, and what has come
+// on it, no longer than a late answer takes.
+ACACIA_TABLE_TEST(EntryService, EndsCallsAfterTheirDeadline, LateRows) {
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(fixture.Loop, row.Prefix, row.Piece,
+                                    milliseconds(20));
+  fixture.IsOpen = row.Where == Endless::Upstream;
+  if (fixture.IsOpen)
+    fixture.useUpstream(server.port());
+  else
+    fixture.PeerPort = server.port();
+  fixture.setView(makeTable());
+  const HttpResponse answer = fixture.ask("/open/x", "");
+  cr_assert_eq(answer.result_int(), 504U, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert_eq(server.accepted(), 1, "%s: %d", row.Name, server.accepted());
+  fixture.Loop.restart();
+  fixture.Loop.run_for(seconds(2));
+  cr_assert_eq(server.open(), 0, "%s", row.Name);
+}
--- a/Tests/Support/EndlessServer.h
+++ b/Tests/Support/EndlessServer.h
@@ -54,22 +54,34 @@
     boost::asio::ip::tcp::socket Socket;
     boost::asio::steady_timer Timer;
     std::array<char, 4096> Buffer{};
+    bool IsAsked = false;
   };
 
   void accept() {
     const auto peer = std::make_shared<Peer>(Loop);
-    Acceptor.async_accept(
-        peer->Socket, [this, peer](boost::system::error_code ec) {
-          if (ec)
+    Acceptor.async_accept(peer->Socket,
+                          [this, peer](boost::system::error_code ec) {
+                            if (ec)
+                              return;
+                            ++Open;
+                            ++Accepted;
+                            read(peer);
+                            accept();
+                          });
+  }
+
+  void read(const std::shared_ptr<Peer> &peer) {
+    peer->Socket.async_read_some(
+        boost::asio::buffer(peer->Buffer),
+        [this, peer](boost::system::error_code ec, std::size_t) {
+          if (ec) {
+            --Open;
+            peer->Socket.close(ec);
             return;
-          ++Open;
-          ++Accepted;
-          peer->Socket.async_read_some(
-              boost::asio::buffer(peer->Buffer),
-              [this, peer](boost::system::error_code, std::size_t) {
-                write(peer, Prefix);
-              });
-          accept();
+          }
+          if (!std::exchange(peer->IsAsked, true))
+            write(peer, Prefix);
+          read(peer);
         });
   }
 
@@ -79,7 +91,7 @@
         [this, peer](boost::system::error_code ec, std::size_t n) {
           Sent += n;
           if (ec || Sent > MostSent)
-            --Open;
+            peer->Socket.close(ec);
           else
             pause(peer);
         });
