Answers together may exceed a machine's memory, each within its bound

Callers would see their connections reset: a node takes in up to 16 MiB for each of up to 100 calls to its upstream and 256 to each other node, on machines of 160 MB, and a process above its memory is killed with all open requests.

Cause: the bound was for one answer only.

AnswerMemory counts the bytes that the answers of several clients hold, as they come, and gives up the largest first when they exceed the bound. A usual answer has room even while answers without end hold all of it. A node's clients for its upstream and for other nodes share 32 MiB.

HttpClient/BoundsAllAnswersTogether, 3 rows (24 calls whose bodies don't end, a bound of 8 MiB, and one answer of 300 KB that is asked for meanwhile).

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -78,6 +78,8 @@
 void ClientConnection::close() {
   Connected = false;
   Reusable = false;
+  Parser.reset();
+  Share.reset();
   ConnectTimer.cancel();
   error_code ignored; // Nothing is left to do on a failed close.
   Socket.close(ignored);
@@ -162,6 +164,7 @@
 
 void ClientConnection::read() {
   Parser.emplace();
+  Share.emplace(Client->Options.Memory, [this] { giveUpAnswer(); });
   Parser->eager(true);
   Parser->header_limit(HeadBytes);
   Parser->body_limit(Client->Options.BodyBytes);
@@ -178,6 +181,9 @@
     Buffer.consume(Parser->put(Buffer.data(), ec));
   if (ec == http::error::need_more)
     ec = {};
+  Share->resize(Parser->get().body().size());
+  if (!Handler)
+    return;
   const std::size_t size = boost::beast::read_size(Buffer, UnparsedBytes);
   if (!ec && !Parser->is_done() && size == 0)
     ec = http::error::buffer_overflow;
@@ -250,6 +256,7 @@
   out.End = CallEnd::Answered;
   out.Response = Parser->release();
   Parser.reset();
+  Share.reset();
   IsFinished = true;
   const auto handler = std::exchange(Handler, nullptr);
   if (!IsWriting) {
@@ -260,10 +267,6 @@
 }
 
 void ClientConnection::fail(CallEnd end, error_code ec) {
-  const auto handler = std::exchange(Handler, nullptr);
-  close();
-  if (!handler)
-    return;
   CallResult out;
   out.End = end;
   out.Detail = ec.message();
@@ -272,7 +275,18 @@
   out.IsTooLarge = ec == http::error::header_limit ||
                    ec == http::error::body_limit ||
                    ec == http::error::buffer_overflow;
-  handler(std::move(out));
+  breakOff(std::move(out));
+}
+
+void ClientConnection::giveUpAnswer() {
+  breakOff({CallEnd::Broken, {}, "no memory for the answer", false, true});
+}
+
+void ClientConnection::breakOff(CallResult result) {
+  const auto handler = std::exchange(Handler, nullptr);
+  close();
+  if (handler)
+    handler(std::move(result));
 }
 
 } // namespace acaciaroad::net
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -54,6 +54,9 @@
   void onRead(boost::beast::error_code ec);
   void finish();
   void fail(CallEnd end, boost::beast::error_code ec);
+  /// The answer has to go so that others have room.
+  void giveUpAnswer();
+  void breakOff(CallResult result);
   void setSocketOptions();
   void noteKeepAlive();
 
@@ -63,6 +66,7 @@
   boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
   std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<AnswerMemory::Share> Share;
   CallHandler Handler;
   core::TimePoint IdleSince{};
   core::Duration IdleLimit{};
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -14,6 +14,7 @@
 
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
+#include "Net/AnswerMemory.h"
 #include "Net/HttpMessage.h"
 
 namespace acaciaroad::net {
@@ -54,6 +55,8 @@
   /// Whether an answer belongs to the request that waits for it; one that does
   /// not is skipped, and its connection is not used again.
   std::function<bool(const HttpRequest &, const HttpResponse &)> Belongs;
+  /// What answers may take together, with other clients; null for no bound.
+  std::shared_ptr<AnswerMemory> Memory = nullptr;
 };
 
 using CallHandler = std::function<void(CallResult)>;
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -44,7 +44,8 @@
                            TrafficCounters &counters, UpstreamService &own)
     : Loop(loop), Identity(std::move(identity)), Limits(limits),
       Speech(std::move(dialect)), Log(std::move(logger)), Counters(counters),
-      Own(own), Peers(loop), View(std::make_shared<const TrafficView>()),
+      Own(own), Peers(loop, own.answerMemory()),
+      View(std::make_shared<const TrafficView>()),
       Shares(limits.AccountWindow) {}
 
 void EntryService::setView(std::shared_ptr<const TrafficView> view) {
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -64,13 +64,14 @@
                           order.Account, order.CallerService});
 }
 
-net::ClientOptions makeOptions() {
+net::ClientOptions makeOptions(std::shared_ptr<net::AnswerMemory> memory) {
   net::ClientOptions out;
   out.ConnectTimeout = ConnectTimeout;
   out.SendTimeout = SendTimeout;
   out.IdleLimit = IdleLimit;
   out.BodyBytes = LargestAnswer;
   out.MostConnections = MostConnections;
+  out.Memory = std::move(memory);
   return out;
 }
 
@@ -132,8 +133,9 @@
 
 } // namespace
 
-PeerClients::PeerClients(boost::asio::io_context &loop)
-    : Clients(loop, makeOptions()) {}
+PeerClients::PeerClients(boost::asio::io_context &loop,
+                         std::shared_ptr<net::AnswerMemory> memory)
+    : Clients(loop, makeOptions(std::move(memory))) {}
 
 void PeerClients::tidy(const TrafficView &view, core::TimePoint now) {
   if (now - TidiedAt < TidyInterval)
--- a/Source/Proxy/PeerClients.h
+++ b/Source/Proxy/PeerClients.h
@@ -19,7 +19,8 @@
 /// Keeps one client for each address of a peer.
 class PeerClients {
 public:
-  explicit PeerClients(boost::asio::io_context &loop);
+  PeerClients(boost::asio::io_context &loop,
+              std::shared_ptr<net::AnswerMemory> memory);
 
   /// Forwards \p order to the node at \p address.
   std::shared_ptr<net::ClientCall> send(const core::Endpoint &address,
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -28,6 +28,10 @@
 /// Largest body of an answer; all of it is held in memory.
 constexpr std::uint64_t LargestAnswer = 16U << 20U;
 
+/// Bytes of all answers that are taken in at once, those of other nodes
+/// included; a fifth of the memory of the smallest machine (160 MB).
+constexpr std::uint64_t LargestAnswers = 32U << 20U;
+
 /// Interval at which waiting orders and late answers are looked for.
 constexpr core::Duration TickInterval = milliseconds(20);
 
@@ -55,6 +59,7 @@
                                  TrafficCounters &counters, UpstreamHooks hooks)
     : Loop(loop), Speech(std::move(dialect)), Log(std::move(logger)),
       Counters(counters), Hooks(std::move(hooks)),
+      Memory(net::AnswerMemory::create(LargestAnswers)),
       View(std::make_shared<const TrafficView>()), Timer(loop),
       LoadTimer(loop) {
   net::ClientOptions options;
@@ -63,6 +68,7 @@
   options.IdleLimit = IdleLimit;
   options.BodyBytes = LargestAnswer;
   options.MostConnections = MostConnections;
+  options.Memory = Memory;
   options.Belongs = [read = Speech.ReadCaller, answer = Speech.ReadAnswer](
                         const net::HttpRequest &request,
                         const net::HttpResponse &response) {
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -94,6 +94,11 @@
 
   requests::ReportedLoad load() const;
 
+  /// What the answers that the node takes in may hold.
+  const std::shared_ptr<net::AnswerMemory> &answerMemory() const {
+    return Memory;
+  }
+
 private:
   struct Running {
     Order Data;
@@ -131,6 +136,7 @@
   std::shared_ptr<logging::Logger> Log;
   TrafficCounters &Counters;
   UpstreamHooks Hooks;
+  std::shared_ptr<net::AnswerMemory> Memory;
   std::shared_ptr<net::HttpClient> Client;
   std::shared_ptr<const TrafficView> View;
   upstream::OrderQueue Queue;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -548,3 +548,64 @@
                 "%s: %zu", row.Name, server.sent());
   cr_assert_eq(server.open(), 0, "%s", row.Name);
 }
+
+namespace {
+
+struct ManyRow {
+  const char *Name;
+  std::string Prefix;
+  std::string Piece;
+};
+
+const ManyRow ManyRows[] = {
+    {"bodies without a length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"bodies of a stated length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\n", "x"},
+    {"chunks", ChunkedHead, "400\r\n" + std::string(1024, 'x') + "\r\n"},
+};
+
+} // namespace
+
+// Each answer alone is within its bound; a usual one among them is not harmed.
+ACACIA_TABLE_TEST(HttpClient, BoundsAllAnswersTogether, ManyRows) {
+  constexpr std::uint64_t MostHeld = 8U << 20U;
+  constexpr int Calls = 24;
+  constexpr std::size_t UsualAnswer = 300'000;
+  boost::asio::io_context loop;
+  tests::EndlessServer endless(loop, row.Prefix, row.Piece);
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        HttpResponse out(http::status::ok, 11);
+        out.body().assign(UsualAnswer, 'x');
+        exchange->respond(std::move(out));
+      });
+  ClientOptions options = makeOptions();
+  options.BodyBytes = 16U << 20U;
+  options.MostConnections = Calls;
+  options.Memory = AnswerMemory::create(MostHeld);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", endless.port()}, options);
+  const auto other =
+      HttpClient::create(loop, {"127.0.0.1", server->port()}, options);
+  int tooLarge = 0;
+  CallResult answered;
+  for (int n = 0; n < Calls; ++n)
+    client->send({http::verb::get, "/", 11}, [&](const CallResult &it) {
+      tooLarge += it.IsTooLarge ? 1 : 0;
+      // Asked while the others hold all that there is.
+      if (tooLarge != 1)
+        return;
+      other->send({http::verb::get, "/", 11},
+                  [&](CallResult result) { answered = std::move(result); });
+    });
+  loop.run_for(seconds(2));
+  cr_assert_eq(tooLarge, Calls, "%s: %d", row.Name, tooLarge);
+  cr_assert_eq(answered.Response.body().size(), UsualAnswer, "%s: %s", row.Name,
+               answered.Detail.c_str());
+  cr_assert_leq(endless.sent(), MostHeld + Calls * SocketBuffers, "%s: %zu",
+                row.Name, endless.sent());
+  cr_assert_eq(endless.open(), 0, "%s", row.Name);
+  cr_assert_eq(options.Memory->held(), 0U, "%s", row.Name);
+  other->dropIdle();
+}
--- a/Tests/Proxy/PeerClientsTest.cpp
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -100,7 +100,7 @@
       });
   int leftMs = 0;
   const Dialect dialect = makeDialect(leftMs);
-  PeerClients clients(loop);
+  PeerClients clients(loop, nullptr);
   std::vector<OrderResult> results;
   const auto call =
       clients.send({"127.0.0.1", server->port()}, makeOrder(row.BodyBytes),
