Bytes on an idle connection to the upstream go unnoticed

Callers saw nothing. Bytes that an upstream sends after a whole answer, once the connection waits for its next request, stay in the system's buffer, where they count as memory of the process; up to 100 connections. A connection was looked at only when it was taken, the one used last first, so that others stayed open for good, also those that the upstream had closed.

EntryService/ClosesIdleConnectionsOnWhichBytesCome (1 KB every 20 ms after the answer): before, the connection was still open 3 s later; after, it is closed.

Idle connections are looked at once a second, as those to other nodes are every five. None is closed that could have been used again.

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -46,6 +46,10 @@
 /// Interval at which the control thread is told the load.
 constexpr core::Duration LoadInterval = milliseconds(250);
 
+/// Interval at which idle connections are looked at; what has come on one
+/// meanwhile is held by the system.
+constexpr core::Duration TidyInterval = std::chrono::seconds(1);
+
 /// Without news from an upstream whose connections broke, it counts as cold
 /// for this long; longer than two heartbeats.
 constexpr core::Duration SuspicionLength = std::chrono::seconds(4);
@@ -85,9 +89,14 @@
     if (!ec)
       reportLoad();
   });
+  const auto now = core::BootClock::now();
+  if (now - TidiedAt >= TidyInterval) {
+    TidiedAt = now;
+    Client->closeStale();
+  }
   if (!IsKeyed)
     return;
-  Keys.fade(core::BootClock::now());
+  Keys.fade(now);
   holdings::KeyedLoad out;
   out.BucketKeys = upstream::KeyLoad::KeysPerBucket;
   out.Rates.assign(Keys.rates().begin(), Keys.rates().end());
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -144,6 +144,7 @@
   upstream::KeyLoad Keys{holdings::KeyCount};
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer LoadTimer;
+  core::TimePoint TidiedAt{};
   bool IsTicking = false;
   bool Draining = false;
   std::unordered_map<upstream::Ticket, Running> Orders;
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -427,3 +427,20 @@
   fixture.Loop.run_for(seconds(2));
   cr_assert_eq(server.open(), 0, "%s", row.Name);
 }
+
+// Nothing reads such bytes, and they count as memory of the process.
+Test(EntryService, ClosesIdleConnectionsOnWhichBytesCome) {
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(
+      fixture.Loop,
+      "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 2\r\n\r\nok",
+      std::string(1024, 'x'), milliseconds(20));
+  fixture.useUpstream(server.port());
+  fixture.setView(makeTable());
+  const HttpResponse answer = fixture.ask("/open/x", "");
+  cr_assert_eq(answer.result_int(), 200U, "%u", answer.result_int());
+  cr_assert_eq(server.open(), 1);
+  fixture.Loop.restart();
+  fixture.Loop.run_for(seconds(3));
+  cr_assert_eq(server.open(), 0);
+}
