A request's chunk line or trailers without end take a server's memory

The same cause as with answers, found by looking for it elsewhere: the buffer of a session had no limit, and what a client sends of the line of a chunk or of trailers is held until its end comes. The bound on held bodies doesn't count it.

HttpServer/RefusesRequestsWithoutEnd, 6 rows, half a second each. Before: 3 failed, no answer after 96 MB (a chunk's extension), 140 MB (a trailer field) and 161 MB (trailer fields) from one client. After: 400 in all three, at most 8 MiB sent, the buffers of both sockets included. A request line, header fields and chunks without end were refused before, with 431 and 413, and are still.

The buffer holds what a head may hold, 16 KB at least.

--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -24,6 +24,10 @@
 /// drop the answer.
 constexpr core::Duration LingerTimeout = std::chrono::seconds(2);
 
+/// Bytes that are held unparsed where the limit of a head is lower; twice the
+/// usual limit of servers for a head.
+constexpr std::uint32_t UnparsedBytes = 16U << 10U;
+
 /// Read at a time of what is dropped.
 constexpr std::size_t DiscardBytes = 4096;
 
@@ -120,6 +124,9 @@
   enter(Phase::Reading);
   Parser.emplace();
   Parser->header_limit(Server->Limits.HeaderBytes);
+  // The line of a chunk and the trailers are held until all of it is there.
+  Buffer.max_size(Buffer.size() +
+                  std::max(UnparsedBytes, Server->Limits.HeaderBytes));
   Parser->body_limit(Server->Limits.BodyBytes);
   http::async_read_header(
       Socket, Buffer, *Parser,
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -609,3 +609,68 @@
   cr_assert_eq(options.Memory->held(), 0U, "%s", row.Name);
   other->dropIdle();
 }
+
+namespace {
+
+struct EndlessRequestRow {
+  const char *Name;
+  std::string Prefix;
+  std::string Piece;
+  /// First line of what comes back.
+  const char *Status;
+};
+
+const char *const ChunkedRequest =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const EndlessRequestRow EndlessRequestRows[] = {
+    {"a request line", "GET /", "x",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"header fields", "GET / HTTP/1.1\r\n", "X: y\r\n",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"chunks", ChunkedRequest, "2\r\nok\r\n", "HTTP/1.1 413 Payload Too Large"},
+    {"a chunk's extension", std::string(ChunkedRequest) + "1;a=", "b",
+     "HTTP/1.1 400 Bad Request"},
+    {"a trailer field", std::string(ChunkedRequest) + "0\r\nX: ", "x",
+     "HTTP/1.1 400 Bad Request"},
+    {"trailer fields", std::string(ChunkedRequest) + "0\r\n", "X: y\r\n",
+     "HTTP/1.1 400 Bad Request"},
+};
+
+} // namespace
+
+// The client sends on until the server answers.
+ACACIA_TABLE_TEST(HttpServer, RefusesRequestsWithoutEnd, EndlessRequestRows) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      [](const std::shared_ptr<Exchange> &) {});
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+  std::string pieces;
+  while (pieces.size() < 16U << 10U)
+    pieces += row.Piece;
+  boost::asio::write(socket, boost::asio::buffer(row.Prefix));
+  std::size_t sent = 0;
+  std::function<void()> send = [&] {
+    boost::asio::async_write(socket, boost::asio::buffer(pieces),
+                             [&](error_code ec, std::size_t n) {
+                               sent += n;
+                               if (!ec)
+                                 send();
+                             });
+  };
+  send();
+  std::string answer(1024, '\0');
+  std::size_t length = 0;
+  socket.async_read_some(boost::asio::buffer(answer),
+                         [&](error_code, std::size_t n) {
+                           length = n;
+                           loop.stop();
+                         });
+  loop.run_for(milliseconds(500));
+  answer.resize(length);
+  cr_assert_eq(answer.substr(0, answer.find("\r\n")), row.Status,
+               "%s: %s after %zu bytes", row.Name, answer.c_str(), sent);
+  cr_assert_leq(sent, SocketBuffers, "%s: %zu", row.Name, sent);
+}
