--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -19,7 +19,6 @@
 constexpr core::Duration RelayTimeout = milliseconds(150);
 constexpr core::Duration ConnectTimeout = milliseconds(100);
 constexpr core::Duration IdleLimit = std::chrono::seconds(20);
-constexpr std::uint64_t LargestAnswer = 4U << 20U;
 constexpr std::size_t MostConnections = 4;
 
 /// Larger answers are read from the log itself, whose network is wide: a relay
@@ -41,7 +40,7 @@
   out.ConnectTimeout = ConnectTimeout;
   out.SendTimeout = RelayTimeout;
   out.IdleLimit = IdleLimit;
-  out.BodyBytes = LargestAnswer;
+  out.BodyBytes = LargestRelayed;
   out.MostConnections = MostConnections;
   return out;
 }
--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -26,6 +26,8 @@
 
 const ReadRow ReadRows[] = {
     {"a small record by the relay", 100, milliseconds(300), false},
+    {"one near the largest size by the relay", 32'000, milliseconds(300),
+     false},
     {"a large one from the log, whose network is wide", 400'000,
      milliseconds(300), true},
     {"a relay that knows nothing is passed over", 0, milliseconds(300), true},
