--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -4,6 +4,8 @@
 #ifndef ACACIAROAD_NET_CLIENTCONNECTION_H
 #define ACACIAROAD_NET_CLIENTCONNECTION_H
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -22,6 +24,10 @@
 class ClientConnection : public ClientCall,
                          public std::enable_shared_from_this<ClientConnection> {
 public:
+  /// What has come of a head, a chunk's line or the trailers is held until all
+  /// of it is there; twice the usual limit of servers for a head.
+  static constexpr std::size_t UnparsedBytes = 16U << 10U;
+
   explicit ClientConnection(std::shared_ptr<HttpClient> client);
   ~ClientConnection() override;
 
@@ -44,20 +50,28 @@
   void onWritten(boost::beast::error_code ec);
   /// Keeps the connection for another request, or closes it.
   void park();
+  /// Begins the next answer.
   void read();
+  /// Reads on unless the answer is complete.
+  void parse();
+  void onReceived(boost::beast::error_code ec, std::size_t n);
   void onRead(boost::beast::error_code ec);
   bool isOwn(const HttpResponse &response) const;
   void finish();
   void fail(CallEnd end, boost::beast::error_code ec);
+  /// The answer has to go so that others have room.
+  void giveUpAnswer();
+  void breakOff(CallResult result);
   void setSocketOptions();
   void noteKeepAlive();
 
   std::shared_ptr<HttpClient> Client;
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
   std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<AnswerMemory::Share> Share;
   CallHandler Handler;
   core::TimePoint IdleSince{};
   core::Duration IdleLimit{};
@@ -72,6 +86,8 @@
   std::vector<std::size_t> Names;
   /// Nothing but interim answers has come on it.
   bool IsFresh = true;
+  /// Bytes that the present call has read, skipped answers included.
+  std::uint64_t Taken = 0;
 };
 
 } // namespace acaciaroad::net
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -15,6 +15,7 @@
 
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
+#include "Net/AnswerMemory.h"
 #include "Net/HttpMessage.h"
 
 namespace acaciaroad::net {
@@ -38,6 +39,8 @@
   std::string Detail;
   /// Nothing listens at the server's address.
   bool IsRefused = false;
+  /// With CallEnd::Broken: the answer met a bound of this client.
+  bool IsTooLarge = false;
 };
 
 /// Returns the name that the fields carry, or nothing at all.
@@ -61,6 +64,8 @@
   /// name once, and a request without a name only as its first.
   NameReader RequestName;
   NameReader AnswerName;
+  /// What answers may take together, with other clients; null for no bound.
+  std::shared_ptr<AnswerMemory> Memory = nullptr;
 };
 
 using CallHandler = std::function<void(CallResult)>;
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -46,6 +46,9 @@
   void abandon();
   void cancelAttempt();
   void onDeadline();
+  /// Keeps \p call for as long as a late answer takes, which saves its
+  /// connection.
+  void awaitLateAnswer(std::shared_ptr<net::ClientCall> call);
   void finish();
 
   EntryService &Entry;
@@ -71,6 +74,8 @@
   std::shared_ptr<net::ClientCall> Call;
   std::optional<upstream::Ticket> Ticket;
   core::Duration RetryAfter{};
+  /// Why the last attempt that was sent has no answer.
+  std::optional<core::ErrorKind> Unanswered;
   int Redirects = 0;
   bool IsOver = false;
 };
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -28,6 +28,10 @@
 /// Largest body of an answer; all of it is held in memory.
 constexpr std::uint64_t LargestAnswer = 16U << 20U;
 
+/// Bytes of all answers that are taken in at once, those of other nodes
+/// included; a fifth of the memory of the smallest machine (160 MB).
+constexpr std::uint64_t LargestAnswers = 32U << 20U;
+
 /// Interval at which waiting orders and late answers are looked for.
 constexpr core::Duration TickInterval = milliseconds(20);
 
@@ -42,6 +46,10 @@
 /// Interval at which the control thread is told the load.
 constexpr core::Duration LoadInterval = milliseconds(250);
 
+/// Interval at which idle connections are looked at; what has come on one
+/// meanwhile is held by the system.
+constexpr core::Duration TidyInterval = std::chrono::seconds(1);
+
 /// Without news from an upstream whose connections broke, it counts as cold
 /// for this long; longer than two heartbeats.
 constexpr core::Duration SuspicionLength = std::chrono::seconds(4);
@@ -61,6 +69,7 @@
                                  TrafficCounters &counters, UpstreamHooks hooks)
     : Loop(loop), Speech(std::move(dialect)), Log(std::move(logger)),
       Counters(counters), Hooks(std::move(hooks)),
+      Memory(net::AnswerMemory::create(LargestAnswers)),
       View(std::make_shared<const TrafficView>()), Timer(loop),
       LoadTimer(loop) {
   net::ClientOptions options;
@@ -69,6 +78,7 @@
   options.IdleLimit = IdleLimit;
   options.BodyBytes = LargestAnswer;
   options.MostConnections = MostConnections;
+  options.Memory = Memory;
   options.RequestName = [read = Speech.ReadCaller](const auto &fields) {
     return read(fields).RequestId;
   };
@@ -85,9 +95,14 @@
     if (!ec)
       reportLoad();
   });
+  const auto now = core::BootClock::now();
+  if (now - TidiedAt >= TidyInterval) {
+    TidiedAt = now;
+    Client->closeStale();
+  }
   if (!IsKeyed)
     return;
-  Keys.fade(core::BootClock::now());
+  Keys.fade(now);
   holdings::KeyedLoad out;
   out.BucketKeys = upstream::KeyLoad::KeysPerBucket;
   out.Rates.assign(Keys.rates().begin(), Keys.rates().end());
@@ -255,7 +270,8 @@
     return out;
   case net::CallEnd::Broken:
     out.Outcome = AttemptOutcome::SentNoAnswer;
-    out.Reason = ErrorKind::AnswerIncomplete;
+    out.Reason = result.IsTooLarge ? ErrorKind::AnswerTooLarge
+                                   : ErrorKind::AnswerIncomplete;
     return out;
   case net::CallEnd::Answered:
     break;
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -48,6 +48,8 @@
 struct OrderResult {
   ForwardOutcome Outcome;
   net::HttpResponse Answer;
+  /// What failed on the way to another node.
+  std::string Detail;
 };
 
 using OrderHandler = std::function<void(OrderResult)>;
@@ -92,6 +94,11 @@
 
   requests::ReportedLoad load() const;
 
+  /// What the answers that the node takes in may hold.
+  const std::shared_ptr<net::AnswerMemory> &answerMemory() const {
+    return Memory;
+  }
+
 private:
   struct Running {
     Order Data;
@@ -129,6 +136,7 @@
   std::shared_ptr<logging::Logger> Log;
   TrafficCounters &Counters;
   UpstreamHooks Hooks;
+  std::shared_ptr<net::AnswerMemory> Memory;
   std::shared_ptr<net::HttpClient> Client;
   std::shared_ptr<const TrafficView> View;
   upstream::OrderQueue Queue;
@@ -136,6 +144,7 @@
   upstream::KeyLoad Keys{holdings::KeyCount};
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer LoadTimer;
+  core::TimePoint TidiedAt{};
   bool IsTicking = false;
   bool Draining = false;
   std::unordered_map<upstream::Ticket, Running> Orders;
--- a/Tests/Proxy/PeerClientsTest.cpp
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -103,7 +103,7 @@
       });
   int leftMs = 0;
   const Dialect dialect = makeDialect(leftMs);
-  PeerClients clients(loop);
+  PeerClients clients(loop, nullptr);
   std::vector<OrderResult> results;
   const auto call =
       clients.send({"127.0.0.1", server->port()}, makeOrder(row.BodyBytes),
@@ -164,7 +164,7 @@
         loop, [&](const net::HttpRequest &, std::size_t) {
           return tests::ByteAnswer{{{{}, whole.substr(0, n)}}, row.End};
         });
-    PeerClients clients(loop);
+    PeerClients clients(loop, nullptr);
     std::vector<OrderResult> results;
     const auto call =
         clients.send({"127.0.0.1", server.port()}, makeOrder(row.BodyBytes),
