--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -5,7 +5,8 @@
 #include <functional>
 #include <utility>
 
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -23,6 +24,13 @@
 /// Requests on one connection; bounds the names that it keeps to 8 KiB.
 constexpr std::size_t MostNames = 1024;
 
+/// The usual limit of servers for a head, in bytes.
+constexpr std::uint32_t HeadBytes = 8U << 10U;
+
+/// Bytes that one call may read, as a multiple of the largest body: chunks of
+/// some bytes each take up as much as their content.
+constexpr std::uint64_t MostTaken = 2;
+
 /// Share of the server's stated keep-alive time that is used, in percent; the
 /// rest is room for the way.
 constexpr int KeepAliveShare = 70;
@@ -85,6 +93,7 @@
   Request->prepare_payload();
   Handler = std::move(handler);
   Skipped = 0;
+  Taken = 0;
   IsFinished = false;
   if (Client->Options.RequestName)
     Names.push_back(hashOf(Client->Options.RequestName(*Request)));
@@ -102,6 +111,8 @@
 void ClientConnection::close() {
   Connected = false;
   Reusable = false;
+  Parser.reset();
+  Share.reset();
   ConnectTimer.cancel();
   error_code ignored; // Nothing is left to do on a failed close.
   Socket.close(ignored);
@@ -196,13 +207,57 @@
 
 void ClientConnection::read() {
   Parser.emplace();
+  Share.emplace(Client->Options.Memory, [this] { giveUpAnswer(); });
+  Parser->eager(true);
+  Parser->header_limit(HeadBytes);
   Parser->body_limit(Client->Options.BodyBytes);
   if (Request->method() == http::verb::head)
     Parser->skip(true);
-  http::async_read(Socket, Buffer, *Parser,
-                   [self = shared_from_this()](error_code ec, std::size_t) {
-                     self->onRead(ec);
-                   });
+  parse();
+}
+
+// Beast's own operations go on for as long as part of a line is missing, so
+// that their caller can't bound what they take in.
+void ClientConnection::parse() {
+  error_code ec;
+  if (Buffer.size() > 0)
+    Buffer.consume(Parser->put(Buffer.data(), ec));
+  if (ec == http::error::need_more)
+    ec = {};
+  Share->resize(Parser->get().body().size());
+  if (!Handler)
+    return;
+  const std::size_t size = boost::beast::read_size(Buffer, UnparsedBytes);
+  if (!ec && !Parser->is_done() && size == 0)
+    ec = http::error::buffer_overflow;
+  if (ec || Parser->is_done()) {
+    onRead(ec);
+    return;
+  }
+  Socket.async_read_some(
+      Buffer.prepare(size),
+      [self = shared_from_this()](error_code end, std::size_t n) {
+        self->onReceived(end, n);
+      });
+}
+
+void ClientConnection::onReceived(error_code ec, std::size_t n) {
+  if (!Handler)
+    return;
+  Buffer.commit(n);
+  Taken += n;
+  if (!ec && Taken > HeadBytes + MostTaken * Client->Options.BodyBytes)
+    ec = http::error::body_limit;
+  if (!ec) {
+    parse();
+    return;
+  }
+  if (ec == boost::asio::error::eof) {
+    ec = http::error::end_of_stream;
+    if (Parser->got_some())
+      Parser->put_eof(ec);
+  }
+  onRead(ec);
 }
 
 void ClientConnection::onRead(error_code ec) {
@@ -261,6 +316,7 @@
   out.End = CallEnd::Answered;
   out.Response = Parser->release();
   Parser.reset();
+  Share.reset();
   IsFinished = true;
   const auto handler = std::exchange(Handler, nullptr);
   if (!IsWriting) {
@@ -271,16 +327,26 @@
 }
 
 void ClientConnection::fail(CallEnd end, error_code ec) {
-  const auto handler = std::exchange(Handler, nullptr);
-  close();
-  if (!handler)
-    return;
   CallResult out;
   out.End = end;
   out.Detail = ec.message();
   out.IsRefused =
       end == CallEnd::NotSent && ec == boost::asio::error::connection_refused;
-  handler(std::move(out));
+  out.IsTooLarge = ec == http::error::header_limit ||
+                   ec == http::error::body_limit ||
+                   ec == http::error::buffer_overflow;
+  breakOff(std::move(out));
+}
+
+void ClientConnection::giveUpAnswer() {
+  breakOff({CallEnd::Broken, {}, "no memory for the answer", false, true});
+}
+
+void ClientConnection::breakOff(CallResult result) {
+  const auto handler = std::exchange(Handler, nullptr);
+  close();
+  if (handler)
+    handler(std::move(result));
 }
 
 } // namespace acaciaroad::net
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -34,6 +34,7 @@
 
 OrderResult resultOf(net::CallResult call) {
   OrderResult out;
+  out.Detail = call.Detail;
   switch (call.End) {
   case net::CallEnd::NotSent:
     out.Outcome.Outcome = AttemptOutcome::NotSent;
@@ -41,7 +42,8 @@
     break;
   case net::CallEnd::Broken:
     out.Outcome.Outcome = AttemptOutcome::SentNoAnswer;
-    out.Outcome.Reason = core::ErrorKind::OutcomeUnknown;
+    out.Outcome.Reason = call.IsTooLarge ? core::ErrorKind::AnswerTooLarge
+                                         : core::ErrorKind::OutcomeUnknown;
     out.Outcome.ReachedUpstream = true;
     break;
   case net::CallEnd::Answered:
@@ -62,13 +64,14 @@
                           order.Account, order.CallerService});
 }
 
-net::ClientOptions makeOptions() {
+net::ClientOptions makeOptions(std::shared_ptr<net::AnswerMemory> memory) {
   net::ClientOptions out;
   out.ConnectTimeout = ConnectTimeout;
   out.SendTimeout = SendTimeout;
   out.IdleLimit = IdleLimit;
   out.BodyBytes = LargestAnswer;
   out.MostConnections = MostConnections;
+  out.Memory = std::move(memory);
   return out;
 }
 
@@ -130,8 +133,9 @@
 
 } // namespace
 
-PeerClients::PeerClients(boost::asio::io_context &loop)
-    : Clients(loop, makeOptions()) {}
+PeerClients::PeerClients(boost::asio::io_context &loop,
+                         std::shared_ptr<net::AnswerMemory> memory)
+    : Clients(loop, makeOptions(std::move(memory))) {}
 
 void PeerClients::tidy(const TrafficView &view, core::TimePoint now) {
   if (now - TidiedAt < TidyInterval)
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -48,6 +48,8 @@
 struct OrderResult {
   ForwardOutcome Outcome;
   net::HttpResponse Answer;
+  /// What failed on the way to another node.
+  std::string Detail;
 };
 
 using OrderHandler = std::function<void(OrderResult)>;
@@ -96,6 +98,11 @@
 
   requests::ReportedLoad load() const;
 
+  /// What the answers that the node takes in may hold.
+  const std::shared_ptr<net::AnswerMemory> &answerMemory() const {
+    return Memory;
+  }
+
 private:
   struct Running {
     Order Data;
@@ -133,6 +140,7 @@
   std::shared_ptr<logging::Logger> Log;
   TrafficCounters &Counters;
   UpstreamHooks Hooks;
+  std::shared_ptr<net::AnswerMemory> Memory;
   std::shared_ptr<net::HttpClient> Client;
   std::shared_ptr<const TrafficView> View;
   upstream::OrderQueue Queue;
@@ -140,6 +148,7 @@
   upstream::KeyLoad Keys{holdings::KeyCount};
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer LoadTimer;
+  core::TimePoint TidiedAt{};
   bool IsTicking = false;
   bool Draining = false;
   std::optional<core::TimePoint> EndsAt;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -18,6 +18,7 @@
 #include "Net/HttpServer.h"
 #include "Net/RunLoop.h"
 #include "Support/ByteServer.h"
+#include "Support/EndlessServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -1110,3 +1111,206 @@
   cr_assert(answer.find("Content-Length: 33554432\r\n") != std::string::npos);
   cr_assert_lt(answer.size(), Bytes, "%zu", answer.size());
 }
+
+namespace {
+
+/// In bytes; what the buffers of two sockets on one machine take besides.
+constexpr std::size_t SocketBuffers = 8U << 20U;
+
+const char *const ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nid: 1\r\n\r\n";
+
+struct EndlessRow {
+  const char *Name;
+  std::string Prefix;
+  std::string Piece;
+  CallEnd End;
+  bool IsTooLarge;
+};
+
+const EndlessRow EndlessRows[] = {
+    {"a status line", "HTTP/1.1 200 ", "x", CallEnd::Broken, true},
+    {"a header field", "HTTP/1.1 200 OK\r\nX: ", "x", CallEnd::Broken, true},
+    {"a folded header field", "HTTP/1.1 200 OK\r\nX: y", "\r\n y",
+     CallEnd::Broken, true},
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n", CallEnd::Broken, true},
+    {"no HTTP", "", "x", CallEnd::Broken, false},
+    {"empty lines", "", "\r\n", CallEnd::Broken, false},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", CallEnd::Broken,
+     false},
+    {"answers to another request", "",
+     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nid: 0\r\n\r\nold",
+     CallEnd::Broken, false},
+    {"a body without a length", "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "x",
+     CallEnd::Broken, true},
+    {"chunks", ChunkedHead, "2\r\nok\r\n", CallEnd::Broken, true},
+    {"a chunk's size", ChunkedHead, "0", CallEnd::Broken, true},
+    {"a chunk's extension", std::string(ChunkedHead) + "1;a=", "b",
+     CallEnd::Broken, true},
+    {"extensions of a chunk", std::string(ChunkedHead) + "1", ";a=b",
+     CallEnd::Broken, true},
+    {"chunks with long extensions", ChunkedHead,
+     "1;a=" + std::string(4000, 'b') + "\r\nx\r\n", CallEnd::Broken, true},
+    {"extensions of the last chunk", std::string(ChunkedHead) + "0", ";a=b",
+     CallEnd::Broken, true},
+    {"a trailer field", std::string(ChunkedHead) + "0\r\nX: ", "x",
+     CallEnd::Broken, true},
+    {"trailer fields", std::string(ChunkedHead) + "0\r\n", "X: y\r\n",
+     CallEnd::Broken, true},
+    {"bytes after a whole answer",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nid: 1\r\n\r\nok", "x",
+     CallEnd::Answered, false},
+};
+
+} // namespace
+
+// An upstream in trouble may send without end until its caller closes.
+ACACIA_TABLE_TEST(HttpClient, EndsAnswersWithoutEnd, EndlessRows) {
+  boost::asio::io_context loop;
+  tests::EndlessServer server(loop, row.Prefix, row.Piece);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()}, makeOptions());
+  HttpRequest request{http::verb::get, "/", 11};
+  request.set("id", "1");
+  std::optional<CallResult> result;
+  const auto call = client->send(
+      std::move(request), [&](CallResult it) { result = std::move(it); });
+  loop.run_for(seconds(1));
+  client->closeStale();
+  loop.restart();
+  loop.run_for(milliseconds(200));
+  cr_assert(result.has_value(), "%s: %zu bytes, no end", row.Name,
+            server.sent());
+  cr_assert(result->End == row.End, "%s: %s", row.Name, result->Detail.c_str());
+  cr_assert_eq(result->IsTooLarge, row.IsTooLarge, "%s: %s", row.Name,
+               result->Detail.c_str());
+  cr_assert_leq(server.sent(), SocketBuffers + 2 * makeOptions().BodyBytes,
+                "%s: %zu", row.Name, server.sent());
+  cr_assert_eq(server.open(), 0, "%s", row.Name);
+}
+
+namespace {
+
+struct ManyRow {
+  const char *Name;
+  std::string Prefix;
+  std::string Piece;
+};
+
+const ManyRow ManyRows[] = {
+    {"bodies without a length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"bodies of a stated length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\n", "x"},
+    {"chunks", ChunkedHead, "400\r\n" + std::string(1024, 'x') + "\r\n"},
+};
+
+} // namespace
+
+// Each answer alone is within its bound; a usual one among them is not harmed.
+ACACIA_TABLE_TEST(HttpClient, BoundsAllAnswersTogether, ManyRows) {
+  constexpr std::uint64_t MostHeld = 8U << 20U;
+  constexpr int Calls = 24;
+  constexpr std::size_t UsualAnswer = 300'000;
+  boost::asio::io_context loop;
+  tests::EndlessServer endless(loop, row.Prefix, row.Piece);
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        HttpResponse out(http::status::ok, 11);
+        out.body().assign(UsualAnswer, 'x');
+        exchange->respond(std::move(out));
+      });
+  ClientOptions options = makeOptions();
+  options.BodyBytes = 16U << 20U;
+  options.MostConnections = Calls;
+  options.Memory = AnswerMemory::create(MostHeld);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", endless.port()}, options);
+  const auto other =
+      HttpClient::create(loop, {"127.0.0.1", server->port()}, options);
+  int tooLarge = 0;
+  CallResult answered;
+  for (int n = 0; n < Calls; ++n)
+    client->send({http::verb::get, "/", 11}, [&](const CallResult &it) {
+      tooLarge += it.IsTooLarge ? 1 : 0;
+      // Asked while the others hold all that there is.
+      if (tooLarge != 1)
+        return;
+      other->send({http::verb::get, "/", 11},
+                  [&](CallResult result) { answered = std::move(result); });
+    });
+  loop.run_for(seconds(2));
+  cr_assert_eq(tooLarge, Calls, "%s: %d", row.Name, tooLarge);
+  cr_assert_eq(answered.Response.body().size(), UsualAnswer, "%s: %s", row.Name,
+               answered.Detail.c_str());
+  cr_assert_leq(endless.sent(), MostHeld + Calls * SocketBuffers, "%s: %zu",
+                row.Name, endless.sent());
+  cr_assert_eq(endless.open(), 0, "%s", row.Name);
+  cr_assert_eq(options.Memory->held(), 0U, "%s", row.Name);
+  other->dropIdle();
+}
+
+namespace {
+
+struct EndlessRequestRow {
+  const char *Name;
+  std::string Prefix;
+  std::string Piece;
+  /// First line of what comes back.
+  const char *Status;
+};
+
+const char *const ChunkedRequest =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const EndlessRequestRow EndlessRequestRows[] = {
+    {"a request line", "GET /", "x",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"header fields", "GET / HTTP/1.1\r\n", "X: y\r\n",
+     "HTTP/1.1 431 Request Header Fields Too Large"},
+    {"chunks", ChunkedRequest, "2\r\nok\r\n", "HTTP/1.1 413 Payload Too Large"},
+    {"a chunk's extension", std::string(ChunkedRequest) + "1;a=", "b",
+     "HTTP/1.1 400 Bad Request"},
+    {"a trailer field", std::string(ChunkedRequest) + "0\r\nX: ", "x",
+     "HTTP/1.1 400 Bad Request"},
+    {"trailer fields", std::string(ChunkedRequest) + "0\r\n", "X: y\r\n",
+     "HTTP/1.1 400 Bad Request"},
+};
+
+} // namespace
+
+// The client sends on until the server answers.
+ACACIA_TABLE_TEST(HttpServer, RefusesRequestsWithoutEnd, EndlessRequestRows) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
+      [](const std::shared_ptr<Exchange> &) {});
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+  std::string pieces;
+  while (pieces.size() < 16U << 10U)
+    pieces += row.Piece;
+  boost::asio::write(socket, boost::asio::buffer(row.Prefix));
+  std::size_t sent = 0;
+  std::function<void()> send = [&] {
+    boost::asio::async_write(socket, boost::asio::buffer(pieces),
+                             [&](error_code ec, std::size_t n) {
+                               sent += n;
+                               if (!ec)
+                                 send();
+                             });
+  };
+  send();
+  std::string answer(1024, '\0');
+  std::size_t length = 0;
+  socket.async_read_some(boost::asio::buffer(answer),
+                         [&](error_code, std::size_t n) {
+                           length = n;
+                           loop.stop();
+                         });
+  loop.run_for(milliseconds(500));
+  answer.resize(length);
+  cr_assert_eq(answer.substr(0, answer.find("\r\n")), row.Status,
+               "%s: %s after %zu bytes", row.Name, answer.c_str(), sent);
+  cr_assert_leq(sent, SocketBuffers, "%s: %zu", row.Name, sent);
+}
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Proxy/PeerService.h"
 #include "Support/ByteServer.h"
+#include "Support/EndlessServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -22,6 +24,7 @@
 namespace {
 
 const char *const NodeName = "here";
+const char *const UpstreamId = "u";
 /// Two nodes on addresses of their own share it; one case alone uses it.
 constexpr std::uint16_t CreditPort = 23413;
 
@@ -32,15 +35,16 @@
     CallerFields caller;
     caller.RequestId = net::fieldOf(fields, "id");
     caller.AccountKey = net::fieldOf(fields, "account-key");
-    caller.Patience =
-        fields.count("patient") > 0 ? milliseconds(2500) : milliseconds(400);
+    caller.Patience = seconds(5);
     return caller;
   };
   out.WriteOrder = [](HttpFields &fields, const OrderFields &order) {
     fields.erase("account-key");
     fields.set("account", net::toBeast(order.Account));
   };
-  out.ReadOrder = [](const HttpFields &) { return OrderFields(); };
+  out.ReadOrder = [](const HttpFields &) {
+    return OrderFields{seconds(5), UpstreamId, {}, {}};
+  };
   out.ReadAnswer = [](const HttpFields &fields) {
     AnswerFields answer;
     answer.RequestId = net::fieldOf(fields, "id");
@@ -67,15 +71,18 @@
   return out;
 }
 
-std::shared_ptr<const routing::RouteTable> makeTable() {
+std::shared_ptr<const routing::RouteTable>
+makeTable(core::Duration timeout = milliseconds(400)) {
   routing::Configuration out;
   out.Version = 1;
   out.Services.emplace_back().Name = "service";
-  out.Routes = {makeRoute("closed", false), makeRoute("open", true),
-                makeRoute("again", true)};
+  out.Routes = {makeRoute("closed", false), makeRoute("open", true)};
+  out.Routes.push_back(makeRoute("again", true));
   out.Routes.back().Kind = routing::WorkKind::Idempotent;
-  for (routing::Route &it : out.Routes)
+  for (routing::Route &it : out.Routes) {
     it.MostAttempts = 2;
+    it.Timeout = timeout;
+  }
   routing::ClientAccount account;
   account.Name = "account";
   account.Keys = {"right"};
@@ -106,13 +113,7 @@
     logging::LoggerOptions options;
     options.Sink = [](std::string_view) {};
     Log = *logging::Logger::create(std::move(options));
-    Upstream = std::make_unique<UpstreamService>(
-        Loop, core::Endpoint{"127.0.0.1", upstream}, makeDialect(), Log,
-        Counters, UpstreamHooks{[] {}, [](const auto &) {}});
-    Entry = std::make_unique<EntryService>(
-        Loop, EntryIdentity{NodeName, "dc", "service"},
-        EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeDialect(), Log,
-        Counters, *Upstream);
+    useUpstream(upstream);
     Server =
         *net::HttpServer::create(Loop, {"127.0.0.1", 0}, Limits,
                                  [this](const auto &it) { Entry->handle(it); });
@@ -141,28 +142,42 @@
           writeOutcome(out, outcome);
           exchange->respond(std::move(out));
         });
+    PeerPort = Peer->port();
+  }
+
+  void useUpstream(std::uint16_t port) {
+    Entry.reset();
+    Upstream = std::make_unique<UpstreamService>(
+        Loop, core::Endpoint{"127.0.0.1", port}, makeDialect(), Log, Counters,
+        UpstreamHooks{[] {}, [](const auto &) {}});
+    Entry = std::make_unique<EntryService>(
+        Loop, EntryIdentity{NodeName, "dc", "service"},
+        EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeDialect(), Log,
+        Counters, *Upstream);
   }
 
   void setView(std::shared_ptr<const routing::RouteTable> table) {
     auto view = std::make_shared<TrafficView>();
     view->Routes = std::move(table);
-    view->Own.Life = {"u", 1};
+    view->Own.Life = {UpstreamId, 1};
     view->Own.IsOpen = true;
     view->Own.Slots = 2;
     view->Services["service"].Peers.push_back({NodeName,
                                                "dc",
                                                {"127.0.0.1", 1},
                                                core::InstanceId{1},
-                                               {"u", 1},
-                                               true});
-    view->Services["service"].Peers.push_back(
-        {"peer",
-         "far",
-         Peer ? core::Endpoint{"127.0.0.1", Peer->port()}
-              : core::Endpoint{"127.0.0.2", 1},
-         core::InstanceId{2},
-         {"v", 1},
-         Peer != nullptr});
+                                               {UpstreamId, 1},
+                                               IsOpen});
+    if (PeerPort == 0)
+      view->Services["service"].Peers.push_back(
+          {"peer", "dc", {"127.0.0.2", 1}, core::InstanceId{2}, {}, false});
+    else
+      view->Services["service"].Peers.push_back({"peer",
+                                                 "far",
+                                                 {"127.0.0.1", PeerPort},
+                                                 core::InstanceId{2},
+                                                 {UpstreamId, 1},
+                                                 true});
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
     view->Nodes = {NodeName, "peer"};
@@ -180,8 +195,6 @@
     HttpRequest request{net::http::verb::post, path, 11};
     request.set(net::http::field::host, "h");
     request.body() = body;
-    if (!body.empty())
-      request.set("patient", "1"); // A large body takes a while.
     if (!id.empty())
       request.set("id", id);
     if (!key.empty())
@@ -193,13 +206,18 @@
           Loop.stop();
         });
     Loop.restart();
-    Loop.run_for(seconds(3));
+    Loop.run_for(seconds(6));
     client->dropIdle();
     return out;
   }
 
   static constexpr net::ServerLimits Limits{4096, 8U << 20U, seconds(1),
                                             seconds(5)};
+  /// If set before setView, another node takes requests.
+  std::uint16_t PeerPort = 0;
+  /// Whether the upstream beside the node takes requests.
+  bool IsOpen = true;
+
   boost::asio::io_context Loop;
   TrafficCounters Counters;
   std::shared_ptr<logging::Logger> Log;
@@ -243,6 +261,8 @@
      false, "whole"},
     {"success without a signature", "/open/x", "", true, true, 200, "", 502,
      false, ""},
+    {"success without a signature, no other upstream", "/again/x", "", true,
+     true, 200, "", 502, false, ""},
     {"not run by the upstream", "/open/x", "", true, true, 503, "not-run", 503,
      true, ""},
     {"503 that doesn't say not run", "/open/x", "", true, true, 503, "signed",
@@ -568,6 +588,8 @@
 
 // An answer that ends early is no success, and what the caller gets is framed.
 ACACIA_TABLE_TEST(EntryService, TakesNoCutAnswerForAWhole, CutRows) {
+  // A large body takes a while.
+  const auto table = makeTable(milliseconds(row.BodyBytes > 0 ? 2500 : 400));
   for (const bool isKept : {false, true})
     for (const bool mayRepeat : {false, true}) {
       int runs = 0;
@@ -582,12 +604,12 @@
           },
           row.BodyBytes > 0 ? tests::AnswerAfter::Head
                             : tests::AnswerAfter::Body);
-      fixture.setView(makeTable());
+      fixture.setView(table);
       fixture.Entry->configurationConfirmed(core::BootClock::now());
       if (isKept)
         cr_assert_eq(fixture.ask("/open/x", "", "1").result_int(), 200U);
       fixture.startPeer();
-      fixture.setView(makeTable());
+      fixture.setView(table);
       const HttpResponse answer =
           fixture.ask(mayRepeat ? "/again/x" : "/open/x", "", "2",
                       std::string(row.BodyBytes, 'x'));
@@ -610,3 +632,149 @@
         cr_assert_eq(answer.body(), "whole", "%s", row.Name);
     }
 }
+namespace {
+
+/// Which of the servers behind the entry node does not end its answer.
+enum class Endless { Upstream, OtherNode, UpstreamOfOtherNode, Both };
+
+/// A node that runs what others forward.
+class OtherNode {
+public:
+  OtherNode(Fixture &fixture, std::uint16_t upstream)
+      : Upstream(fixture.Loop, {"127.0.0.1", upstream}, makeDialect(),
+                 fixture.Log, fixture.Counters, {[] {}, [](const auto &) {}}),
+        Service(fixture.Loop, makeDialect(), Upstream, fixture.Log),
+        Server(*net::HttpServer::create(
+            fixture.Loop, {"127.0.0.1", 0},
+            {4096, 4096, seconds(1), seconds(5)},
+            [this](const auto &it) { Service.handle(it); })) {
+    auto view = std::make_shared<TrafficView>();
+    view->Own.Life = {UpstreamId, 1};
+    view->Own.IsOpen = true;
+    view->Own.Slots = 2;
+    Upstream.setView(view, nullptr);
+  }
+
+  std::uint16_t port() const { return Server->port(); }
+
+private:
+  UpstreamService Upstream;
+  PeerService Service;
+  std::unique_ptr<net::HttpServer> Server;
+};
+
+const char *const EndlessHead = "HTTP/1.1 200 OK\r\nsigned: 1\r\nX: ";
+const char *const EndlessBody = "HTTP/1.1 200 OK\r\nsigned: 1\r\n\r\n";
+
+struct EndlessRow {
+  const char *Name;
+  Endless Where;
+  const char *Prefix;
+  const char *Path;
+  /// Times that the request is sent.
+  int Sent;
+};
+
+const EndlessRow EndlessRows[] = {
+    {"head, upstream", Endless::Upstream, EndlessHead, "/open/x", 1},
+    {"body, upstream", Endless::Upstream, EndlessBody, "/open/x", 1},
+    {"head, other node", Endless::OtherNode, EndlessHead, "/open/x", 1},
+    {"body, other node", Endless::OtherNode, EndlessBody, "/open/x", 1},
+    {"head, upstream of another node", Endless::UpstreamOfOtherNode,
+     EndlessHead, "/open/x", 1},
+    {"body, upstream of another node", Endless::UpstreamOfOtherNode,
+     EndlessBody, "/open/x", 1},
+    {"head, no other upstream", Endless::Upstream, EndlessHead, "/again/x", 1},
+    {"head, sent again", Endless::Both, EndlessHead, "/again/x", 2},
+    {"body, sent again", Endless::Both, EndlessBody, "/again/x", 2},
+    {"head, at most once", Endless::Both, EndlessHead, "/open/x", 1},
+};
+
+} // namespace
+
+// The caller is told at once, and not that the answer broke off or never came.
+ACACIA_TABLE_TEST(EntryService, RefusesAnswersWithoutEnd, EndlessRows) {
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(fixture.Loop, row.Prefix, "x");
+  std::unique_ptr<OtherNode> other;
+  if (row.Where == Endless::Upstream || row.Where == Endless::Both)
+    fixture.useUpstream(server.port());
+  if (row.Where == Endless::OtherNode || row.Where == Endless::Both)
+    fixture.PeerPort = server.port();
+  if (row.Where == Endless::UpstreamOfOtherNode) {
+    other = std::make_unique<OtherNode>(fixture, server.port());
+    fixture.PeerPort = other->port();
+  }
+  fixture.IsOpen = row.Where == Endless::Upstream || row.Where == Endless::Both;
+  constexpr auto Timeout = seconds(4);
+  fixture.setView(makeTable(Timeout));
+  const auto start = core::BootClock::now();
+  const HttpResponse answer = fixture.ask(row.Path, "");
+  // The bound ended the call, not its deadline.
+  cr_assert(core::BootClock::now() - start < Timeout, "%s", row.Name);
+  cr_assert_eq(answer.result_int(), 502U, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert(answer.body().find("answer_too_large") != std::string::npos,
+            "%s: %s", row.Name, answer.body().c_str());
+  cr_assert_eq(server.accepted(), row.Sent, "%s: %d", row.Name,
+               server.accepted());
+}
+
+namespace {
+
+struct LateRow {
+  const char *Name;
+  Endless Where;
+  const char *Prefix;
+  /// Sent again and again, with pauses.
+  const char *Piece;
+};
+
+const LateRow LateRows[] = {
+    {"silence, upstream", Endless::Upstream, "", ""},
+    {"head, upstream", Endless::Upstream, EndlessHead, "x"},
+    {"body, upstream", Endless::Upstream, EndlessBody, "x"},
+    {"silence, other node", Endless::OtherNode, "", ""},
+    {"head, other node", Endless::OtherNode, EndlessHead, "x"},
+    {"body, other node", Endless::OtherNode, EndlessBody, "x"},
+};
+
+} // namespace
+
+// A call that nobody waits for any more holds its connection, and what has come
+// on it, no longer than a late answer takes.
+ACACIA_TABLE_TEST(EntryService, EndsCallsAfterTheirDeadline, LateRows) {
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(fixture.Loop, row.Prefix, row.Piece,
+                                    milliseconds(20));
+  fixture.IsOpen = row.Where == Endless::Upstream;
+  if (fixture.IsOpen)
+    fixture.useUpstream(server.port());
+  else
+    fixture.PeerPort = server.port();
+  fixture.setView(makeTable());
+  const HttpResponse answer = fixture.ask("/open/x", "");
+  cr_assert_eq(answer.result_int(), 504U, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert_eq(server.accepted(), 1, "%s: %d", row.Name, server.accepted());
+  fixture.Loop.restart();
+  fixture.Loop.run_for(seconds(2));
+  cr_assert_eq(server.open(), 0, "%s", row.Name);
+}
+
+// Nothing reads such bytes, and they count as memory of the process.
+Test(EntryService, ClosesIdleConnectionsOnWhichBytesCome) {
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(
+      fixture.Loop,
+      "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 2\r\n\r\nok",
+      std::string(1024, 'x'), milliseconds(20));
+  fixture.useUpstream(server.port());
+  fixture.setView(makeTable());
+  const HttpResponse answer = fixture.ask("/open/x", "");
+  cr_assert_eq(answer.result_int(), 200U, "%u", answer.result_int());
+  cr_assert_eq(server.open(), 1);
+  fixture.Loop.restart();
+  fixture.Loop.run_for(seconds(3));
+  cr_assert_eq(server.open(), 0);
+}
