--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/EntryService.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -118,7 +119,7 @@
     view->Routes = std::move(table);
     view->Own.Life = {UpstreamId, 1};
     view->Own.IsOpen = true;
-    view->Own.Slots = 2;
+    view->Own.Slots = Slots;
     view->Services["service"].Peers.push_back({NodeName,
                                                "dc",
                                                {"127.0.0.1", 1},
@@ -166,6 +167,7 @@
 
   /// If set before setView, another node takes requests.
   std::uint16_t PeerPort = 0;
+  std::uint32_t Slots = 2;
   /// Whether the upstream beside the node takes requests.
   bool IsOpen = true;
 
@@ -444,3 +446,50 @@
   fixture.Loop.run_for(seconds(3));
   cr_assert_eq(server.open(), 0);
 }
+
+namespace {
+
+const Endless ManyRows[] = {Endless::Upstream, Endless::OtherNode};
+
+} // namespace
+
+// Clients for the upstream and for other nodes have one bound together.
+ACACIA_TABLE_TEST(EntryService, BoundsAnswersTogether, ManyRows) {
+  constexpr std::size_t MostHeld = 32U << 20U;
+  constexpr std::size_t LargestAnswer = 16U << 20U;
+  constexpr std::size_t SocketBuffers = 8U << 20U;
+  constexpr std::uint32_t Calls = 6;
+  Fixture fixture([](const auto &) {});
+  const tests::EndlessServer server(fixture.Loop, EndlessBody, "x");
+  fixture.Slots = Calls;
+  fixture.IsOpen = row == Endless::Upstream;
+  if (fixture.IsOpen)
+    fixture.useUpstream(server.port());
+  else
+    fixture.PeerPort = server.port();
+  fixture.setView(makeTable(seconds(4)));
+  const auto client = net::HttpClient::create(
+      fixture.Loop, {"127.0.0.1", fixture.Server->port()},
+      {seconds(1), seconds(1), seconds(1), 1U << 20U, Calls, {}});
+  std::uint32_t refused = 0;
+  for (std::uint32_t n = 0; n < Calls; ++n) {
+    HttpRequest request{net::http::verb::post, "/open/x", 11};
+    request.set(net::http::field::host, "h");
+    request.set("id", std::to_string(n));
+    client->send(std::move(request), [&](const net::CallResult &result) {
+      const std::string &body = result.Response.body();
+      refused += body.find("answer_too_large") != std::string::npos ? 1U : 0U;
+      if (refused == Calls)
+        fixture.Loop.stop();
+    });
+  }
+  fixture.Loop.run_for(seconds(6));
+  client->dropIdle();
+  cr_assert_eq(refused, Calls, "%u", refused);
+  cr_assert_eq(server.accepted(), static_cast<int>(Calls));
+  // The largest goes first: of the last n, none holds more than its share.
+  std::size_t most = Calls * SocketBuffers;
+  for (std::size_t n = 1; n <= Calls; ++n)
+    most += std::min(LargestAnswer, MostHeld / n);
+  cr_assert_leq(server.sent(), most, "%zu", server.sent());
+}
