--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1270,11 +1270,11 @@
      "HTTP/1.1 431 Request Header Fields Too Large"},
     {"chunks", ChunkedRequest, "2\r\nok\r\n", "HTTP/1.1 413 Payload Too Large"},
     {"a chunk's extension", std::string(ChunkedRequest) + "1;a=", "b",
-     "HTTP/1.1 400 Bad Request"},
+     "HTTP/1.1 431 Request Header Fields Too Large"},
     {"a trailer field", std::string(ChunkedRequest) + "0\r\nX: ", "x",
-     "HTTP/1.1 400 Bad Request"},
+     "HTTP/1.1 431 Request Header Fields Too Large"},
     {"trailer fields", std::string(ChunkedRequest) + "0\r\n", "X: y\r\n",
-     "HTTP/1.1 400 Bad Request"},
+     "HTTP/1.1 431 Request Header Fields Too Large"},
 };
 
 } // namespace
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -804,7 +804,7 @@
   fixture.setView(makeTable(seconds(4)));
   const auto client = net::HttpClient::create(
       fixture.Loop, {"127.0.0.1", fixture.Server->port()},
-      {seconds(1), seconds(1), seconds(1), 1U << 20U, Calls, {}});
+      {seconds(1), seconds(1), seconds(1), 1U << 20U, Calls, {}, {}});
   std::uint32_t refused = 0;
   for (std::uint32_t n = 0; n < Calls; ++n) {
     HttpRequest request{net::http::verb::post, "/open/x", 11};
