--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -155,14 +155,18 @@
         assert node.ask(1, account_key="other-key")[0] == 200
 
 
-def stop_with_open_requests(fleet, entry, holder, stopped):
-    """Stops a node while SLOTS requests of entry run at the upstream of holder
-    and WAITING wait there; returns the statuses of both kinds."""
+def allow_long_requests(fleet):
     fleet.store.put("keyed.op", "config",
                     configuration(2, "secret-key",
                                   {"safe": "/s/", "unsafe": "/u/"},
                                   timeout="20s"))
     time.sleep(2)
+
+
+def stop_with_open_requests(fleet, entry, holder, stopped):
+    """Stops a node while SLOTS requests of entry run at the upstream of holder
+    and WAITING wait there; returns the statuses of both kinds."""
+    allow_long_requests(fleet)
     key = holder.upstream.held[0][0]
     ids = ["%016x" % n for n in range(SLOTS + WAITING)]
     answers = {}
@@ -214,11 +218,7 @@
     """A node that stops gives its upstream no more time than it has, so that the
     upstream ends the request and not the sender, which stops a little later."""
     entry, holder, _ = fleet.nodes
-    fleet.store.put("keyed.op", "config",
-                    configuration(2, "secret-key",
-                                  {"safe": "/s/", "unsafe": "/u/"},
-                                  timeout="20s"))
-    time.sleep(2)
+    allow_long_requests(fleet)
     key = holder.upstream.held[0][0]
     holder.upstream.may_end.clear()
     holder.process.send_signal(signal.SIGTERM)
