Tell what ended a request, and on which connection a call broke

A 504 of the entry's own could come from a call that broke, from the caller's patience, the route's timeout or the node's stop, and no line told which, nor how old the request and the call were.

- request_given_up: the limit that set the time allowed, by which configuration
- request_refused: the age of the request
- forward_failed, order_failed: the age of the call, and whether its connection was new or kept
- order_failed tells an order whose sender has left from a late one
- drain_refuses beside drain_concluded and stopped, with the open connections

No change of what is decided.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -97,7 +97,8 @@
   IsFinished = false;
   if (Client->Options.RequestName)
     Names.push_back(hashOf(Client->Options.RequestName(*Request)));
-  if (Connected)
+  IsKept = Connected;
+  if (IsKept)
     write();
   else
     connect();
@@ -314,6 +315,7 @@
   noteKeepAlive();
   CallResult out;
   out.End = CallEnd::Answered;
+  out.IsKept = IsKept;
   out.Response = Parser->release();
   Parser.reset();
   Share.reset();
@@ -343,6 +345,7 @@
 }
 
 void ClientConnection::breakOff(CallResult result) {
+  result.IsKept = IsKept;
   const auto handler = std::exchange(Handler, nullptr);
   close();
   if (handler)
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -75,6 +75,8 @@
   core::TimePoint IdleSince{};
   core::Duration IdleLimit{};
   bool Connected = false;
+  /// The present request is not the first on the connection.
+  bool IsKept = false;
   bool Reusable = true;
   bool ConnectLate = false;
   bool IsWriting = false;
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -41,6 +41,8 @@
   bool IsRefused = false;
   /// With CallEnd::Broken: the answer met a bound of this client.
   bool IsTooLarge = false;
+  /// The connection had carried another request before.
+  bool IsKept = false;
 };
 
 /// Returns the name that the fields carry, or nothing at all.
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -24,6 +24,11 @@
 /// of the request that it belongs to.
 constexpr std::int32_t InnerRank = -1;
 
+std::int64_t toMs(core::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 } // namespace
 
 EntryRun::EntryRun(EntryService &entry, std::shared_ptr<net::Exchange> exchange,
@@ -31,10 +36,12 @@
                    std::shared_ptr<const TrafficView> view,
                    const routing::Route &route,
                    const routing::ClientAccount *account, std::string service,
-                   requests::AttemptPlan plan, core::TimePoint deadline)
+                   requests::AttemptPlan plan, core::TimePoint deadline,
+                   DeadlineLimit limit)
     : Entry(entry), Exchange(std::move(exchange)), View(std::move(view)),
       Route(route), Account(account), Service(std::move(service)), Plan(plan),
-      Deadline(deadline), Timer(entry.Loop), RequestId(caller.RequestId) {
+      Deadline(deadline), Limit(limit), Timer(entry.Loop),
+      RequestId(caller.RequestId) {
   const routing::Service *target = View->Routes->findService(Service);
   if (target != nullptr && target->IsKeyed)
     Key = caller.Key;
@@ -165,11 +172,7 @@
   const auto now = core::BootClock::now();
   const ForwardOutcome &outcome = result.Outcome;
   if (!result.Detail.empty())
-    Entry.Log->write(logging::Level::Info, "forward_failed",
-                     {{"request_id", RequestId},
-                      {"node", TargetNode},
-                      {"reason", core::answerFor(outcome.Reason).Name},
-                      {"detail", result.Detail}});
+    logForwardFailed(outcome.Reason, result.Detail, result.IsKept);
   auto *state = Entry.stateOf(Service);
   if (state == nullptr) {
     fail(outcome.Reason);
@@ -268,6 +271,7 @@
 void EntryRun::onDeadline() {
   if (IsOver)
     return;
+  logGivenUp("deadline");
   const requests::Step step = Plan.timedOut();
   const auto now = core::BootClock::now();
   auto *state = Entry.stateOf(Service);
@@ -288,18 +292,41 @@
     if (ec || !late)
       return;
     late->cancel();
-    self->Entry.Log->write(
-        logging::Level::Info, "forward_failed",
-        {{"request_id", self->RequestId},
-         {"node", self->TargetNode},
-         {"reason", core::answerFor(ErrorKind::OutcomeUnknown).Name},
-         {"detail", "no answer after the deadline"}});
+    self->logForwardFailed(ErrorKind::OutcomeUnknown,
+                           "no answer after the deadline", std::nullopt);
   });
 }
 
+void EntryRun::logForwardFailed(ErrorKind reason, std::string_view detail,
+                                std::optional<bool> isKept) {
+  std::string_view connection;
+  if (isKept)
+    connection = *isKept ? "kept" : "new";
+  Entry.Log->write(logging::Level::Info, "forward_failed",
+                   {{"request_id", RequestId},
+                    {"node", TargetNode},
+                    {"reason", core::answerFor(reason).Name},
+                    {"detail", detail},
+                    {"connection", connection},
+                    {"ms", toMs(core::BootClock::now() - SentAt)}});
+}
+
+void EntryRun::logGivenUp(std::string_view cause) {
+  Entry.Log->write(logging::Level::Info, "request_given_up",
+                   {{"request_id", RequestId},
+                    {"cause", cause},
+                    {"node", TargetNode},
+                    {"attempt", Attempt},
+                    {"ms", toMs(core::BootClock::now() - Exchange->Received)},
+                    {"allowed_ms", toMs(Deadline - Exchange->Received)},
+                    {"limit", toString(Limit)},
+                    {"configuration", View->Routes->configuration().Version}});
+}
+
 void EntryRun::conclude() {
   if (IsOver)
     return;
+  logGivenUp("node stopping");
   if (Ticket && Entry.Own.withdraw(*Ticket)) {
     Plan.withdrawn();
     Ticket.reset();
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -26,7 +26,7 @@
            const CallerFields &caller, std::shared_ptr<const TrafficView> view,
            const routing::Route &route, const routing::ClientAccount *account,
            std::string service, requests::AttemptPlan plan,
-           core::TimePoint deadline);
+           core::TimePoint deadline, DeadlineLimit limit);
 
   void start();
 
@@ -49,6 +49,11 @@
   /// Keeps \p call for as long as a late answer takes, which saves its
   /// connection.
   void awaitLateAnswer(std::shared_ptr<net::ClientCall> call);
+  /// \p isKept tells whether a kept connection was used, if that is known.
+  void logForwardFailed(core::ErrorKind reason, std::string_view detail,
+                        std::optional<bool> isKept);
+  /// The entry ends the request itself, whatever is still under way.
+  void logGivenUp(std::string_view cause);
   void finish();
 
   EntryService &Entry;
@@ -60,6 +65,7 @@
   std::string Service;
   requests::AttemptPlan Plan;
   core::TimePoint Deadline;
+  DeadlineLimit Limit;
   boost::asio::steady_timer Timer;
   std::string RequestId;
   std::optional<holdings::Key> Key;
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -37,6 +37,18 @@
 
 } // namespace
 
+std::string_view toString(DeadlineLimit limit) {
+  switch (limit) {
+  case DeadlineLimit::Caller:
+    return "caller";
+  case DeadlineLimit::Route:
+    return "route";
+  case DeadlineLimit::NodeStop:
+    return "node stop";
+  }
+  return "";
+}
+
 EntryService::EntryService(boost::asio::io_context &loop,
                            EntryIdentity identity, EntryLimits limits,
                            Dialect dialect,
@@ -204,8 +216,12 @@
   const core::Duration patience =
       std::min(caller.Patience.value_or(route.Timeout), route.Timeout);
   core::TimePoint deadline = exchange->Received + patience;
-  if (EndsAt)
-    deadline = std::min(deadline, *EndsAt);
+  auto limit =
+      patience < route.Timeout ? DeadlineLimit::Caller : DeadlineLimit::Route;
+  if (EndsAt && *EndsAt < deadline) {
+    deadline = *EndsAt;
+    limit = DeadlineLimit::NodeStop;
+  }
   auto plan = AttemptPlan::create(policyOf(route), deadline, now);
   ServiceState *state = stateOf(service);
   if (!plan || state == nullptr) {
@@ -217,7 +233,7 @@
   }
   state->Budget.requested(now);
   std::make_shared<EntryRun>(*this, exchange, caller, std::move(view), route,
-                             account, service, *plan, deadline)
+                             account, service, *plan, deadline, limit)
       ->start();
 }
 
@@ -237,14 +253,18 @@
   const core::Answer &answer = core::answerFor(reason);
   ++Counters.Errors[static_cast<std::size_t>(reason)];
   const CallerFields caller = Speech.ReadCaller(exchange.request());
-  const auto confirmed = std::chrono::duration_cast<std::chrono::milliseconds>(
-      core::BootClock::now() - ConfirmedAt);
+  const auto now = core::BootClock::now();
+  const auto confirmed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - ConfirmedAt);
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - exchange.Received);
   Log->write(logging::Level::Info, "request_refused",
              {{"request_id", caller.RequestId},
               {"reason", answer.Name},
               {"status", answer.HttpStatus},
               {"ran", core::toString(answer.HasRan)},
               {"detail", detail},
+              {"ms", age.count()},
               {"configuration",
                View->Routes ? View->Routes->configuration().Version : 0},
               {"configuration_age_ms", confirmed.count()}});
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -43,6 +43,12 @@
   double RetryAllowance = 0;
 };
 
+/// What sets the deadline of a request.
+enum class DeadlineLimit : std::uint8_t { Caller, Route, NodeStop };
+
+/// Returns the name of \p limit for logs.
+std::string_view toString(DeadlineLimit limit);
+
 /// The instance that the node runs on.
 struct EntryIdentity {
   std::string Node;
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -35,6 +35,7 @@
 OrderResult resultOf(net::CallResult call) {
   OrderResult out;
   out.Detail = call.Detail;
+  out.IsKept = call.IsKept;
   switch (call.End) {
   case net::CallEnd::NotSent:
     out.Outcome.Outcome = AttemptOutcome::NotSent;
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -309,12 +309,16 @@
   Queue.finished(id, out.Outcome.Outcome == AttemptOutcome::Answered, now);
   out.Outcome.Load = load();
   out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
+  const auto age =
+      std::chrono::duration_cast<milliseconds>(now - it->second.SentAt);
   if (out.Outcome.Outcome != AttemptOutcome::Answered)
     Log->write(logging::Level::Info, "order_failed",
                {{"request_id", it->second.Data.RequestId},
                 {"upstream", it->second.Data.ExpectedUpstream},
                 {"reason", core::answerFor(out.Outcome.Reason).Name},
                 {"detail", result.Detail},
+                {"connection", result.IsKept ? "kept" : "new"},
+                {"ms", age.count()},
                 {"status", result.Response.result_int()}});
   out.Answer = std::move(result.Response);
   settle(id, std::move(out));
@@ -415,15 +419,16 @@
   applyColdRate(now);
   settleHandovers(now);
   advance();
-  std::vector<upstream::Ticket> late;
+  std::vector<std::pair<upstream::Ticket, std::string>> late;
   for (const auto &[id, it] : Orders) {
-    const bool isCut = it.CutAt && now >= *it.CutAt;
-    if (it.Call && (isCut || now >= it.Data.Deadline + AnswerSlack))
-      late.push_back(id);
+    if (it.Call && it.CutAt && now >= *it.CutAt)
+      late.emplace_back(id, "its sender has left");
+    else if (it.Call && now >= it.Data.Deadline + AnswerSlack)
+      late.emplace_back(id, "no answer after its deadline");
   }
-  for (const upstream::Ticket id : late) {
+  for (const auto &[id, detail] : late) {
     Orders.at(id).Call->cancel();
-    ended(id, {net::CallEnd::Broken, {}, "given up by this node", false});
+    ended(id, {net::CallEnd::Broken, {}, detail, false});
   }
   scheduleTick();
 }
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -248,6 +248,7 @@
 void Sidecar::refuseNewRequests() {
   if (CallerServer->isDraining())
     return;
+  logOpen("drain_refuses");
   CallerServer->beginDrain();
   PeerServer->beginDrain();
   Entry->beginDrain();
@@ -255,14 +256,21 @@
 }
 
 void Sidecar::concludeRequests() {
-  Log->write(logging::Level::Info, "drain_concluded",
-             {{"in_flight", CallerServer->inFlight()},
-              {"orders", PeerServer->inFlight()}});
+  logOpen("drain_concluded");
   Entry->conclude();
   Peers->conclude();
   Upstream->conclude();
 }
 
+void Sidecar::logOpen(std::string_view event) {
+  Log->write(logging::Level::Info, event,
+             {{"requests", Counters.Requests},
+              {"in_flight", CallerServer->inFlight()},
+              {"orders", PeerServer->inFlight()},
+              {"callers", CallerServer->connections()},
+              {"peers", PeerServer->connections()}});
+}
+
 void Sidecar::continueDrain(core::TimePoint started) {
   // First, so that the drain goes on if a request's handler throws.
   DrainTimer.expires_after(DrainInterval);
@@ -288,10 +296,7 @@
 }
 
 void Sidecar::stop() {
-  Log->write(logging::Level::Info, "stopped",
-             {{"requests", Counters.Requests},
-              {"in_flight", CallerServer->inFlight()},
-              {"orders", PeerServer->inFlight()}});
+  logOpen("stopped");
   ControlLoop.stop();
   TrafficLoop.stop();
 }
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -65,6 +65,8 @@
   void refuseNewRequests();
   void concludeRequests();
   void stop();
+  /// Logs \p event with what is open.
+  void logOpen(std::string_view event);
   void noteFailure(std::string_view thread, std::string_view what);
 
   /// Changed by the control thread alone once it runs; what the traffic thread
