Failing test: a connect timeout that is due closes the new connection under its request

After a pause of the process the connection and its timeout are due at once; the handler of the timeout is queued already when the connection cancels it.

--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -257,6 +257,79 @@
   client->dropIdle();
 }
 
+namespace {
+
+struct LateConnectRow {
+  const char *Name;
+  /// Between the moment at which the connection can be made and the one at
+  /// which the process goes on; the connection is made a second after its
+  /// start.
+  core::Duration Timeout;
+  core::Duration Pause;
+  CallEnd End;
+};
+
+const LateConnectRow LateConnectRows[] = {
+    {"in time", milliseconds(2500), milliseconds(1500), CallEnd::Answered},
+    {"timeout due after the connection was made", milliseconds(1300),
+     milliseconds(1600), CallEnd::Answered},
+    {"timeout due before the connection is made", milliseconds(500),
+     milliseconds(700), CallEnd::NotSent},
+};
+
+} // namespace
+
+// After a pause of the process, a new connection and its timeout are due at
+// once. The timeout must not close the connection under the request.
+ACACIA_TABLE_TEST(HttpClient, KeepsACallWhoseConnectTimeoutIsDue,
+                  LateConnectRows) {
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor(loop);
+  acceptor.open(tcp::v4());
+  acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+  acceptor.listen(0);
+  // Fills the queue of the listener, which drops the next opening packet; it is
+  // sent again after a second.
+  tcp::socket first(loop);
+  first.connect(acceptor.local_endpoint());
+  auto options = makeOptions();
+  options.ConnectTimeout = row.Timeout;
+  const auto client = HttpClient::create(
+      loop, {"127.0.0.1", acceptor.local_endpoint().port()}, options);
+  std::optional<CallEnd> end;
+  HttpRequest request(http::verb::get, "/", 11);
+  request.set("id", "1");
+  const auto call = client->send(std::move(request), [&](CallResult result) {
+    end = result.End;
+    loop.stop();
+  });
+  loop.run_for(milliseconds(50));
+  acceptor.accept();
+  std::this_thread::sleep_for(row.Pause);
+  std::string received;
+  tcp::socket second(loop);
+  acceptor.async_accept(second, [&](error_code ec) {
+    if (ec)
+      return;
+    boost::asio::async_read_until(
+        second, boost::asio::dynamic_buffer(received), "\r\n\r\n",
+        [&](error_code failure, std::size_t) {
+          if (!failure)
+            boost::asio::write(
+                second,
+                boost::asio::buffer(std::string_view(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nid: 1\r\n\r\n")),
+                failure);
+        });
+  });
+  loop.restart();
+  loop.run_for(seconds(3));
+  client->dropIdle();
+  cr_assert(end.has_value(), "%s", row.Name);
+  cr_assert(*end == row.End, "%s: %d", row.Name, static_cast<int>(*end));
+  cr_assert_eq(received.empty(), row.End == CallEnd::NotSent, "%s", row.Name);
+}
+
 Test(HttpClient, TellsThatNothingWasSent) {
   boost::asio::io_context loop;
   std::uint16_t port = 0;
