A connect timeout that is due no longer closes the new connection under its request

Cause: ClientConnection cancels the timer of its connect when the connection is made. Asio has queued the handler of a timer already if it is due in the same turn of the loop, and runs it without an error. It then closed the connection on which the request had just been written: CallEnd::Broken, which is outcome_unknown, and 0.3 s later the holder broke the order off.

Why it works: net::Timeout owns the rule. Its handler is dropped when it is cancelled, set anew or destroyed, whatever the loop has queued (TimeoutTest).

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -139,14 +139,12 @@
 
 void ClientConnection::connect() {
   ++Client->Connects;
-  ConnectTimer.expires_after(Client->Options.ConnectTimeout);
-  ConnectTimer.async_wait([self = shared_from_this()](error_code ec) {
-    if (ec)
-      return;
-    self->ConnectLate = true;
-    error_code ignored; // The connect operation reports the failure.
-    self->Socket.close(ignored);
-  });
+  ConnectTimer.start(
+      Client->Options.ConnectTimeout, [self = shared_from_this()] {
+        self->ConnectLate = true;
+        error_code ignored; // The connect operation reports the failure.
+        self->Socket.close(ignored);
+      });
   Socket.async_connect(
       toSocketAddress(Client->Server),
       [self = shared_from_this()](error_code ec) { self->onConnected(ec); });
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -12,10 +12,10 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "Net/HttpClient.h"
+#include "Net/Timeout.h"
 
 namespace acaciaroad::net {
 
@@ -66,7 +66,7 @@
 
   std::shared_ptr<HttpClient> Client;
   boost::asio::ip::tcp::socket Socket;
-  boost::asio::steady_timer ConnectTimer;
+  Timeout ConnectTimer;
   boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
   std::optional<http::response_parser<http::string_body>> Parser;
