A feed no longer reads twice at once when its pause ends as a read is asked for

By reading: two reads of the same records, doubled calls to the store, and records that stand twice in a relay's buffer, whose offsets it then tells wrong.

Cause: readNow cancels the pause's timer and reads; a timer that is due in the same turn of the loop still ran, and read too.

Evidence: feed_test KeyedFeed/ReadsOnceAtATime, row 'when the pause is over too', failed before (2 reads at once) and passes now.

--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -6,8 +6,6 @@
 
 namespace acaciaroad::feed {
 
-using boost::system::error_code;
-
 namespace {
 
 /// First pause after a failed read; doubles up to the longest.
@@ -124,11 +122,7 @@
 }
 
 void KeyedFeed::schedule(core::Duration pause) {
-  Timer.expires_after(pause);
-  Timer.async_wait([this](error_code ec) {
-    if (!ec)
-      next();
-  });
+  Timer.start(pause, [this] { next(); });
 }
 
 void KeyedFeed::next() {
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Feed/FeedTypes.h"
+#include "Net/Timeout.h"
 
 namespace acaciaroad::feed {
 
@@ -69,7 +69,7 @@
   KeyedLog Log;
   FeedPace Pace;
   FeedHooks Hooks;
-  boost::asio::steady_timer Timer;
+  net::Timeout Timer;
   std::vector<KeyedRecord> Snapshot;
   /// Read, but not up to the end of the log.
   std::vector<KeyedRecord> Collected;
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -1,8 +1,11 @@
 #include "Feed/KeyedFeed.h"
 
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "Feed/RelayBuffer.h"
 #include "Support/Table.h"
 
@@ -128,6 +131,49 @@
   cr_assert_eq(calls, row.Calls, "%s: %s", row.Name, calls.c_str());
 }
 
+namespace {
+
+struct UrgentRow {
+  const char *Name;
+  /// Of the loop, before the read that is asked for.
+  core::Duration Delay;
+};
+
+constexpr auto UrgentPause = milliseconds(30);
+
+const UrgentRow UrgentRows[] = {
+    {"during the pause", milliseconds(0)},
+    {"when the pause is over too", 2 * UrgentPause},
+};
+
+} // namespace
+
+// A read is asked for in the turn of the loop in which the pause ends.
+ACACIA_TABLE_TEST(KeyedFeed, ReadsOnceAtATime, UrgentRows) {
+  boost::asio::io_context loop;
+  std::vector<TailHandler> pending;
+  KeyedFeed feed(loop,
+                 {[](std::string_view, const PageHandler &handler) {
+                    handler(NewestPage{{{"a", "1"}}, false, 5});
+                  },
+                  [&](core::Offset, core::Duration, TailHandler handler) {
+                    pending.push_back(std::move(handler));
+                  },
+                  {}},
+                 {core::Duration{}, UrgentPause},
+                 {[](const auto &, core::Offset, TimePoint) {},
+                  [](const auto &, core::Offset, TimePoint) {},
+                  [](bool, std::string_view) {}});
+  feed.start();
+  boost::asio::steady_timer asked(loop, UrgentPause / 2);
+  asked.async_wait([&](boost::system::error_code) { feed.readNow(); });
+  cr_assert_eq(pending.size(), 1U, "%s", row.Name);
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}});
+  std::this_thread::sleep_for(row.Delay);
+  loop.run_for(4 * UrgentPause);
+  cr_assert_eq(pending.size(), 1U, "%s: %zu", row.Name, pending.size());
+}
+
 ACACIA_TABLE_TEST(RelayBuffer, Reads, BufferRows) {
   RelayBuffer buffer(1U << 20U);
   const TimePoint start{};
