One kind of timer for all steps that may be cancelled

EntryRun, CreditExchange, PeerService and sendWithTimeout each guarded a handler that still ran after its timer was cancelled, in a way of their own. net::Timeout has the rule once.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Net/ClientConnection.h"
+#include "Net/Timeout.h"
 
 namespace acaciaroad::net {
 
@@ -110,23 +110,17 @@
 void sendWithTimeout(boost::asio::io_context &loop, HttpClient &client,
                      HttpRequest request, core::Duration timeout,
                      CallHandler handler) {
-  const auto timer = std::make_shared<boost::asio::steady_timer>(loop);
+  const auto timer = std::make_shared<Timeout>(loop);
   const auto shared = std::make_shared<CallHandler>(std::move(handler));
   const auto call =
       client.send(std::move(request), [timer, shared](CallResult result) {
         timer->cancel();
-        if (const auto done = std::exchange(*shared, nullptr))
-          done(std::move(result));
+        (*shared)(std::move(result));
       });
-  timer->expires_after(timeout);
   // Keeps the timer: the call drops its handler when it is cancelled.
-  timer->async_wait([call, shared, timer](boost::system::error_code ec) {
-    // An answered call's connection may be in use again.
-    if (ec || !*shared)
-      return;
+  timer->start(timeout, [call, shared, timer] {
     call->cancel();
-    const auto done = std::exchange(*shared, nullptr);
-    done({CallEnd::Broken, {}, "no answer in time", false});
+    (*shared)({CallEnd::Broken, {}, "no answer in time", false});
   });
 }
 
--- a/Source/Proxy/CreditExchange.cpp
+++ b/Source/Proxy/CreditExchange.cpp
@@ -8,7 +8,6 @@
 
 namespace acaciaroad::proxy {
 
-using boost::system::error_code;
 using std::chrono::milliseconds;
 
 namespace {
@@ -87,13 +86,9 @@
     Socket->send({host->second, Listen.Port}, bytes);
     ++round.Asked;
   }
-  round.Timer.expires_after(AnswerTimeout);
-  round.Timer.async_wait([this, account, number = round.Ask](error_code ec) {
-    const auto it = Rounds.find(account);
-    if (ec || it == Rounds.end() || it->second.Ask != number)
-      return;
-    giveUp(account, it->second);
-  });
+  // Rounds stay where they are.
+  round.Timer.start(AnswerTimeout,
+                    [this, account, &round] { giveUp(account, round); });
 }
 
 void CreditExchange::onDatagram(std::string_view bytes) {
--- a/Source/Proxy/CreditExchange.h
+++ b/Source/Proxy/CreditExchange.h
@@ -13,13 +13,13 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Accounts/AccountShares.h"
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
 #include "Logging/Logger.h"
 #include "Net/DatagramSocket.h"
+#include "Net/Timeout.h"
 
 namespace acaciaroad::proxy {
 
@@ -50,7 +50,7 @@
     explicit Round(boost::asio::io_context &loop) : Timer(loop) {}
     accounts::AccountRate Rate;
     std::vector<std::function<void(bool)>> Waiting;
-    boost::asio::steady_timer Timer;
+    net::Timeout Timer;
     std::uint64_t Ask = 0;
     std::size_t Asked = 0;
     std::size_t Answers = 0;
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -50,11 +50,8 @@
 void EntryRun::start() {
   Entry.Open.insert(shared_from_this());
   Exchange->setOnAbandoned([self = shared_from_this()] { self->abandon(); });
-  Timer.expires_after(Deadline - core::BootClock::now());
-  Timer.async_wait([self = shared_from_this()](boost::beast::error_code ec) {
-    if (!ec)
-      self->onDeadline();
-  });
+  Timer.start(Deadline - core::BootClock::now(),
+              [self = shared_from_this()] { self->onDeadline(); });
   attempt();
 }
 
@@ -286,12 +283,8 @@
 
 void EntryRun::awaitLateAnswer(std::shared_ptr<net::ClientCall> call) {
   Call = std::move(call);
-  Timer.expires_after(LateAnswer);
-  Timer.async_wait([self = shared_from_this()](boost::beast::error_code ec) {
-    const auto late = std::exchange(self->Call, nullptr);
-    if (ec || !late)
-      return;
-    late->cancel();
+  Timer.start(LateAnswer, [self = shared_from_this()] {
+    std::exchange(self->Call, nullptr)->cancel();
     self->logForwardFailed(ErrorKind::OutcomeUnknown,
                            "no answer after the deadline", std::nullopt);
   });
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -10,8 +10,7 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "Net/Timeout.h"
 #include "Proxy/EntryService.h"
 
 namespace acaciaroad::proxy {
@@ -66,7 +65,7 @@
   requests::AttemptPlan Plan;
   core::TimePoint Deadline;
   DeadlineLimit Limit;
-  boost::asio::steady_timer Timer;
+  net::Timeout Timer;
   std::string RequestId;
   std::optional<holdings::Key> Key;
   std::vector<core::InstanceId> Tried;
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <boost/beast/core/error.hpp>
-
 namespace acaciaroad::proxy {
 
 namespace {
@@ -66,11 +64,7 @@
   }
   if (Waiting.empty())
     return;
-  Timer.expires_after(RoomInterval);
-  Timer.async_wait([this](boost::beast::error_code ec) {
-    if (!ec)
-      advanceRooms();
-  });
+  Timer.start(RoomInterval, [this] { advanceRooms(); });
 }
 
 void PeerService::conclude() {
--- a/Source/Proxy/PeerService.h
+++ b/Source/Proxy/PeerService.h
@@ -10,10 +10,10 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Logging/Logger.h"
 #include "Net/HttpServer.h"
+#include "Net/Timeout.h"
 #include "Proxy/Dialect.h"
 #include "Proxy/UpstreamService.h"
 #include "Upstream/TransferGate.h"
@@ -45,7 +45,7 @@
   Dialect Speech;
   UpstreamService &Upstream;
   std::shared_ptr<logging::Logger> Log;
-  boost::asio::steady_timer Timer;
+  net::Timeout Timer;
   upstream::TransferGate Gate;
   upstream::Ticket LastRoom = 0;
   /// Those that wait for room.
