A node that stops waits until no other node can send it an order

Cause: a node left as soon as it had no open request. What others had sent on kept connections, or on new ones in its queue, was reset.

Evidence: sidecar_test orders_that_cross_a_stop failed before at the first of four stops (504), and passes now.

Why it works: the others are told in time, by the node's record and by the answers, which close their connection from the signal on; they keep none to such a node (ClientOptions::CloseEndsIdle, PeerClients::tidy). The node stops accepting when it begins to refuse: what comes later has not been sent. It ends when no connection is left, or at the end of its time.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -82,6 +82,7 @@
   out.set_upstream_born(record.Life.Born);
   out.set_state(static_cast<std::uint32_t>(record.State));
   out.set_slots(record.Slots);
+  out.set_stopping(record.IsStopping);
   return out.SerializeAsString();
 }
 
@@ -106,6 +107,7 @@
   out.Life = {in.upstream_id(), in.upstream_born()};
   out.State = static_cast<holdings::UpstreamState>(in.state());
   out.Slots = in.slots();
+  out.IsStopping = in.stopping();
   return out;
 }
 
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -191,6 +191,7 @@
   out.Life = Life;
   out.State = State;
   out.Slots = Slots;
+  out.IsStopping = Draining;
   return out;
 }
 
--- a/Source/Holdings/HoldingTypes.h
+++ b/Source/Holdings/HoldingTypes.h
@@ -97,6 +97,8 @@
   UpstreamLife Life;
   UpstreamState State = UpstreamState::Absent;
   std::uint32_t Slots = 0;
+  /// The node was asked to stop, and ends within seconds.
+  bool IsStopping = false;
   bool operator==(const NodeRecord &) const = default;
 };
 
--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -298,6 +298,8 @@
 
 void ClientConnection::noteKeepAlive() {
   IsFresh = false;
+  if (Client->Options.CloseEndsIdle && !Parser->keep_alive())
+    Client->dropIdle();
   Reusable = Reusable && Parser->keep_alive() && Buffer.size() == 0 &&
              Names.size() < MostNames;
   IdleLimit = Client->Options.IdleLimit;
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -68,6 +68,9 @@
   NameReader AnswerName;
   /// What answers may take together, with other clients; null for no bound.
   std::shared_ptr<AnswerMemory> Memory = nullptr;
+  /// A server that closes one connection behind its answer is about to end: the
+  /// idle ones are closed too, so that no request on them crosses its end.
+  bool CloseEndsIdle = false;
 };
 
 using CallHandler = std::function<void(CallResult)>;
--- a/Source/Net/HttpClientPool.cpp
+++ b/Source/Net/HttpClientPool.cpp
@@ -16,6 +16,14 @@
   return out;
 }
 
+void HttpClientPool::retire(const core::Endpoint &server) {
+  const auto it = Clients.find(server);
+  if (it == Clients.end())
+    return;
+  it->second->retire();
+  Clients.erase(it);
+}
+
 void HttpClientPool::keepOnly(const std::set<core::Endpoint> &servers) {
   std::erase_if(Clients, [&](const auto &it) {
     if (servers.contains(it.first)) {
--- a/Source/Net/HttpClientPool.h
+++ b/Source/Net/HttpClientPool.h
@@ -26,6 +26,9 @@
   /// Makes the client if there is none.
   std::shared_ptr<HttpClient> clientFor(const core::Endpoint &server);
 
+  /// Retires the client of \p server, if there is one.
+  void retire(const core::Endpoint &server);
+
   /// Retires the clients of servers that are not in \p servers, and closes
   /// stale connections of the others.
   void keepOnly(const std::set<core::Endpoint> &servers);
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -73,7 +73,7 @@
 
 void HttpServer::accept() {
   Acceptor.async_accept([this](error_code ec, tcp::socket socket) {
-    if (ec == boost::asio::error::operation_aborted)
+    if (ec == boost::asio::error::operation_aborted || !Acceptor.is_open())
       return;
     if (ec) {
       AcceptRetry.expires_after(AcceptPause);
@@ -84,12 +84,29 @@
       return;
     }
     accept();
-    error_code ignored; // Without it, answers only come later.
-    socket.set_option(tcp::no_delay(true), ignored);
-    std::make_shared<ServerSession>(*this, std::move(socket))->start();
+    serve(std::move(socket));
   });
 }
 
+void HttpServer::serve(tcp::socket socket) {
+  error_code ignored; // Without it, answers only come later.
+  socket.set_option(tcp::no_delay(true), ignored);
+  std::make_shared<ServerSession>(*this, std::move(socket))->start();
+}
+
+void HttpServer::stopAccepting() {
+  error_code ec;
+  Acceptor.non_blocking(true, ec);
+  // Closing the acceptor resets connections that wait in its queue.
+  while (!ec) {
+    tcp::socket socket(Loop);
+    Acceptor.accept(socket, ec);
+    if (!ec)
+      serve(std::move(socket));
+  }
+  Acceptor.close(ec); // What fails here ends with the process.
+}
+
 void HttpServer::sweep() {
   Sweep.expires_after(SweepInterval);
   Sweep.async_wait([this](error_code ec) {
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -119,6 +119,9 @@
   void beginDrain() { Draining = true; }
   bool isDraining() const { return Draining; }
 
+  /// Connections from now on are refused; those that were made are served.
+  void stopAccepting();
+
   /// Returns the port that the system chose for port 0.
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
 
@@ -136,6 +139,7 @@
   HttpServer(boost::asio::io_context &loop, ServerLimits limits,
              ExchangeHandler handler);
   void accept();
+  void serve(boost::asio::ip::tcp::socket socket);
   void sweep();
 
   boost::asio::io_context &Loop;
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -73,6 +73,7 @@
   out.BodyBytes = LargestAnswer;
   out.MostConnections = MostConnections;
   out.Memory = std::move(memory);
+  out.CloseEndsIdle = true;
   return out;
 }
 
@@ -139,6 +140,10 @@
     : Clients(loop, makeOptions(std::move(memory))) {}
 
 void PeerClients::tidy(const TrafficView &view, core::TimePoint now) {
+  for (const auto &[name, service] : view.Services)
+    for (const Peer &it : service.Peers)
+      if (it.IsStopping)
+        Clients.retire(it.Address);
   if (now - TidiedAt < TidyInterval)
     return;
   TidiedAt = now;
--- a/Source/Proxy/PeerClients.h
+++ b/Source/Proxy/PeerClients.h
@@ -27,8 +27,9 @@
                                         Order order, const Dialect &dialect,
                                         OrderHandler handler);
 
-  /// Forgets addresses that no peer of \p view has, and connections that were
-  /// closed meanwhile; does so every few seconds at most.
+  /// Closes idle connections to nodes that stop. Forgets addresses that no peer
+  /// of \p view has, and connections that were closed meanwhile, every few
+  /// seconds at most.
   void tidy(const TrafficView &view, core::TimePoint now);
 
 private:
--- a/Source/Proxy/TrafficView.h
+++ b/Source/Proxy/TrafficView.h
@@ -30,6 +30,8 @@
   holdings::UpstreamLife Life;
   /// It may be given new work.
   bool IsOpen = false;
+  /// The node ends within seconds; connections to it are not kept.
+  bool IsStopping = false;
 };
 
 /// One service as entry nodes see it.
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -104,6 +104,8 @@
 void Control::beginDrain() {
   Agent.beginDrain();
   Log->write(logging::Level::Info, "drain_started", {});
+  // The others are told before the node refuses their orders.
+  appendDue(core::BootClock::now());
 }
 
 void Control::upstreamRefused() {
@@ -535,9 +537,9 @@
 void Control::appendRecord(const holdings::NodeRecord &record) {
   IsAppending = true;
   Agent.recordSent(record.Sequence, core::BootClock::now());
-  const bool isNews =
-      !(Ledger.findMember(record.Name) &&
-        Ledger.findMember(record.Name)->Record.State == record.State);
+  const holdings::Member *known = Ledger.findMember(record.Name);
+  const bool isNews = known == nullptr || known->Record.State != record.State ||
+                      known->Record.IsStopping != record.IsStopping;
   const feed::KeyedRecord records[] = {
       {codec::nodeKey(record.Name), codec::encodeNode(record)}};
   Logs.Fleet.Append(records, std::nullopt,
@@ -646,7 +648,8 @@
         {name, it.Record.DataCentre, it.Record.Peer,
          core::InstanceId{core::hashOf(name)}, it.Record.Life,
          it.Record.State == holdings::UpstreamState::Ready &&
-             !Ledger.isOut(it.Record.DataCentre)});
+             !Ledger.isOut(it.Record.DataCentre),
+         it.Record.IsStopping});
   }
   if (Routes)
     for (const routing::Service &it : Routes->configuration().Services) {
--- a/Source/Sidecar/DrainPlan.h
+++ b/Source/Sidecar/DrainPlan.h
@@ -33,7 +33,8 @@
   static core::Result<DrainPlan> create(core::Duration allowed);
 
   /// Returns what to do now. \p age is the time since the signal; \p isIdle
-  /// tells that no request is without its answer and no answer still going out.
+  /// tells that no request is without its answer, no answer still going out,
+  /// and no connection left on which another node may send an order.
   DrainStep next(core::Duration age, bool isIdle);
 
   /// Time from the signal until the requests that are left are answered.
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -242,6 +242,8 @@
   const core::TimePoint end = now + Drain.concludesAfter();
   Entry->stopAt(end);
   Upstream->stopAt(end);
+  // Other nodes keep no connection on which an order could cross the end.
+  PeerServer->beginDrain();
   continueDrain(now);
 }
 
@@ -250,7 +252,7 @@
     return;
   logOpen("drain_refuses");
   CallerServer->beginDrain();
-  PeerServer->beginDrain();
+  PeerServer->stopAccepting();
   Entry->beginDrain();
   Upstream->beginDrain();
 }
@@ -278,7 +280,8 @@
     if (!ec)
       continueDrain(started);
   });
-  const bool isIdle = CallerServer->isIdle() && PeerServer->isIdle();
+  const bool isIdle = CallerServer->isIdle() && PeerServer->isIdle() &&
+                      PeerServer->connections() == 0;
   switch (Drain.next(core::BootClock::now() - started, isIdle)) {
   case DrainStep::Serve:
     break;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -703,6 +703,81 @@
   cr_assert_eq(client->idle(), 0U);
 }
 
+namespace {
+
+struct EndingRow {
+  const char *Name;
+  bool CloseEndsIdle;
+  /// Of two kept connections, after a third answer closed one of them.
+  std::size_t Idle;
+};
+
+const EndingRow EndingRows[] = {
+    {"a server that closes is about to end", true, 0},
+    {"a server may close one alone", false, 1},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(HttpClient, KeepsConnectionsToAServerThatCloses, EndingRows) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  auto options = makeOptions();
+  options.RequestName = nullptr;
+  options.AnswerName = nullptr;
+  options.CloseEndsIdle = row.CloseEndsIdle;
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server->port()}, options);
+  int answered = 0;
+  const auto send = [&] {
+    client->send({http::verb::get, "/", 11}, [&](const CallResult &result) {
+      answered += result.End == CallEnd::Answered ? 1 : 0;
+    });
+  };
+  send();
+  send();
+  loop.run_for(milliseconds(100));
+  cr_assert_eq(client->idle(), 2U, "%s", row.Name);
+  server->beginDrain();
+  send();
+  loop.run_for(milliseconds(100));
+  cr_assert_eq(answered, 3, "%s: %d", row.Name, answered);
+  cr_assert_eq(client->idle(), row.Idle, "%s", row.Name);
+}
+
+// A connection that was made before the server stopped accepting is served,
+// even if the server had not seen it yet.
+Test(HttpServer, ServesWhatWasConnectedBeforeItStoppedAccepting) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  const tcp::endpoint address(boost::asio::ip::address_v4::loopback(),
+                              server->port());
+  tcp::socket early(loop);
+  early.connect(address);
+  boost::asio::write(early, boost::asio::buffer(std::string_view(
+                                "GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  server->beginDrain();
+  server->stopAccepting();
+  error_code ec;
+  tcp::socket late(loop);
+  late.connect(address, ec);
+  cr_assert(ec == boost::asio::error::connection_refused);
+  std::string answer;
+  boost::asio::async_read(early, boost::asio::dynamic_buffer(answer),
+                          [&](error_code, std::size_t) { early.close(); });
+  loop.run_for(milliseconds(200));
+  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+  cr_assert_eq(server->connections(), 0U);
+}
+
 // The time for an answer is measured since it last went forward.
 Test(HttpServer, AnswerThatGoesForwardIsNotCut) {
   constexpr std::size_t Size = 16U << 20U;
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -20,6 +20,8 @@
 # Of the stand-in upstreams.
 SLOTS = 8
 WAITING = 4
+# Of one node, one after the other.
+STOPS = 4
 
 
 def make_configuration(version, key):
@@ -240,6 +242,35 @@
     assert answers == [(504, b"late")] if ran else answers[0][0] == 503, answers
 
 
+def orders_that_cross_a_stop(fleet):
+    """Orders that others send as a node ends are run or refused, never cut."""
+    entry, holder, _ = fleet.nodes
+    for _ in range(STOPS):
+        keys = [row[0] for row in holder.upstream.held]
+        statuses = {}
+
+        def ask_on():
+            while holder.is_running():
+                for key in keys:
+                    request_id = os.urandom(8).hex()
+                    statuses[request_id] = entry.ask(
+                        key, request_id=request_id)[0]
+        callers = [threading.Thread(target=ask_on) for _ in range(SLOTS)]
+        for it in callers:
+            it.start()
+        holder.process.send_signal(signal.SIGTERM)
+        assert holder.process.wait(8) == 0
+        for it in callers:
+            it.join()
+        assert set(statuses.values()) <= {200, 503}, [
+            it for it in statuses.items() if it[1] not in (200, 503)]
+        refused = {it for it, status in statuses.items() if status == 503}
+        ran = refused.intersection(holder.upstream.runs)
+        assert not ran, ran
+        holder.start()
+        assert fleet.wait_served(10), fleet.served()
+
+
 def open_requests_at_short_stop(fleet):
     """Also a drain that is shorter than its steps answers them."""
     entry, holder, _ = fleet.nodes
@@ -259,6 +290,7 @@
                                       open_orders_at_stop,
                                       orders_of_others_at_stop,
                                       stops_in_series,
+                                      orders_that_cross_a_stop,
                                       open_requests_at_short_stop)}
 
 
