A node that stops refuses what crosses, and is not asked again for a while

Cause: closing a listener crosses handshakes as ending the process does.

What changed: the node listens on and refuses truthfully until nothing is open; then it serves what its queue still has, and ends.

--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -114,6 +114,12 @@
     fail(Plan.giveUp(Unanswered.value_or(none)).Reason);
     return;
   }
+  if (const auto pause = Entry.Stopping.pauseOf(peer->Name, now);
+      Key && pause.count() > 0) {
+    RetryAfter = pause;
+    fail(Plan.giveUp(Unanswered.value_or(ErrorKind::NodeStopping)).Reason);
+    return;
+  }
   Plan.started();
   Target = peer->Id;
   TargetNode = peer->Name;
@@ -180,6 +186,11 @@
       outcome.Outcome == AttemptOutcome::RefusedNotRun)
     state->Choice.reported(Target, outcome.Load, now);
   RetryAfter = outcome.RetryAfter;
+  if (outcome.Outcome == AttemptOutcome::RefusedNotRun &&
+      outcome.Reason == ErrorKind::NodeStopping) {
+    Entry.Stopping.refused(TargetNode, now);
+    RetryAfter = Entry.Stopping.pauseOf(TargetNode, now);
+  }
   if (outcome.Outcome == AttemptOutcome::SentNoAnswer)
     Unanswered = outcome.Reason;
   const bool isMoved = hasMoved(outcome);
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -24,6 +24,7 @@
 #include "Requests/AttemptPlan.h"
 #include "Requests/CandidateChoice.h"
 #include "Requests/RetryBudget.h"
+#include "Requests/StoppingNodes.h"
 #include "Routing/TrafficSplit.h"
 
 namespace acaciaroad::proxy {
@@ -135,6 +136,7 @@
   accounts::AccountShares Shares;
   std::unique_ptr<CreditExchange> Credit;
   routing::TrafficSplit Split;
+  requests::StoppingNodes Stopping;
   std::map<std::string, ServiceState, std::less<>> Services;
 };
 
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -252,7 +252,6 @@
     return;
   logOpen("drain_refuses");
   CallerServer->beginDrain();
-  PeerServer->stopAccepting();
   Entry->beginDrain();
   Upstream->beginDrain();
 }
@@ -264,6 +263,18 @@
   Upstream->conclude();
 }
 
+bool Sidecar::mayEnd() {
+  const auto isIdle = [this] {
+    return CallerServer->isIdle() && PeerServer->isIdle() &&
+           PeerServer->connections() == 0;
+  };
+  if (!CallerServer->isDraining() || !isIdle())
+    return false;
+  // What has been connected meanwhile is served first.
+  PeerServer->stopAccepting();
+  return isIdle();
+}
+
 void Sidecar::logOpen(std::string_view event) {
   Log->write(logging::Level::Info, event,
              {{"requests", Counters.Requests},
@@ -280,9 +291,7 @@
     if (!ec)
       continueDrain(started);
   });
-  const bool isIdle = CallerServer->isIdle() && PeerServer->isIdle() &&
-                      PeerServer->connections() == 0;
-  switch (Drain.next(core::BootClock::now() - started, isIdle)) {
+  switch (Drain.next(core::BootClock::now() - started, mayEnd())) {
   case DrainStep::Serve:
     break;
   case DrainStep::Refuse:
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -63,6 +63,8 @@
   void beginDrain();
   void continueDrain(core::TimePoint started);
   void refuseNewRequests();
+  /// Whether nothing is open, and no other node can send an order any more.
+  bool mayEnd();
   void concludeRequests();
   void stop();
   /// Logs \p event with what is open.
