Heartbeats and configurations with numbers out of range are refused

A heartbeat was taken with port 0, an address of no host, slots of 2^32 (which became 0) or 10^18, a birth of 2^63-1 or 2^64-1, a sequence of 2^63-1, holds or freed as an object, and a handover larger than a record. One such birth shuts out each further life of the upstream, one such sequence each further heartbeat. Numbers of a configuration were cut to 32 bits or overflowed. Lists nested without end were parsed whole; that didn't end the process, but takes memory for each level.

Cause: JsonObject knew types but no ranges, and the decoders cast what they got.

--- a/Source/Core/Endpoint.cpp
+++ b/Source/Core/Endpoint.cpp
@@ -1,6 +1,8 @@
 #include "Core/Endpoint.h"
 
+#include <array>
 #include <charconv>
+#include <cstring>
 
 #include <arpa/inet.h>
 
@@ -10,7 +12,8 @@
 
 bool isNumber(int family, const std::string &host) {
   in6_addr buf{};
-  return inet_pton(family, host.c_str(), &buf) == 1;
+  return host.find('\0') == std::string::npos &&
+         inet_pton(family, host.c_str(), &buf) == 1;
 }
 
 bool parsePort(std::string_view text, std::uint16_t &port) {
@@ -43,6 +46,20 @@
   return out;
 }
 
+bool namesHost(const Endpoint &endpoint) {
+  constexpr unsigned char FirstMulticast = 224;
+  constexpr unsigned char MulticastV6 = 0xff;
+  constexpr in6_addr Unspecified = IN6ADDR_ANY_INIT;
+  if (endpoint.Port == 0)
+    return false;
+  std::array<unsigned char, sizeof(in6_addr)> buf{};
+  if (inet_pton(AF_INET, endpoint.Host.c_str(), buf.data()) == 1)
+    return buf.front() != 0 && buf.front() < FirstMulticast;
+  return inet_pton(AF_INET6, endpoint.Host.c_str(), buf.data()) == 1 &&
+         buf.front() != MulticastV6 &&
+         std::memcmp(buf.data(), &Unspecified, buf.size()) != 0;
+}
+
 std::string toString(const Endpoint &endpoint) {
   const bool isV6 = endpoint.Host.find(':') != std::string::npos;
   const std::string host = isV6 ? "[" + endpoint.Host + "]" : endpoint.Host;
--- a/Source/Core/Endpoint.h
+++ b/Source/Core/Endpoint.h
@@ -28,6 +28,10 @@
 /// Parses "ip:port" or "[ip]:port". Fails with InvalidArgument.
 Result<Endpoint> parseEndpoint(std::string_view text);
 
+/// Whether one host and port are named that a message can be sent to: neither
+/// port 0 nor an unspecified, multicast or broadcast address.
+bool namesHost(const Endpoint &endpoint);
+
 /// Inverse of parseEndpoint.
 std::string toString(const Endpoint &endpoint);
 
--- a/Source/Holdings/HoldingTypes.h
+++ b/Source/Holdings/HoldingTypes.h
@@ -47,6 +47,13 @@
 inline constexpr Key PartKeys = 1024;
 inline constexpr Key PartCount = KeyCount / PartKeys;
 
+/// Slots of one upstream: each needs a connection, and ports bound these.
+inline constexpr std::uint32_t MostSlots = 65'535;
+
+/// Latest birth of an upstream, in Unix milliseconds: the year 3000. A later
+/// one would shut out every further life of the upstream.
+inline constexpr std::int64_t LatestBirth = 32'503'680'000'000;
+
 /// One run of an upstream's process.
 struct UpstreamLife {
   std::string Id;
