Wait for the answer to a read of the store while parts of it come

A read of the store was given up 1.8 s after its start, whatever had come, and began anew; on a full link no read of a large configuration ended in time.

A timed call now has three limits: until the first part of the answer, between two parts, and for the whole call. Appends and reads of a relay keep their one limit.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -87,11 +87,13 @@
 
 ClientConnection::~ClientConnection() { --Client->Open; }
 
-void ClientConnection::start(HttpRequest request, CallHandler handler) {
+void ClientConnection::start(HttpRequest request, CallHandler handler,
+                             PartHandler onPart) {
   Request.emplace(std::move(request));
   Request->keep_alive(true);
   Request->prepare_payload();
   Handler = std::move(handler);
+  OnPart = std::move(onPart);
   Skipped = 0;
   Taken = 0;
   IsFinished = false;
@@ -105,7 +107,7 @@
 }
 
 void ClientConnection::cancel() {
-  Handler = nullptr;
+  const CallHandler dropped = takeHandler();
   close();
 }
 
@@ -245,6 +247,8 @@
     return;
   Buffer.commit(n);
   Taken += n;
+  if (n > 0 && OnPart)
+    OnPart();
   if (!ec && Taken > HeadBytes + MostTaken * Client->Options.BodyBytes)
     ec = http::error::body_limit;
   if (!ec) {
@@ -320,7 +324,7 @@
   Parser.reset();
   Share.reset();
   IsFinished = true;
-  const auto handler = std::exchange(Handler, nullptr);
+  const CallHandler handler = takeHandler();
   if (!IsWriting) {
     Request.reset();
     park();
@@ -344,9 +348,14 @@
   breakOff({CallEnd::Broken, {}, "no memory for the answer", false, true});
 }
 
+CallHandler ClientConnection::takeHandler() {
+  OnPart = nullptr;
+  return std::exchange(Handler, nullptr);
+}
+
 void ClientConnection::breakOff(CallResult result) {
   result.IsKept = IsKept;
-  const auto handler = std::exchange(Handler, nullptr);
+  const CallHandler handler = takeHandler();
   close();
   if (handler)
     handler(std::move(result));
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -31,7 +31,7 @@
   ~ClientConnection() override;
 
   /// Connects first if the connection is new.
-  void start(HttpRequest request, CallHandler handler);
+  void start(HttpRequest request, CallHandler handler, PartHandler onPart);
   void cancel() override;
 
   /// Whether it can carry another request: open, young enough, and nothing has
@@ -61,6 +61,8 @@
   /// The answer has to go so that others have room.
   void giveUpAnswer();
   void breakOff(CallResult result);
+  /// Ends the call on this side and returns its handler, if it has not ended.
+  CallHandler takeHandler();
   void setSocketOptions();
   void noteKeepAlive();
 
@@ -72,6 +74,7 @@
   std::optional<http::response_parser<http::string_body>> Parser;
   std::optional<AnswerMemory::Share> Share;
   CallHandler Handler;
+  PartHandler OnPart;
   core::TimePoint IdleSince{};
   core::Duration IdleLimit{};
   bool Connected = false;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpClient.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -26,6 +27,53 @@
   CallHandler Handler;
 };
 
+/// A call and its timer, which own it together.
+class TimedCall : public std::enable_shared_from_this<TimedCall> {
+public:
+  TimedCall(boost::asio::io_context &loop, CallTimeout timeout,
+            CallHandler handler)
+      : Timer(loop), Limits(timeout), Handler(std::move(handler)),
+        Started(core::BootClock::now()) {}
+
+  void start(HttpClient &client, HttpRequest request) {
+    Call = client.send(
+        std::move(request),
+        [self = shared_from_this()](CallResult result) {
+          self->finish(std::move(result));
+        },
+        [self = shared_from_this()] { self->extend(); });
+    wait(Limits.First);
+  }
+
+private:
+  void extend() {
+    const auto past = core::BootClock::now() - Started;
+    const auto end = std::max(Limits.First, past + Limits.Silence);
+    wait(std::min(end, Limits.Longest) - past);
+  }
+
+  void wait(core::Duration length) {
+    Timer.start(length, [self = shared_from_this()] { self->giveUp(); });
+  }
+
+  void giveUp() {
+    Call->cancel();
+    finish({CallEnd::Broken, {}, "no answer in time", false});
+  }
+
+  void finish(CallResult result) {
+    Timer.cancel();
+    Call.reset();
+    Handler(std::move(result));
+  }
+
+  Timeout Timer;
+  CallTimeout Limits;
+  CallHandler Handler;
+  core::TimePoint Started;
+  std::shared_ptr<ClientCall> Call;
+};
+
 } // namespace
 
 std::shared_ptr<HttpClient> HttpClient::create(boost::asio::io_context &loop,
@@ -39,8 +87,8 @@
                        ClientOptions options)
     : Loop(loop), Server(std::move(server)), Options(std::move(options)) {}
 
-std::shared_ptr<ClientCall> HttpClient::send(HttpRequest request,
-                                             CallHandler handler) {
+std::shared_ptr<ClientCall>
+HttpClient::send(HttpRequest request, CallHandler handler, PartHandler onPart) {
   auto connection = takeIdle(request);
   if (!connection)
     dropOldest(); // What can't be used makes room.
@@ -51,7 +99,7 @@
   }
   if (!connection)
     connection = std::make_shared<ClientConnection>(shared_from_this());
-  connection->start(std::move(request), std::move(handler));
+  connection->start(std::move(request), std::move(handler), std::move(onPart));
   return connection;
 }
 
@@ -108,20 +156,10 @@
 }
 
 void sendWithTimeout(boost::asio::io_context &loop, HttpClient &client,
-                     HttpRequest request, core::Duration timeout,
+                     HttpRequest request, CallTimeout timeout,
                      CallHandler handler) {
-  const auto timer = std::make_shared<Timeout>(loop);
-  const auto shared = std::make_shared<CallHandler>(std::move(handler));
-  const auto call =
-      client.send(std::move(request), [timer, shared](CallResult result) {
-        timer->cancel();
-        (*shared)(std::move(result));
-      });
-  // Keeps the timer: the call drops its handler when it is cancelled.
-  timer->start(timeout, [call, shared, timer] {
-    call->cancel();
-    (*shared)({CallEnd::Broken, {}, "no answer in time", false});
-  });
+  std::make_shared<TimedCall>(loop, timeout, std::move(handler))
+      ->start(client, std::move(request));
 }
 
 } // namespace acaciaroad::net
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -74,6 +74,22 @@
 };
 
 using CallHandler = std::function<void(CallResult)>;
+/// Part of the answer has come.
+using PartHandler = std::function<void()>;
+
+/// When a call without its whole answer is given up.
+struct CallTimeout {
+  static CallTimeout ofWholeCall(core::Duration length) {
+    return {length, {}, length};
+  }
+
+  /// From the start, if nothing comes.
+  core::Duration First{};
+  /// From the last part of the answer on, if that is later.
+  core::Duration Silence{};
+  /// From the start, whatever comes.
+  core::Duration Longest{};
+};
 
 /// One request under way.
 class ClientCall {
@@ -91,8 +107,9 @@
                                             ClientOptions options);
 
   /// Sends \p request on a kept connection, or on a new one. \p handler is
-  /// called once, never before this returns.
-  std::shared_ptr<ClientCall> send(HttpRequest request, CallHandler handler);
+  /// called once, never before this returns; \p onPart up to then.
+  std::shared_ptr<ClientCall> send(HttpRequest request, CallHandler handler,
+                                   PartHandler onPart = nullptr);
 
   /// Closes the connections that wait for a request.
   void dropIdle();
@@ -132,7 +149,7 @@
 
 /// Sends \p request and gives it up after \p timeout, as CallEnd::Broken.
 void sendWithTimeout(boost::asio::io_context &loop, HttpClient &client,
-                     HttpRequest request, core::Duration timeout,
+                     HttpRequest request, CallTimeout timeout,
                      CallHandler handler);
 
 } // namespace acaciaroad::net
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -138,7 +138,8 @@
     Clients.keepOnly({});
   net::sendWithTimeout(
       Loop, *Clients.clientFor(server),
-      {net::http::verb::get, targetOf(name, from), 11}, RelayTimeout,
+      {net::http::verb::get, targetOf(name, from), 11},
+      net::CallTimeout::ofWholeCall(RelayTimeout),
       [handler = std::move(handler)](net::CallResult result) {
         if (result.End != net::CallEnd::Answered ||
             result.Response.result() != net::http::status::ok) {
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -182,6 +182,47 @@
      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", 0, ""},
 };
 
+/// What comes of an answer: its head at once, then pieces at equal distances.
+struct PacedRow {
+  const char *Name;
+  bool HasHead;
+  std::size_t Pieces;
+  milliseconds Distance;
+  /// Content-Length, in pieces.
+  std::size_t Length;
+  CallEnd End;
+  milliseconds Least;
+  milliseconds Most;
+};
+
+constexpr CallTimeout PacedTimeout{milliseconds(800), milliseconds(800),
+                                   milliseconds(3200)};
+
+const PacedRow PacedRows[] = {
+    {"silence",
+     false,
+     0,
+     {},
+     1,
+     CallEnd::Broken,
+     milliseconds(800),
+     milliseconds(1600)},
+    {"a head alone",
+     true,
+     0,
+     {},
+     1,
+     CallEnd::Broken,
+     milliseconds(800),
+     milliseconds(1600)},
+    {"a trickle up to the end", true, 8, milliseconds(200), 8,
+     CallEnd::Answered, milliseconds(1600), milliseconds(2600)},
+    {"parts that stop half-way", true, 4, milliseconds(200), 8, CallEnd::Broken,
+     milliseconds(1600), milliseconds(2600)},
+    {"parts without end", true, 100, milliseconds(200), 200, CallEnd::Broken,
+     milliseconds(3200), milliseconds(4200)},
+};
+
 } // namespace
 
 namespace {
@@ -643,20 +684,55 @@
                          {seconds(1), seconds(1), seconds(5), 1024, 4, {}, {}});
   std::vector<CallEnd> ends;
   const HttpRequest request(http::verb::get, "/", 11);
-  sendWithTimeout(loop, *client, request, Timeout, [&](const CallResult &one) {
-    ends.push_back(one.End);
-    sendWithTimeout(loop, *client, request, 20 * Timeout,
-                    [&](const CallResult &other) {
-                      ends.push_back(other.End);
-                      loop.stop();
-                    });
-  });
+  sendWithTimeout(loop, *client, request, CallTimeout::ofWholeCall(Timeout),
+                  [&](const CallResult &one) {
+                    ends.push_back(one.End);
+                    sendWithTimeout(loop, *client, request,
+                                    CallTimeout::ofWholeCall(20 * Timeout),
+                                    [&](const CallResult &other) {
+                                      ends.push_back(other.End);
+                                      loop.stop();
+                                    });
+                  });
   loop.run_for(seconds(3));
   client->dropIdle();
   cr_assert_eq(ends.size(), 2U);
   cr_assert(ends[1] == CallEnd::Answered);
 }
 
+// An answer that comes slowly is not asked for again from its start; one that
+// has stopped is given up.
+ACACIA_TABLE_TEST(SendWithTimeout, WaitsWhilePartsOfTheAnswerCome, PacedRows) {
+  boost::asio::io_context loop;
+  tests::ByteServer server(
+      loop, [&row](const HttpRequest &, std::size_t) -> tests::ByteAnswer {
+        tests::ByteAnswer out;
+        if (row.HasHead)
+          out.Pieces.push_back({{},
+                                "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                    std::to_string(row.Length) + "\r\n\r\n"});
+        for (std::size_t n = 0; n < row.Pieces; ++n)
+          out.Pieces.push_back({row.Distance, "x"});
+        return out;
+      });
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", server.port()},
+                         {seconds(1), seconds(1), seconds(5), 1024, 4, {}, {}});
+  const auto start = core::BootClock::now();
+  std::optional<CallEnd> end;
+  sendWithTimeout(loop, *client, HttpRequest(http::verb::get, "/", 11),
+                  PacedTimeout, [&](const CallResult &it) {
+                    end = it.End;
+                    loop.stop();
+                  });
+  loop.run_for(seconds(8));
+  const auto length = core::BootClock::now() - start;
+  client->dropIdle();
+  cr_assert(end == row.End, "%s", row.Name);
+  cr_assert(length >= row.Least && length <= row.Most, "%s: %lld ms", row.Name,
+            static_cast<long long>(length / milliseconds(1)));
+}
+
 // A server closes connections that are idle for long; the client gives their
 // descriptors back although it needs no connection.
 Test(HttpClient, ClosesWhatTheServerHasClosed) {
