One unreadable record no longer stops a node from following a log

A node that starts, or restarts its feed, would have refused all requests (503).

Cause: one item of a page of newest records that could not be read (an empty or missing key, a value of another type or not base64) failed the whole page, and the read was repeated for ever. The key after which the next page begins was put into the request as it was, so that a space broke the request and an ampersand cut the key.

Now the page leaves out such items and tells why, the tail of the log does so too, and the feed reports each by its hook OnUnreadable; Control logs record_unreadable. Keys are percent-encoded.

Evidence: sidecar_test.py odd_entries failed before with "log_lost", detail "key: missing", on all three nodes, and passes: unreadable records in both topics, pages of two keys, and 19 heartbeats that name no upstream; the nodes keep their process, follow the next configuration and serve, and one that starts anew reads the pages too.

--- a/Source/Feed/FeedTypes.h
+++ b/Source/Feed/FeedTypes.h
@@ -29,6 +29,8 @@
   std::vector<KeyedRecord> Records;
   bool HasMore = false;
   core::Offset End = 0;
+  /// Why records of the page are not among Records.
+  std::vector<core::Error> Unreadable;
 };
 
 /// Records in the order of the log.
@@ -39,6 +41,8 @@
   core::Offset End = 0;
   /// How long before the question the log itself was asked.
   core::Duration Age{};
+  /// Why records are not among Records; their offsets count.
+  std::vector<core::Error> Unreadable;
 };
 
 using PageHandler = std::function<void(core::Result<NewestPage>)>;
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -47,6 +47,8 @@
     onFailure(page.error());
     return;
   }
+  for (const core::Error &it : page->Unreadable)
+    Hooks.OnUnreadable(it);
   // Pages are no snapshot: what changed since the first one is read again.
   if (Snapshot.empty())
     SnapshotEnd = page->End;
@@ -84,9 +86,11 @@
   Failures = 0;
   if (!std::exchange(IsReachable, true))
     Hooks.OnReachable(true, {});
+  for (const core::Error &it : tail->Unreadable)
+    Hooks.OnUnreadable(it);
   // An append of this node may have been applied meanwhile.
   if (tail->Next < Position)
-    *tail = {{}, Position, Position, tail->Age};
+    *tail = {{}, Position, Position, tail->Age, {}};
   Position = tail->Next;
   std::move(tail->Records.begin(), tail->Records.end(),
             std::back_inserter(Collected));
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -28,6 +28,8 @@
       OnRecords;
   /// The log can be read again, or cannot be read.
   std::function<void(bool, std::string_view detail)> OnReachable;
+  /// One record was left out, since it can't be read; the others hold.
+  std::function<void(const core::Error &)> OnUnreadable;
 };
 
 struct FeedPace {
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -120,21 +120,23 @@
 }
 
 feed::FeedHooks Control::operatorHooks() {
-  return {[this](const std::vector<feed::KeyedRecord> &records,
-                 core::Offset end, core::TimePoint asked) {
-            Relay->buffer(RelayedLog::Operators).reset(end, asked);
-            applyOperators(records, true);
-            Hooks.OnConfirmed(asked);
-          },
-          [this](const std::vector<feed::KeyedRecord> &records,
-                 core::Offset end, core::TimePoint asked) {
-            Relay->buffer(RelayedLog::Operators).add(records, end, asked);
-            applyOperators(records, false);
-            Hooks.OnConfirmed(asked);
-          },
-          [this](bool isReachable, std::string_view detail) {
-            noteReachable("operators", isReachable, detail);
-          }};
+  return {
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
+             core::TimePoint asked) {
+        Relay->buffer(RelayedLog::Operators).reset(end, asked);
+        applyOperators(records, true);
+        Hooks.OnConfirmed(asked);
+      },
+      [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
+             core::TimePoint asked) {
+        Relay->buffer(RelayedLog::Operators).add(records, end, asked);
+        applyOperators(records, false);
+        Hooks.OnConfirmed(asked);
+      },
+      [this](bool isReachable, std::string_view detail) {
+        noteReachable("operators", isReachable, detail);
+      },
+      [this](const core::Error &error) { noteUnreadable("operators", error); }};
 }
 
 feed::FeedHooks Control::fleetHooks() {
@@ -150,7 +152,8 @@
           },
           [this](bool isReachable, std::string_view detail) {
             noteReachable("fleet", isReachable, detail);
-          }};
+          },
+          [this](const core::Error &error) { noteUnreadable("fleet", error); }};
 }
 
 void Control::noteReachable(std::string_view log, bool isReachable,
@@ -160,6 +163,11 @@
              {{"log", log}, {"detail", detail}});
 }
 
+void Control::noteUnreadable(std::string_view log, const core::Error &error) {
+  Log->write(logging::Level::Error, "record_unreadable",
+             {{"log", log}, {"detail", error.Detail}});
+}
+
 void Control::applyOperators(const std::vector<feed::KeyedRecord> &records,
                              bool isSnapshot) {
   if (isSnapshot)
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -77,6 +77,7 @@
   void applyFleetRecord(const feed::KeyedRecord &record, core::TimePoint now);
   void noteReachable(std::string_view log, bool isReachable,
                      std::string_view detail);
+  void noteUnreadable(std::string_view log, const core::Error &error);
 
   void handle(const ExchangePointer &exchange);
   void handleHeartbeat(const ExchangePointer &exchange,
--- a/Tests/Adapter/AdapterTest.cpp
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -357,3 +357,85 @@
                       .value_or(feed::Tail{})
                       .Records.size() == 2);
 }
+
+namespace {
+
+struct PageRow {
+  const char *Name;
+  /// Between two good items.
+  std::string Item;
+  bool IsReadable;
+};
+
+const PageRow PageRows[] = {
+    {"a good item", R"({"key":"m","value":"dg==","offset":2})", true},
+    {"no value", R"({"key":"m"})", true},
+    {"no key", R"({"value":"dg=="})", false},
+    {"an empty key", R"({"key":"","value":"dg=="})", false},
+    {"a key of another type", R"({"key":7,"value":"dg=="})", false},
+    {"a value of another type", R"({"key":"m","value":{"a":1}})", false},
+    {"a value that isn't base64", R"({"key":"m","value":"%"})", false},
+    {"no object", "7", false},
+    {"an offset too large",
+     R"({"key":"m","value":"dg==","offset":99999999999999999999})", true},
+    {"a nested list", nested(30), false},
+};
+
+struct FramingRow {
+  const char *Name;
+  /// Between two good records, with its length.
+  std::string Record;
+  std::size_t Records;
+};
+
+using namespace std::string_literals;
+const FramingRow FramingRows[] = {
+    {"a good record", "\0\0\0\2\1m"s, 3},
+    {"no bytes", "\0\0\0\0"s, 2},
+    {"a key longer than the record", "\0\0\0\2\xff\1"s, 2},
+    {"an empty key", "\0\0\0\2\0v"s, 3},
+};
+
+struct QueryRow {
+  const char *Text;
+  const char *Encoded;
+};
+
+const QueryRow QueryRows[] = {
+    {"node/a-1_b.c~", "node/a-1_b.c~"},
+    {"a key&after=%", "a%20key%26after%3D%25"},
+    {"a\r\nb\xff", "a%0D%0Ab%FF"},
+};
+
+} // namespace
+
+// Nodes read no further when one item of a page could not be read.
+ACACIA_TABLE_TEST(Adapter, ReadsPagesWithAnOddItem, PageRows) {
+  const auto page =
+      parsePage(R"({"items":[{"key":"a","value":"dg==","offset":1},)" +
+                row.Item + R"(,{"key":"z","value":"dg==","offset":3}],)" +
+                R"("hasMore":true,"end":9})");
+  cr_assert(page.has_value(), "%s", row.Name);
+  cr_assert_eq(page->Records.size(), row.IsReadable ? 3U : 2U, "%s", row.Name);
+  cr_assert_eq(page->Unreadable.size(), row.IsReadable ? 0U : 1U, "%s",
+               row.Name);
+  cr_assert(page->HasMore);
+  cr_assert_eq(page->End, 9U);
+  cr_assert_eq(page->Records.back().Key, "z");
+}
+
+ACACIA_TABLE_TEST(Adapter, ReadsTailsWithAnOddRecord, FramingRows) {
+  const auto tail = parseTail(std::string(16, '\0') + frameRecord({"a", "1"}) +
+                                  row.Record + frameRecord({"z", "1"}),
+                              10);
+  cr_assert(tail.has_value(), "%s", row.Name);
+  cr_assert_eq(tail->Next, 13U);
+  cr_assert_eq(tail->Records.size(), row.Records, "%s", row.Name);
+  cr_assert_eq(tail->Records.size() + tail->Unreadable.size(), 3U);
+  cr_assert_eq(tail->Records.back().Key, "z");
+}
+
+// The key after which a page goes on broke the request.
+ACACIA_TABLE_TEST(Adapter, EncodesQueryValues, QueryRows) {
+  cr_assert_eq(encodeQueryValue(row.Text), row.Encoded, "%s", row.Text);
+}
--- a/Tests/Adapter/Headers.h
+++ b/Tests/Adapter/Headers.h
@@ -8,6 +8,7 @@
 #include "platform/ConfigurationDecoder.h"
 #include "platform/Dialect.h"
 #include "platform/HeartbeatCodec.h"
+#include "platform/NewestPage.h"
 #include "platform/RecordFraming.h"
 
 #endif
--- a/Tests/Adapter/MutationTest.cpp
+++ b/Tests/Adapter/MutationTest.cpp
@@ -70,6 +70,10 @@
     {"tail of the log",
      {makeTail()},
      [](std::string_view bytes) { return parseTail(bytes, 5).has_value(); }},
+    {"page of the newest records",
+     {R"({"items":[{"key":"a","value":"dg==","offset":1},{"key":"b"}],)"
+      R"("hasMore":true,"end":9})"},
+     [](std::string_view text) { return parsePage(text).has_value(); }},
     {"record of a node",
      {codec::encodeNode({"node",
                          "dc",
@@ -106,7 +110,8 @@
        return codec::decodeCredit(bytes).has_value();
      }},
     {"relayed tail",
-     {codec::encodeTail({{{"a", "1"}, {"b", {}}}, 7, 7, core::Duration(5)})},
+     {codec::encodeTail(
+         {{{"a", "1"}, {"b", {}}}, 7, 7, core::Duration(5), {}})},
      [](std::string_view bytes) {
        return codec::decodeTail(bytes).has_value();
      }},
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -18,12 +18,27 @@
 namespace {
 
 /// What the log does with one read.
-enum class ReadStep { Page, LastPage, Tail, PartOfTail, Trimmed, Unavailable };
+enum class ReadStep {
+  Page,
+  LastPage,
+  /// Has a record that can't be read.
+  OddLastPage,
+  Tail,
+  OddTail,
+  PartOfTail,
+  Trimmed,
+  Unavailable
+};
+
+std::vector<core::Error> unreadable(bool isOne) {
+  return std::vector<core::Error>(isOne ? 1 : 0);
+}
 
 struct FeedRow {
   const char *Name;
   std::vector<ReadStep> Steps;
-  /// s: snapshot, r: records, +: reachable, -: not reachable.
+  /// s: snapshot, r: records, +: reachable, -: not reachable, u: a record is
+  /// unreadable.
   const char *Calls;
 };
 
@@ -42,6 +57,9 @@
      {ReadStep::LastPage, ReadStep::Tail, ReadStep::Unavailable,
       ReadStep::Unavailable, ReadStep::Tail},
      "s+r-+r"},
+    {"a record that can't be read stops nothing",
+     {ReadStep::OddLastPage, ReadStep::OddTail, ReadStep::Tail},
+     "usu+rr"},
     {"an outage during the pages",
      {ReadStep::Page, ReadStep::Unavailable, ReadStep::LastPage,
       ReadStep::Tail},
@@ -63,7 +81,10 @@
           if (*step == ReadStep::Unavailable)
             handler(core::fail(core::ErrorKind::LogUnavailable));
           else
-            handler(NewestPage{{{"a", "1"}}, *step == ReadStep::Page, 5});
+            handler(NewestPage{{{"a", "1"}},
+                               *step == ReadStep::Page,
+                               5,
+                               unreadable(*step == ReadStep::OddLastPage)});
         },
         [this](core::Offset from, core::Duration, const TailHandler &handler) {
           const auto step = next();
@@ -77,7 +98,8 @@
             handler(feed::Tail{{{"a", "2"}},
                                from + 1,
                                from + (*step == ReadStep::PartOfTail ? 2U : 1U),
-                               {}});
+                               {},
+                               unreadable(*step == ReadStep::OddTail)});
         },
         {}};
   }
@@ -125,7 +147,8 @@
                   [&](const auto &, core::Offset, TimePoint) { calls += 'r'; },
                   [&](bool isReachable, std::string_view) {
                     calls += isReachable ? '+' : '-';
-                  }});
+                  },
+                  [&](const core::Error &) { calls += 'u'; }});
   feed.start();
   loop.run();
   cr_assert_eq(calls, row.Calls, "%s: %s", row.Name, calls.c_str());
@@ -154,7 +177,7 @@
   std::vector<TailHandler> pending;
   KeyedFeed feed(loop,
                  {[](std::string_view, const PageHandler &handler) {
-                    handler(NewestPage{{{"a", "1"}}, false, 5});
+                    handler(NewestPage{{{"a", "1"}}, false, 5, {}});
                   },
                   [&](core::Offset, core::Duration, TailHandler handler) {
                     pending.push_back(std::move(handler));
@@ -163,12 +186,12 @@
                  {core::Duration{}, UrgentPause},
                  {[](const auto &, core::Offset, TimePoint) {},
                   [](const auto &, core::Offset, TimePoint) {},
-                  [](bool, std::string_view) {}});
+                  [](bool, std::string_view) {}, [](const core::Error &) {}});
   feed.start();
   boost::asio::steady_timer asked(loop, UrgentPause / 2);
   asked.async_wait([&](boost::system::error_code) { feed.readNow(); });
   cr_assert_eq(pending.size(), 1U, "%s", row.Name);
-  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}});
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, {}});
   std::this_thread::sleep_for(row.Delay);
   loop.run_for(4 * UrgentPause);
   cr_assert_eq(pending.size(), 1U, "%s: %zu", row.Name, pending.size());
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -4,6 +4,7 @@
 sidecar_test.py ROW BIN_FOLDER PORT, where PORT is the first of 40 free ports.
 """
 import http.client
+import json
 import os
 import pathlib
 import signal
@@ -284,6 +285,92 @@
     assert statuses == ({504}, {504}), statuses
 
 
+DEEP = b"[" * 400_000
+# Of the operators' topic and the fleet's, whose readers keep what they know.
+ODD_RECORDS = [
+    ("keyed.op", "config", DEEP),
+    ("keyed.op", "config", b'{"version":"2","routes":1e999}'),
+    ("keyed.op", "config", b"\xff\x00"),
+    ("keyed.op", "", b"no key"),
+    ("keyed.op", "a key&after=", b"1"),
+    ("keyed.op", "evacuate/" + "x" * 200, DEEP),
+    ("keyed.fleet", "", b"no key"),
+    ("keyed.fleet", "node/odd", DEEP),
+    ("keyed.fleet", "node/odd-2", b"\xff" * 64),
+    ("keyed.fleet", "keys/" + SERVICE + "/99999999999", b"1"),
+    ("keyed.fleet", "keys/" + SERVICE + "/0", b"\x0a\x02\x08"),
+]
+
+
+def odd_beats(upstream):
+    """Yields id and body; none names an upstream that could be used."""
+    def beat(address=upstream.address, born=upstream.born, seq=10 ** 6,
+             slots=8, **more):
+        info = {"service": SERVICE, "version": "v1", "zone": "here",
+                "slots": slots}
+        status = {"state": "ready", "seq": seq, "coldRemaining": "0ms"}
+        return json.dumps({"address": "%s:%s" % address, "born": born,
+                           "info": info, "status": status, **more}).encode()
+    host, port = upstream.address
+    later = upstream.born + 1
+    good = beat(born=later)
+    for it in (beat((host, 0), later), beat((host, 65536), later),
+               beat((host, port + 65536), later), beat(("0.0.0.0", port), later),
+               beat(("255.255.255.255", port), later),
+               beat(born=2 ** 63 - 1), beat(born=2 ** 64 - 1),
+               beat(born=upstream.born * 1000), beat(seq=2 ** 63 - 1),
+               beat(seq=2 ** 53), beat(born=later, slots=2 ** 32),
+               beat(born=later, slots=2 ** 31), beat(born=later, slots=10 ** 18),
+               beat(born=later, holds={"0": [0, 9, 1]}),
+               beat(born=later, freed=[[0, 9, "x" * 300_000]]),
+               good.replace(b'"seq": 1000000', b'"seq": 1e999'),
+               good[:-1] + b', "more": ' + DEEP + b"]" * len(DEEP) + b"}",
+               DEEP, b"\xff\x00"):
+        yield upstream.name, it
+    yield "%s-%s" % (upstream.name, "x" * 1000), good
+
+
+def put(address, path, body):
+    """Returns the status; 0 means that no answer came."""
+    link = http.client.HTTPConnection(*address, timeout=2)
+    try:
+        link.request("PUT", path, body)
+        return link.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        link.close()
+
+
+def odd_entries(fleet):
+    """Nodes outlive entries that name nothing, and follow what comes after."""
+    processes = [it.process.pid for it in fleet.nodes]
+    for topic, key, value in ODD_RECORDS:
+        fleet.store.put(topic, key, value)
+    node = fleet.nodes[0]
+    for name, body in odd_beats(node.upstream):
+        status = put(node.at(CONTROL), "/instances/" + name, body)
+        assert status in (0, 400, 404), (status, name, body[:200])
+    assert fleet.wait_served(6), fleet.served()
+    # The pages are read again, and go on after odd keys.
+    fleet.store.page_keys = 2
+    fleet.store.forget()
+    fleet.store.put("keyed.op", "config", make_configuration(3, "other-key"))
+    time.sleep(2)
+    for it in fleet.nodes:
+        assert it.ask(1)[0] == 401
+        assert it.ask(1, account_key="other-key")[0] == 200
+    node.process.kill()
+    node.process.wait()
+    node.start()
+    end = time.monotonic() + 6
+    while node.ask(1, account_key="other-key")[0] != 200:
+        assert time.monotonic() < end
+        time.sleep(0.1)
+    assert all(it.is_running() for it in fleet.nodes)
+    assert [it.process.pid for it in fleet.nodes[1:]] == processes[1:]
+
+
 ROWS = {row.__name__: row for row in (calm, killed_node, lost_node,
                                       restarted_upstream, store_outage,
                                       withdrawn_key, open_requests_at_stop,
@@ -291,7 +378,8 @@
                                       orders_of_others_at_stop,
                                       stops_in_series,
                                       orders_that_cross_a_stop,
-                                      open_requests_at_short_stop)}
+                                      open_requests_at_short_stop,
+                                      odd_entries)}
 
 
 def main():
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -62,6 +62,8 @@
         self.is_down = False
         self.delay_s, self.lost_share = 0.0, 0.0
         self.first = {}
+        # Keys in one answer to a read of the newest records.
+        self.page_keys = 500
         store = self
 
         class StoreHandler(Handler):
@@ -143,8 +145,12 @@
             newest = {key: (value, n) for n, (key, value) in enumerate(log)}
             items = [{"key": key, "offset": n,
                       "value": base64.b64encode(value).decode()}
-                     for key, (value, n) in sorted(newest.items()) if value]
-            return 200, json.dumps({"items": items, "hasMore": False,
+                     for key, (value, n) in sorted(newest.items())
+                     if value and ("after" not in query or
+                                   key > query["after"])]
+            page = items[:self.page_keys]
+            return 200, json.dumps({"items": page,
+                                    "hasMore": len(page) < len(items),
                                     "end": len(log)}).encode()
 
 
