A node that stops answers what has come on its connections

Callers that had sent a request behind another one lost it: from the moment at which a node refused new requests, each answer ended its connection, and what the node had read behind the first request was dropped. Also, a node counted as idle with a request unread on a kept or new connection, or with a connection not yet accepted, and reset it as it ended.

Cause: the end of a connection was decided by the state of the server alone, not by what had come on the connection.

An answer ends its connection only if nothing has come behind it. A server is idle once nothing is left to read. Callers' connections are refused by the system from the conclusion on, as the node could no longer answer them, and those that wait to be accepted are served first.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpServer.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -71,6 +72,12 @@
     it->detach();
 }
 
+bool HttpServer::isIdle() const {
+  return InFlight == 0 && Lingering == 0 &&
+         std::none_of(Sessions.begin(), Sessions.end(),
+                      [](const auto *it) { return it->hasUnread(); });
+}
+
 void HttpServer::accept() {
   Acceptor.async_accept([this](error_code ec, tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted || !Acceptor.is_open())
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -115,7 +115,8 @@
   void setLimits(const ServerLimits &limits) { Limits = limits; }
   const ServerLimits &limits() const { return Limits; }
 
-  /// Answers from now on ask the client to close its connection.
+  /// Answers from now on ask the client to close its connection, unless it has
+  /// sent another request on it already.
   void beginDrain() { Draining = true; }
   bool isDraining() const { return Draining; }
 
@@ -129,9 +130,9 @@
   /// still being read, and of open connections.
   std::size_t inFlight() const { return InFlight; }
 
-  /// Whether no request is in flight and no client is still to take in an
-  /// answer that ends its connection.
-  bool isIdle() const { return InFlight == 0 && Lingering == 0; }
+  /// Whether no request is in flight or still to be read, and no client is
+  /// still to take in an answer that ends its connection.
+  bool isIdle() const;
   std::size_t connections() const { return Sessions.size(); }
 
 private:
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -75,6 +75,15 @@
          State == Phase::Writing;
 }
 
+bool ServerSession::hasMoreBytes() const {
+  error_code ignored; // A connection that has failed holds nothing.
+  return Buffer.size() > 0 || Socket.available(ignored) > 0;
+}
+
+bool ServerSession::hasUnread() const {
+  return State == Phase::Idle && hasMoreBytes();
+}
+
 void ServerSession::count(bool isAdded) {
   if (!Server)
     return;
@@ -234,7 +243,9 @@
 void ServerSession::respond(HttpResponse response) {
   if (State == Phase::Closed)
     return;
-  const bool close = !KeepAlive || !Server || Server->Draining;
+  // What the client has sent behind the request is answered first.
+  const bool close =
+      !KeepAlive || !Server || (Server->Draining && !hasMoreBytes());
   Response.emplace(std::move(response));
   Response->keep_alive(!close);
   Response->prepare_payload();
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -29,6 +29,9 @@
   /// Closes the connection if it is idle or slow for longer than allowed.
   void closeIfLate(core::TimePoint now);
 
+  /// Whether bytes of a request have come that is still to be read.
+  bool hasUnread() const;
+
   /// The server goes away; the session outlives it without using it.
   void detach();
 
@@ -38,6 +41,8 @@
   void enter(Phase phase);
   /// Whether a request has no whole answer yet.
   bool hasRequest() const;
+  /// Whether more has come than the present request.
+  bool hasMoreBytes() const;
   /// Adds the session to what the server counts by phase, or takes it out.
   void count(bool isAdded);
   void waitReadable();
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -258,6 +258,8 @@
 
 void Sidecar::concludeRequests() {
   logOpen("drain_concluded");
+  // What connects later could not be answered before the process ends.
+  CallerServer->stopAccepting();
   Entry->conclude();
   Peers->conclude();
   Upstream->conclude();
@@ -272,6 +274,7 @@
     return false;
   // What has been connected meanwhile is served first.
   PeerServer->stopAccepting();
+  CallerServer->stopAccepting();
   return isIdle();
 }
 
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -778,6 +778,61 @@
   cr_assert_eq(server->connections(), 0U);
 }
 
+namespace {
+
+struct UnreadRow {
+  const char *Name;
+  const char *Bytes;
+  /// Answers on the connection.
+  std::size_t Answers;
+};
+
+const UnreadRow UnreadRows[] = {
+    {"one request", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1},
+    {"one behind another",
+     "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", 2},
+    {"one behind a body",
+     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+     "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+     2},
+    {"one behind the last that the client wants answered",
+     "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+     "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+     1},
+};
+
+} // namespace
+
+// A request that has come is answered, also behind another one and if the
+// server is to end; it isn't idle before.
+ACACIA_TABLE_TEST(HttpServer, AnswersWhatHasComeBeforeItEnds, UnreadRows) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+  loop.run_for(milliseconds(20));
+  cr_assert_eq(server->connections(), 1U, "%s", row.Name);
+  cr_assert(server->isIdle(), "%s", row.Name);
+  server->beginDrain();
+  boost::asio::write(socket, boost::asio::buffer(std::string_view(row.Bytes)));
+  cr_assert_not(server->isIdle(), "%s", row.Name);
+  std::string answers;
+  boost::asio::async_read(socket, boost::asio::dynamic_buffer(answers),
+                          [&](error_code, std::size_t) { socket.close(); });
+  loop.run_for(milliseconds(200));
+  std::size_t found = 0;
+  for (auto at = answers.find("HTTP/1.1 200"); at != std::string::npos;
+       at = answers.find("HTTP/1.1 200", at + 1))
+    ++found;
+  cr_assert_eq(found, row.Answers, "%s: %s", row.Name, answers.c_str());
+  cr_assert(server->isIdle(), "%s", row.Name);
+  cr_assert_eq(server->connections(), 0U, "%s", row.Name);
+}
+
 // The time for an answer is measured since it last went forward.
 Test(HttpServer, AnswerThatGoesForwardIsNotCut) {
   constexpr std::size_t Size = 16U << 20U;
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -4,9 +4,11 @@
 sidecar_test.py ROW BIN_FOLDER PORT, where PORT is the first of 40 free ports.
 """
 import http.client
+import itertools
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -22,6 +24,10 @@
 WAITING = 4
 # Of one node, one after the other.
 STOPS = 4
+# Of a drain of 5 s: requests are refused from 2.3 s on, those that are left are
+# concluded at 4.35 s, the process ends at 4.6 s.
+LATE_AT_S = (0.1, 2.2, 2.4, 4.0, 4.42)
+AFTER_REFUSAL_S, AFTER_CONCLUSION_S = 2.5, 4.45
 
 
 def make_configuration(version, key):
@@ -55,6 +61,99 @@
             link.close()
 
 
+class LateRequest(threading.Thread):
+    """One request that comes at_s after a signal. answers has the status of each
+    answer on its connection, or is None if the connection was refused."""
+
+    # How many answers each kind of arrival waits for, and when the last byte
+    # is sent at the earliest.
+    ARRIVALS = {"kept": (1, 0), "new": (1, 0),
+                "body": (1, AFTER_REFUSAL_S),
+                "pipelined": (2, 0),
+                "last byte": (1, AFTER_CONCLUSION_S)}
+
+    def __init__(self, entry, holder, path, arrival, at_s):
+        super().__init__()
+        self.entry, self.holder, self.path = entry, holder, path
+        self.arrival, self.at_s = arrival, at_s
+        self.expected, self.last_byte_s = self.ARRIVALS[arrival]
+        self.ids = [os.urandom(8).hex() for _ in range(self.expected)]
+        self.row = (path, holder.name, arrival, at_s)
+        self.answers, self.buf, self.link = [], b"", None
+        if arrival == "kept":
+            self.connect()
+            self.link.sendall(self.make("0" * 16, "/s/quick"))
+            assert self.read() == 200
+
+    def connect(self):
+        self.link = socket.create_connection(self.entry.at(CALLERS), 10)
+        self.link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def make(self, request_id, path):
+        head = ("POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n"
+                "Deadline-Ms: 10000\r\nShard-Key: %d\r\n"
+                "Authorization: Bearer secret-key\r\n"
+                "Content-Length: 4\r\n\r\nbody")
+        return (head % (path, request_id,
+                        self.holder.upstream.held[0][0])).encode()
+
+    def read(self):
+        """Returns the next status; 0 if no whole answer came."""
+        def fill():
+            try:
+                got = self.link.recv(65536)
+            except OSError:
+                got = b""
+            self.buf += got
+            return bool(got)
+        while b"\r\n\r\n" not in self.buf:
+            if not fill():
+                return 0
+        head, _, self.buf = self.buf.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = dict(it.lower().split(": ", 1) for it in lines[1:])
+        size = int(fields["content-length"])
+        while len(self.buf) < size:
+            if not fill():
+                return 0
+        self.buf = self.buf[size:]
+        return int(lines[0].split()[1])
+
+    def start_after(self, signal_at):
+        self.signal_at = signal_at
+        self.bytes = b"".join(self.make(it, self.path) for it in self.ids)
+        self.start()
+
+    def wait_until(self, age_s):
+        time.sleep(max(0.0, self.signal_at + age_s - time.monotonic()))
+
+    def run(self):
+        self.wait_until(self.at_s)
+        try:
+            if self.link is None:
+                self.connect()
+        except ConnectionError:
+            self.answers = None
+            return
+        try:
+            self.link.sendall(self.bytes[:-1])
+            self.wait_until(self.last_byte_s)
+            self.link.sendall(self.bytes[-1:])
+        except OSError:
+            pass  # What has been answered is read below.
+        self.answers = [self.read() for _ in self.ids]
+        self.link.close()
+
+    def faults(self):
+        if self.answers is None:
+            return
+        for request_id, status in zip(self.ids, self.answers):
+            runs = self.holder.upstream.runs.count(request_id)
+            if (status not in (200, 503, 504) or (status == 503) != (runs == 0)
+                    or runs > 1):
+                yield self.row, self.answers, status, runs
+
+
 class Fleet:
     def __init__(self, binary, first_port):
         self.folder = pathlib.Path(tempfile.mkdtemp())
@@ -271,6 +370,42 @@
         assert fleet.wait_served(10), fleet.served()
 
 
+def late_requests(fleet, work):
+    entry, holder, _ = fleet.nodes
+    allow_long_requests(fleet)
+    late = [LateRequest(entry, node, prefix + work, arrival, at_s)
+            for prefix, node, arrival, at_s in itertools.product(
+                ("/s/", "/u/"), (entry, holder), LateRequest.ARRIVALS,
+                LATE_AT_S)]
+    for node in (entry, holder):
+        node.upstream.may_end.clear()
+    entry.process.send_signal(signal.SIGTERM)
+    signal_at = time.monotonic()
+    for it in late:
+        it.start_after(signal_at)
+    assert entry.process.wait(8) == 0
+    for it in late:
+        it.join()
+    time.sleep(0.5)
+    faults = [fault for it in late for fault in it.faults()]
+    for node in (entry, holder):
+        node.upstream.may_end.set()
+    entry.start()
+    assert fleet.wait_served(10), fleet.served()
+    assert not faults, "%d faults\n%s" % (
+        len(faults), "\n".join(map(str, faults)))
+
+
+def late_quick_requests_at_stop(fleet):
+    """Each gets a whole answer, and 503 only if it doesn't run."""
+    late_requests(fleet, "quick")
+
+
+def late_long_requests_at_stop(fleet):
+    """As above, for work that outlasts the stop."""
+    late_requests(fleet, "long")
+
+
 def open_requests_at_short_stop(fleet):
     """Also a drain that is shorter than its steps answers them."""
     entry, holder, _ = fleet.nodes
@@ -291,6 +426,8 @@
                                       orders_of_others_at_stop,
                                       stops_in_series,
                                       orders_that_cross_a_stop,
+                                      late_quick_requests_at_stop,
+                                      late_long_requests_at_stop,
                                       open_requests_at_short_stop)}
 
 
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -152,13 +152,14 @@
     """Holds keys as its node grants them and runs requests for them alone."""
 
     HEARTBEAT_S = 0.3
+    QUICK = "/quick"
 
     def __init__(self, name, service, address, control, watch=None):
         """watch, if any, is told of grants and of requests that run."""
         self.name, self.service, self.watch = name, service, watch
         self.address, self.control = address, control
         self.lock = threading.Lock()
-        # Requests run until it is set.
+        # Requests run until it is set, those whose path ends in QUICK aside.
         self.may_end = threading.Event()
         self.may_end.set()
         self.start()
@@ -204,7 +205,8 @@
                 self.watch.ran(self, call.headers["Request-Id"], call.path)
             patience_s = int(call.headers.get("Deadline-Ms", 0)) / 1000
             common.append(("Response-Signature", "s"))
-            if self.may_end.wait(max(0.0, patience_s)):
+            if (call.path.endswith(self.QUICK)
+                    or self.may_end.wait(max(0.0, patience_s))):
                 call.answer(200, b"whole", common)
             else:
                 call.answer(504, b"late", common)
