--- a/Tests/Net/TimeoutTest.cpp
+++ b/Tests/Net/TimeoutTest.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 
@@ -73,3 +74,35 @@
   }
   cr_assert(watched.expired());
 }
+
+namespace {
+
+struct LastOwnerRow {
+  const char *Name;
+  bool IsStartedAnew;
+};
+
+const LastOwnerRow LastOwnerRows[] = {
+    {"cancelled", false},
+    {"set anew", true},
+};
+
+} // namespace
+
+// The pending handler is the last to hold what owns the timeout. What is used
+// after its end shows with the preset asan.
+ACACIA_TABLE_TEST(Timeout, IsCancelledByItsLastOwner, LastOwnerRows) {
+  struct Owner {
+    explicit Owner(boost::asio::io_context &loop) : Guard(loop) {}
+    Timeout Guard;
+  };
+  boost::asio::io_context loop;
+  auto owner = std::make_shared<Owner>(loop);
+  Timeout &guard = owner->Guard;
+  guard.start(seconds(5), [held = std::exchange(owner, nullptr)] {});
+  if (row.IsStartedAnew)
+    guard.start(seconds(5), [] {});
+  else
+    guard.cancel();
+  loop.run_for(milliseconds(10));
+}
