--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -778,6 +779,57 @@
   cr_assert_eq(server->connections(), 0U);
 }
 
+namespace {
+
+struct IdleSweepRow {
+  const char *Name;
+  std::string_view Sent;
+  /// What the client receives begins so.
+  std::string_view Received;
+};
+
+const IdleSweepRow IdleSweepRows[] = {
+    {"nothing came", "", ""},
+    {"a request came in time", "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+     "HTTP/1.1 200"},
+};
+
+} // namespace
+
+// The loop is held up between the moment at which idle connections are to be
+// looked for, each 500 ms, and the search.
+ACACIA_TABLE_TEST(HttpServer, ServesARequestWhoseIdleTimeoutIsDue,
+                  IdleSweepRows) {
+  boost::asio::io_context loop;
+  const auto server = *HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), milliseconds(700)},
+      [](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond(HttpResponse(http::status::ok, 11));
+      });
+  loop.run_for(milliseconds(400));
+  boost::asio::io_context clients;
+  tcp::socket client(clients);
+  client.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+  loop.restart();
+  loop.run_for(milliseconds(200));
+  boost::asio::post(loop, [&] {
+    std::this_thread::sleep_for(milliseconds(410));
+    boost::asio::post(loop, [&] {
+      boost::asio::write(client, boost::asio::buffer(row.Sent));
+      std::this_thread::sleep_for(milliseconds(200));
+    });
+  });
+  loop.restart();
+  loop.run_for(milliseconds(800));
+  std::string received(64, '\0');
+  error_code ec;
+  client.non_blocking(true);
+  received.resize(client.read_some(boost::asio::buffer(received), ec));
+  cr_assert(received.starts_with(row.Received) &&
+                received.empty() == row.Received.empty(),
+            "%s: %s %s", row.Name, received.c_str(), ec.message().c_str());
+}
+
 // The time for an answer is measured since it last went forward.
 Test(HttpServer, AnswerThatGoesForwardIsNotCut) {
   constexpr std::size_t Size = 16U << 20U;
