--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -1,11 +1,13 @@
 #include "Proxy/EntryService.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include "Proxy/PeerService.h"
 #include "Support/ByteServer.h"
@@ -37,6 +39,7 @@
     caller.RequestId = net::fieldOf(fields, "id");
     caller.AccountKey = net::fieldOf(fields, "account-key");
     caller.Patience = seconds(5);
+    caller.Key = 7;
     return caller;
   };
   out.WriteOrder = [](HttpFields &fields, const OrderFields &order) {
@@ -73,10 +76,11 @@
 }
 
 std::shared_ptr<const routing::RouteTable>
-makeTable(core::Duration timeout = milliseconds(400)) {
+makeTable(core::Duration timeout = milliseconds(400), bool isKeyed = false) {
   routing::Configuration out;
   out.Version = 1;
   out.Services.emplace_back().Name = "service";
+  out.Services.back().IsKeyed = isKeyed;
   out.Routes = {makeRoute("closed", false), makeRoute("open", true)};
   out.Routes.push_back(makeRoute("again", true));
   out.Routes.back().Kind = routing::WorkKind::Idempotent;
@@ -181,6 +185,8 @@
                                                  true});
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
+    // The other node holds all keys.
+    view->Services["service"].Holdings = {{{}, "peer", {UpstreamId, 1}, 1, {}}};
     view->Nodes = {NodeName, "peer"};
     Entry->setView(view);
     Upstream->setView(view, service);
@@ -636,6 +642,53 @@
 }
 namespace {
 
+struct BrokenRow {
+  const char *Name;
+  const char *Path;
+  unsigned Status;
+  /// Times that the request is sent to the holder.
+  int Sent;
+};
+
+const BrokenRow BrokenRows[] = {
+    {"may be repeated", "/again/x", 200, 2},
+    {"at most once", "/open/x", 504, 1},
+};
+
+} // namespace
+
+// The connection to the node that holds a request's key breaks; the node and
+// its upstream are well.
+ACACIA_TABLE_TEST(EntryService, RepeatsABrokenCallToAHolder, BrokenRows) {
+  Fixture fixture([](const auto &) {});
+  int sent = 0;
+  const tests::ByteServer holder(
+      fixture.Loop, [&](const HttpRequest &request, std::size_t) {
+        if (++sent == 1)
+          return ByteAnswer{{{{}, ""}}, ConnectionEnd::Close};
+        HttpResponse out(net::http::status::ok, 11);
+        out.set("id", request["id"]);
+        out.set("signed", "1");
+        ForwardOutcome outcome;
+        outcome.Outcome = requests::AttemptOutcome::Answered;
+        outcome.ReachedUpstream = true;
+        writeOutcome(out, outcome);
+        out.prepare_payload();
+        std::ostringstream text;
+        text << out;
+        return ByteAnswer{{{{}, text.str()}}, ConnectionEnd::None};
+      });
+  fixture.PeerPort = holder.port();
+  fixture.setView(makeTable(seconds(2), true));
+  const HttpResponse answer = fixture.ask(row.Path, "");
+  cr_assert_eq(sent, row.Sent, "%s: %d", row.Name, sent);
+  cr_assert_eq(answer.result_int(), row.Status, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert_eq(fixture.Counters.Retries, row.Sent - 1U, "%s", row.Name);
+}
+
+namespace {
+
 /// Which of the servers behind the entry node does not end its answer.
 enum class Endless { Upstream, OtherNode, UpstreamOfOtherNode, Both };
 
