--- a/Tests/Proxy/PeerClientsTest.cpp
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 /// How the other node answers the question for room.
-enum class Room { Given, GivenLate, Refused, None };
+enum class Room { Given, GivenLate, GivenTooLate, Refused, None };
 
 struct SendRow {
   const char *Name;
@@ -42,6 +42,8 @@
      true, 400},
     {"what the question took is not left any more", 60'000, Room::GivenLate, 2,
      AttemptOutcome::Answered, true, 300},
+    {"nothing is sent after the deadline", 60'000, Room::GivenTooLate, 1,
+     AttemptOutcome::NotSent, false, 400},
     {"a refused one is not sent", 60'000, Room::Refused, 1,
      AttemptOutcome::RefusedNotRun, false, 400},
 };
@@ -95,8 +97,12 @@
         } else {
           writeRoom(out, Number);
         }
-        const bool isLate = isQuestion && row.Answer == Room::GivenLate;
-        timer.expires_after(milliseconds(isLate ? 120 : 0));
+        int delayMs = 0;
+        if (isQuestion && row.Answer == Room::GivenLate)
+          delayMs = 120;
+        else if (isQuestion && row.Answer == Room::GivenTooLate)
+          delayMs = 450;
+        timer.expires_after(milliseconds(delayMs));
         timer.async_wait([exchange, out](boost::system::error_code) {
           exchange->respond(out);
         });
