--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -271,6 +271,25 @@
         assert fleet.wait_served(10), fleet.served()
 
 
+def stop_beside_a_silent_node(fleet):
+    """An idle connection of a node that has gone silent holds no stop up: keys
+    are without a node from the refusal of orders on."""
+    entry, holder, silent = fleet.nodes
+    key = holder.upstream.held[0][0]
+    assert silent.ask(key)[0] == 200
+    silent.process.send_signal(signal.SIGSTOP)
+    try:
+        holder.process.send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+        assert holder.process.wait(8) == 0
+        ended = time.monotonic() - begun
+    finally:
+        silent.process.send_signal(signal.SIGCONT)
+    holder.start()
+    assert fleet.wait_served(10), fleet.served()
+    assert ended < 4, ended
+
+
 def open_requests_at_short_stop(fleet):
     """Also a drain that is shorter than its steps answers them."""
     entry, holder, _ = fleet.nodes
@@ -291,6 +310,7 @@
                                       orders_of_others_at_stop,
                                       stops_in_series,
                                       orders_that_cross_a_stop,
+                                      stop_beside_a_silent_node,
                                       open_requests_at_short_stop)}
 
 
