--- a/Source/Net/Timeout.cpp
+++ b/Source/Net/Timeout.cpp
@@ -5,7 +5,8 @@
 namespace acaciaroad::net {
 
 void Timeout::start(core::Duration length, std::function<void()> handler) {
-  cancel();
+  // What the earlier handler owns may include this timeout.
+  const auto dropped = takePending();
   const auto held = std::make_shared<std::function<void()>>(std::move(handler));
   Pending = held;
   Timer.expires_after(length);
@@ -18,11 +19,14 @@
 }
 
 void Timeout::cancel() {
-  if (const auto held = Pending.lock())
-    // What the handler owns may include this timeout.
-    const auto dropped = std::exchange(*held, nullptr);
-  Pending.reset();
+  // As above.
+  const auto dropped = takePending();
   Timer.cancel();
 }
 
+std::function<void()> Timeout::takePending() {
+  const auto held = std::exchange(Pending, {}).lock();
+  return held ? std::exchange(*held, nullptr) : nullptr;
+}
+
 } // namespace acaciaroad::net
--- a/Source/Net/Timeout.h
+++ b/Source/Net/Timeout.h
@@ -30,6 +30,9 @@
   void cancel();
 
 private:
+  /// Returns the handler that has not run, if any; it won't run.
+  std::function<void()> takePending();
+
   boost::asio::steady_timer Timer;
   /// Owned by the pending operation, so that a handler may own the timeout.
   std::weak_ptr<std::function<void()>> Pending;
