An idle timeout that is due no longer closes a connection on which a request has come

Callers saw: a reset instead of an answer, after a pause of the process of a fifth of the idle time or more.

--- a/Source/Http/ConnectionTable.cpp
+++ b/Source/Http/ConnectionTable.cpp
@@ -171,7 +171,10 @@
   NextSweep = core::TimePoint::max();
   core::TimePoint next = NextSweep;
   for (const auto &[id, entry] : Entries) {
-    if (entry.Now == State::Claimed)
+    // One thread may be about to claim what it has seen a request on.
+    const bool isAwaited = entry.Now == State::Parked && !entry.HeadDeadline &&
+                           isReadable(entry.Connection->descriptor());
+    if (entry.Now == State::Claimed || (isAwaited && entry.Deadline <= now))
       continue;
     if (entry.Deadline <= now)
       over.push_back(id);
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -316,7 +316,9 @@
   if (!Server)
     return;
   const auto &limits = Server->limits();
-  const bool isIdle = State == Phase::Idle && now - Since > limits.IdleTimeout;
+  // A request may have come that the loop has not seen yet.
+  const bool isIdle = State == Phase::Idle &&
+                      now - Since > limits.IdleTimeout && !hasMoreBytes();
   const bool isSlow = State == Phase::Reading && Parser &&
                       !Parser->is_header_done() &&
                       now - Since > limits.HeaderTimeout;
