--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -210,9 +210,9 @@
     return;
   case NextStep::Retry:
     ++Entry.Counters.Retries;
-    if (Key)
-      // The budget is spent where it can help: the one holder has refused.
-      fail(outcome.Reason);
+    if (Key && outcome.Outcome != AttemptOutcome::SentNoAnswer)
+      // The one holder has refused. An earlier attempt may have run.
+      fail(Plan.giveUp(outcome.Reason).Reason);
     else
       attempt();
     return;
