A node takes from another what that one takes from callers

Callers saw: 504 for requests whose head is near the bound for heads, as the entry's own fields exceed the other node's bound: by the review, 16,300 bytes gave 504 and 16,200 bytes 200. The bounds of other nodes' connections now follow the operators' and leave room for these fields. No test of its own yet; proxy_test and sidecar_parts_test pass.

--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -1,5 +1,6 @@
 #include "Sidecar/Sidecar.h"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 #include <utility>
@@ -30,6 +31,19 @@
           from.IdleTimeout};
 }
 
+/// Bytes of the fields that a node adds to a request that it forwards: names of
+/// classes, accounts and upstreams of some hundred bytes each.
+constexpr std::uint32_t ForwardBytes = 4096;
+
+/// Of other nodes' connections: what one node takes from a caller, another has
+/// to take from it. Their times stay as they are.
+net::ServerLimits peerLimitsOf(const routing::ClientLimits &from) {
+  net::ServerLimits out = limitsOf(routing::ClientLimits());
+  out.HeaderBytes = std::max(out.HeaderBytes, from.HeaderBytes) + ForwardBytes;
+  out.BodyBytes = std::max(out.BodyBytes, from.BodyBytes);
+  return out;
+}
+
 proxy::EntryLimits entryLimitsOf(const settings::SidecarSettings &from) {
   return {from.Limits.KeyFreshness, from.Limits.AccountWindow,
           from.Limits.RetryRatio, from.Limits.RetryAllowance};
@@ -164,6 +178,7 @@
     HasConfiguration = true;
     const auto &limits = view->Routes->configuration().Limits;
     CallerServer->setLimits(limitsOf(limits));
+    PeerServer->setLimits(peerLimitsOf(limits));
   }
   const routing::Service *service =
       view->Routes ? view->Routes->findService(Settings.Node.Service) : nullptr;
