An idle connection of a silent node no longer holds a stop up to its end

Callers saw: keys without a node for 2.3 s longer than before, whenever a node stopped while another one that had a connection to it was down or frozen. DrainPlan now decides: connections that are idle half a second after the refusal hold nothing up, and the node closes its listeners one step before it ends.

--- a/Source/Sidecar/DrainPlan.cpp
+++ b/Source/Sidecar/DrainPlan.cpp
@@ -10,6 +10,11 @@
 /// Clients stop sending new work after two health checks, a second apart.
 constexpr core::Duration ReadyDrain = std::chrono::milliseconds(2300);
 
+/// Other nodes read within a second of the signal that the node stops, and
+/// close their connections; one that is still open after this, counted from the
+/// refusal of orders, belongs to a node that is down or cut off.
+constexpr core::Duration PeerPatience = std::chrono::milliseconds(500);
+
 /// Share of the time allowed, in percent, after which the requests that are
 /// left are answered; above five sixths of it, up to which operators expect
 /// upstreams to be waited for.
@@ -33,11 +38,23 @@
       Conclusion(allowed * ConclusionPercent / 100),
       End(allowed * EndPercent / 100) {}
 
-DrainStep DrainPlan::next(core::Duration age, bool isIdle) {
+bool DrainPlan::mayEnd(core::Duration age, DrainLoad load) const {
+  switch (load) {
+  case DrainLoad::Requests:
+    return false;
+  case DrainLoad::Connections:
+    return age >= Readiness + PeerPatience;
+  case DrainLoad::Nothing:
+    break;
+  }
+  return true;
+}
+
+DrainStep DrainPlan::next(core::Duration age, DrainLoad load) {
   if (age < Readiness)
     return DrainStep::Serve;
-  if (isIdle)
-    return DrainStep::Stop;
+  if (mayEnd(age, load))
+    return std::exchange(HasClosed, true) ? DrainStep::Stop : DrainStep::Close;
   if (age < Conclusion)
     return DrainStep::Refuse;
   if (!std::exchange(HasConcluded, true))
--- a/Source/Sidecar/DrainPlan.h
+++ b/Source/Sidecar/DrainPlan.h
@@ -19,10 +19,21 @@
   Refuse,
   /// Answers the requests that are left itself.
   Conclude,
+  /// Accepts no more connections; what has been connected is served.
+  Close,
   /// Ends the process.
   Stop,
 };
 
+/// What a node that was asked to stop has open.
+enum class DrainLoad : std::uint8_t {
+  /// Requests without an answer, or answers that still go out.
+  Requests,
+  /// Idle connections of other nodes alone, on which an order may come.
+  Connections,
+  Nothing,
+};
+
 /// Decides when each step comes. Requests that are open at the conclusion are
 /// concluded once, however late it is, before the process ends. Pure; the
 /// caller serialises all calls.
@@ -32,21 +43,21 @@
   /// with InvalidArgument unless it is positive.
   static core::Result<DrainPlan> create(core::Duration allowed);
 
-  /// Returns what to do now. \p age is the time since the signal; \p isIdle
-  /// tells that no request is without its answer, no answer still going out,
-  /// and no connection left on which another node may send an order.
-  DrainStep next(core::Duration age, bool isIdle);
+  /// Returns what to do now. \p age is the time since the signal.
+  DrainStep next(core::Duration age, DrainLoad load);
 
   /// Time from the signal until the requests that are left are answered.
   core::Duration concludesAfter() const { return Conclusion; }
 
 private:
   explicit DrainPlan(core::Duration allowed);
+  bool mayEnd(core::Duration age, DrainLoad load) const;
 
   core::Duration Readiness;
   core::Duration Conclusion;
   core::Duration End;
   bool HasConcluded = false;
+  bool HasClosed = false;
 };
 
 } // namespace acaciaroad::sidecar
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -280,17 +280,16 @@
   Upstream->conclude();
 }
 
-bool Sidecar::mayEnd() {
-  const auto isIdle = [this] {
-    return CallerServer->isIdle() && PeerServer->isIdle() &&
-           PeerServer->connections() == 0;
-  };
-  if (!CallerServer->isDraining() || !isIdle())
-    return false;
-  // What has been connected meanwhile is served first.
-  PeerServer->stopAccepting();
+void Sidecar::refuseConnections() {
   CallerServer->stopAccepting();
-  return isIdle();
+  PeerServer->stopAccepting();
+}
+
+DrainLoad Sidecar::drainLoad() const {
+  if (!CallerServer->isIdle() || !PeerServer->isIdle())
+    return DrainLoad::Requests;
+  return PeerServer->connections() > 0 ? DrainLoad::Connections
+                                       : DrainLoad::Nothing;
 }
 
 void Sidecar::logOpen(std::string_view event) {
@@ -309,7 +308,7 @@
     if (!ec)
       continueDrain(started);
   });
-  switch (Drain.next(core::BootClock::now() - started, mayEnd())) {
+  switch (Drain.next(core::BootClock::now() - started, drainLoad())) {
   case DrainStep::Serve:
     break;
   case DrainStep::Refuse:
@@ -319,6 +318,10 @@
     refuseNewRequests();
     concludeRequests();
     break;
+  case DrainStep::Close:
+    refuseNewRequests();
+    refuseConnections();
+    break;
   case DrainStep::Stop:
     stop();
     break;
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -63,8 +63,8 @@
   void beginDrain();
   void continueDrain(core::TimePoint started);
   void refuseNewRequests();
-  /// Whether nothing is open, and no other node can send an order any more.
-  bool mayEnd();
+  void refuseConnections();
+  DrainLoad drainLoad() const;
   void concludeRequests();
   void stop();
   /// Logs \p event with what is open.
--- a/Tests/Sidecar/DrainPlanTest.cpp
+++ b/Tests/Sidecar/DrainPlanTest.cpp
@@ -12,23 +12,30 @@
   const char *Name;
   int AllowedMs;
   int AgeMs;
-  bool IsIdle;
+  DrainLoad Load;
   DrainStep Step;
 };
 
 const StepRow StepRows[] = {
-    {"clients have not seen it yet", 6000, 2000, true, DrainStep::Serve},
-    {"nothing is open", 6000, 2300, true, DrainStep::Stop},
-    {"a request is open", 6000, 2300, false, DrainStep::Refuse},
-    {"five sixths are not over", 6000, 5000, false, DrainStep::Refuse},
-    {"no answer in time", 6000, 5300, false, DrainStep::Conclude},
-    {"the answers have gone out", 6000, 5300, true, DrainStep::Stop},
-    {"little time is allowed", 2000, 900, true, DrainStep::Serve},
-    {"little time is allowed, a request is open", 2000, 1600, false,
+    {"clients have not seen it yet", 6000, 2000, DrainLoad::Nothing,
+     DrainStep::Serve},
+    {"nothing is open", 6000, 2300, DrainLoad::Nothing, DrainStep::Close},
+    {"a request is open", 6000, 2300, DrainLoad::Requests, DrainStep::Refuse},
+    {"another node may send an order", 6000, 2700, DrainLoad::Connections,
      DrainStep::Refuse},
-    {"little time is allowed, no answer in time", 2000, 1800, false,
-     DrainStep::Conclude},
-    {"a look that comes late concludes first", 6000, 7000, false,
+    {"another node has been silent", 6000, 2800, DrainLoad::Connections,
+     DrainStep::Close},
+    {"five sixths are not over", 6000, 5000, DrainLoad::Requests,
+     DrainStep::Refuse},
+    {"no answer in time", 6000, 5300, DrainLoad::Requests, DrainStep::Conclude},
+    {"the answers have gone out", 6000, 5300, DrainLoad::Nothing,
+     DrainStep::Close},
+    {"little time is allowed", 2000, 900, DrainLoad::Nothing, DrainStep::Serve},
+    {"little time is allowed, a request is open", 2000, 1600,
+     DrainLoad::Requests, DrainStep::Refuse},
+    {"little time is allowed, no answer in time", 2000, 1800,
+     DrainLoad::Requests, DrainStep::Conclude},
+    {"a look that comes late concludes first", 6000, 7000, DrainLoad::Requests,
      DrainStep::Conclude},
 };
 
@@ -37,15 +44,29 @@
 ACACIA_TABLE_TEST(DrainPlan, Steps, StepRows) {
   auto plan = DrainPlan::create(milliseconds(row.AllowedMs));
   cr_assert(plan.has_value());
-  cr_assert(plan->next(milliseconds(row.AgeMs), row.IsIdle) == row.Step, "%s",
+  cr_assert(plan->next(milliseconds(row.AgeMs), row.Load) == row.Step, "%s",
             row.Name);
 }
 
 Test(DrainPlan, ConcludesOnce) {
   auto plan = *DrainPlan::create(milliseconds(6000));
-  cr_assert(plan.next(milliseconds(5300), false) == DrainStep::Conclude);
-  cr_assert(plan.next(milliseconds(5350), false) == DrainStep::Refuse);
-  cr_assert(plan.next(milliseconds(5600), false) == DrainStep::Stop);
+  cr_assert(plan.next(milliseconds(5300), DrainLoad::Requests) ==
+            DrainStep::Conclude);
+  cr_assert(plan.next(milliseconds(5350), DrainLoad::Requests) ==
+            DrainStep::Refuse);
+  cr_assert(plan.next(milliseconds(5600), DrainLoad::Requests) ==
+            DrainStep::Stop);
+}
+
+// What has been connected until it closes may bring requests.
+Test(DrainPlan, ClosesBeforeItStops) {
+  auto plan = *DrainPlan::create(milliseconds(6000));
+  cr_assert(plan.next(milliseconds(2300), DrainLoad::Nothing) ==
+            DrainStep::Close);
+  cr_assert(plan.next(milliseconds(2350), DrainLoad::Requests) ==
+            DrainStep::Refuse);
+  cr_assert(plan.next(milliseconds(2400), DrainLoad::Nothing) ==
+            DrainStep::Stop);
 }
 
 Test(DrainPlan, NeedsTime) {
