--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -76,6 +76,12 @@
 
 } // namespace
 
+std::string_view connectionName(std::optional<bool> isKept) {
+  if (!isKept)
+    return "";
+  return *isKept ? "kept" : "new";
+}
+
 std::shared_ptr<HttpClient> HttpClient::create(boost::asio::io_context &loop,
                                                const core::Endpoint &server,
                                                ClientOptions options) {
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,10 +42,13 @@
   bool IsRefused = false;
   /// With CallEnd::Broken: the answer met a bound of this client.
   bool IsTooLarge = false;
-  /// The connection had carried another request before.
-  bool IsKept = false;
+  /// Whether the connection had carried another request before, if it is known.
+  std::optional<bool> IsKept = std::nullopt;
 };
 
+/// Returns "kept" or "new" for logs, or nothing.
+std::string_view connectionName(std::optional<bool> isKept);
+
 /// Returns the name that the fields carry, or nothing at all.
 using NameReader = std::function<std::string_view(const HttpFields &)>;
 
--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -114,8 +114,10 @@
     fail(Plan.giveUp(Unanswered.value_or(none)).Reason);
     return;
   }
-  if (const auto pause = Entry.Stopping.pauseOf(peer->Name, now);
-      Key && pause.count() > 0) {
+  // Of other services, such a node is not chosen any more.
+  const auto pause =
+      Key ? Entry.Stopping.pauseOf(peer->Name, now) : core::Duration{};
+  if (pause.count() > 0) {
     RetryAfter = pause;
     fail(Plan.giveUp(Unanswered.value_or(ErrorKind::NodeStopping)).Reason);
     return;
@@ -186,7 +188,7 @@
       outcome.Outcome == AttemptOutcome::RefusedNotRun)
     state->Choice.reported(Target, outcome.Load, now);
   RetryAfter = outcome.RetryAfter;
-  if (outcome.Outcome == AttemptOutcome::RefusedNotRun &&
+  if (Key && outcome.Outcome == AttemptOutcome::RefusedNotRun &&
       outcome.Reason == ErrorKind::NodeStopping) {
     Entry.Stopping.refused(TargetNode, now);
     RetryAfter = Entry.Stopping.pauseOf(TargetNode, now);
@@ -303,15 +305,12 @@
 
 void EntryRun::logForwardFailed(ErrorKind reason, std::string_view detail,
                                 std::optional<bool> isKept) {
-  std::string_view connection;
-  if (isKept)
-    connection = *isKept ? "kept" : "new";
   Entry.Log->write(logging::Level::Info, "forward_failed",
                    {{"request_id", RequestId},
                     {"node", TargetNode},
                     {"reason", core::answerFor(reason).Name},
                     {"detail", detail},
-                    {"connection", connection},
+                    {"connection", net::connectionName(isKept)},
                     {"ms", toMs(core::BootClock::now() - SentAt)}});
 }
 
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -317,7 +317,7 @@
                 {"upstream", it->second.Data.ExpectedUpstream},
                 {"reason", core::answerFor(out.Outcome.Reason).Name},
                 {"detail", result.Detail},
-                {"connection", result.IsKept ? "kept" : "new"},
+                {"connection", net::connectionName(result.IsKept)},
                 {"ms", age.count()},
                 {"status", result.Response.result_int()}});
   out.Answer = std::move(result.Response);
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -50,8 +50,8 @@
   net::HttpResponse Answer;
   /// What failed on the way to another node.
   std::string Detail;
-  /// Whether a kept connection to it was used.
-  bool IsKept = false;
+  /// Whether a kept connection to it was used, if that is known.
+  std::optional<bool> IsKept;
 };
 
 using OrderHandler = std::function<void(OrderResult)>;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -854,7 +855,6 @@
   cr_assert_eq(server->connections(), 0U);
 }
 
-#include <boost/asio/post.hpp>
 namespace {
 
 struct IdleSweepRow {
