Records and datagrams of the fleet with numbers out of range are refused

A node's record was taken with port 0, an address of no host, slots of 2^32-1, a birth of 2^63-1, or under another node's key; a record of holdings with a token that the log has not reached, after which an upstream refuses every later and lower token for these keys; a load that is not finite, or a cost whose inverse is not; a request for credit that names no host for its answer.

Cause: the decoders checked types and ranges of keys, but no other number.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -28,6 +28,19 @@
   to.set_handover(from.Handover);
 }
 
+bool isBirth(std::int64_t born) {
+  return born >= 0 && born <= holdings::LatestBirth;
+}
+
+/// Loads and costs are divided by each other; neither may overflow.
+bool isLoad(const holdings::NodeLoad &load) {
+  constexpr double Largest = 1e6;
+  constexpr double LeastCost = 1e-12;
+  const bool isCost =
+      load.Cost == 0 || (load.Cost >= LeastCost && load.Cost <= Largest);
+  return load.Utilization >= 0 && load.Utilization <= Largest && isCost;
+}
+
 bool isRange(const pb::FleetHolding &row) {
   return row.from() <= row.to() && row.to() < holdings::KeyCount;
 }
@@ -91,8 +104,10 @@
   if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
     return corrupt("a node's record can't be parsed");
   const auto peer = core::parseEndpoint(in.peer());
-  if (!peer || in.name().empty())
+  if (!peer || !core::namesHost(*peer) || in.name().empty())
     return corrupt("a node's record lacks its name or address");
+  if (in.slots() > holdings::MostSlots || !isBirth(in.upstream_born()))
+    return corrupt("a node's record has a number out of range");
   constexpr auto LastState =
       static_cast<std::uint32_t>(holdings::UpstreamState::Leaving);
   if (in.state() > LastState)
@@ -119,7 +134,8 @@
 }
 
 core::Result<holdings::HoldingPart> decodeHoldings(std::string_view value,
-                                                   holdings::Key part) {
+                                                   holdings::Key part,
+                                                   core::Offset logEnd) {
   pb::FleetHoldings in;
   if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
     return corrupt("a record of holdings can't be parsed");
@@ -129,6 +145,8 @@
   for (const pb::FleetHolding &it : in.rows()) {
     if (!isRange(it) || it.from() < from || it.to() >= end)
       return corrupt("a record of holdings has rows out of order");
+    if (it.token() > logEnd || !isBirth(it.upstream_born()))
+      return corrupt("a record of holdings has a number out of range");
     out.Rows.push_back(readRow(it));
     from = it.to() + 1;
   }
@@ -163,10 +181,10 @@
     return corrupt("a datagram can't be parsed");
   if (in.has_hint()) {
     const pb::FleetHint &hint = in.hint();
-    if (!(hint.utilization() >= 0) || !(hint.cost() >= 0))
-      return corrupt("a hint has a negative load");
-    return FleetHint{
-        hint.node(), hint.fleet_end(), {hint.utilization(), hint.cost()}};
+    const holdings::NodeLoad load{hint.utilization(), hint.cost()};
+    if (!isLoad(load))
+      return corrupt("a hint has a load out of range");
+    return FleetHint{hint.node(), hint.fleet_end(), load};
   }
   if (!in.has_release())
     return corrupt("a datagram is empty");
@@ -199,6 +217,8 @@
     const auto address = core::parseEndpoint(in.reply_to());
     if (!address)
       return tl::unexpected(address.error());
+    if (!core::namesHost(*address))
+      return corrupt("a message about credit names no host");
     out.ReplyTo = *address;
   }
   return out;
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -43,10 +43,11 @@
 core::Result<holdings::NodeRecord> decodeNode(std::string_view value);
 
 std::string encodeHoldings(std::span<const holdings::Holding> rows);
-/// Fails with CorruptMessage, also for rows that overlap, are out of order, or
-/// lie outside \p part.
-core::Result<holdings::HoldingPart> decodeHoldings(std::string_view value,
-                                                   holdings::Key part);
+/// Fails with CorruptMessage, also for rows that overlap, are out of order, lie
+/// outside \p part, or have a token that \p logEnd, the end of the log when the
+/// record was read, has not reached: upstreams refuse each later, lower one.
+core::Result<holdings::HoldingPart>
+decodeHoldings(std::string_view value, holdings::Key part, core::Offset logEnd);
 
 /// What nodes tell each other often; a lost one is replaced by the next.
 struct FleetHint {
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -235,7 +235,7 @@
       Ledger.removeNode(it);
   }
   for (const feed::KeyedRecord &it : records)
-    applyFleetRecord(it, now);
+    applyFleetRecord(it, end, now);
   Ledger.setEnd(end);
   if (std::exchange(HasNews, false))
     tellPeers(true);
@@ -249,7 +249,7 @@
 }
 
 void Control::applyFleetRecord(const feed::KeyedRecord &record,
-                               core::TimePoint now) {
+                               core::Offset end, core::TimePoint now) {
   const codec::FleetKey key = codec::parseFleetKey(record.Key);
   const auto complain = [&](const core::Error &error) {
     Log->write(logging::Level::Error, "fleet_record_unreadable",
@@ -259,15 +259,17 @@
   case codec::FleetKey::Kind::Node:
     if (!record.Value)
       Ledger.removeNode(key.Name);
-    else if (const auto node = codec::decodeNode(*record.Value))
-      Ledger.applyNode(*node, now);
-    else
+    else if (const auto node = codec::decodeNode(*record.Value); !node)
       complain(node.error());
+    else if (node->Name != key.Name)
+      complain({core::ErrorKind::CorruptMessage, "the record of another key"});
+    else
+      Ledger.applyNode(*node, now);
     return;
   case codec::FleetKey::Kind::Holdings:
     if (!record.Value)
       Ledger.applyHoldings(key.Name, {key.Part, {}});
-    else if (auto part = codec::decodeHoldings(*record.Value, key.Part))
+    else if (auto part = codec::decodeHoldings(*record.Value, key.Part, end))
       Ledger.applyHoldings(key.Name, std::move(*part));
     else
       complain(part.error());
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -74,7 +74,9 @@
   void applyConfiguration(const std::string &value);
   void applyFleet(const std::vector<feed::KeyedRecord> &records,
                   core::Offset end, bool isSnapshot);
-  void applyFleetRecord(const feed::KeyedRecord &record, core::TimePoint now);
+  /// \p end is that of the log when the record was read.
+  void applyFleetRecord(const feed::KeyedRecord &record, core::Offset end,
+                        core::TimePoint now);
   void noteReachable(std::string_view log, bool isReachable,
                      std::string_view detail);
   void noteUnreadable(std::string_view log, const core::Error &error);
--- a/Tests/Adapter/MutationTest.cpp
+++ b/Tests/Adapter/MutationTest.cpp
@@ -90,7 +90,7 @@
     {"record of holdings",
      {codec::encodeHoldings({{makeRow()}})},
      [](std::string_view bytes) {
-       const auto part = codec::decodeHoldings(bytes, 0);
+       const auto part = codec::decodeHoldings(bytes, 0, 9);
        for (const auto &it :
             part ? part->Rows : std::vector<holdings::Holding>())
          cr_assert(it.Keys.From <= it.Keys.To &&
--- /dev/null
+++ b/Tests/Codec/FleetRecordsTest.cpp
@@ -0,0 +1,127 @@
+#include "Codec/FleetRecords.h"
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::codec;
+
+namespace {
+
+holdings::NodeRecord goodNode() {
+  return {"n", "dc", "s",      {"10.0.0.1", 80},
+          1,   2,    {"u", 3}, holdings::UpstreamState::Ready,
+          18};
+}
+
+struct NodeRow {
+  const char *Name;
+  void (*Change)(holdings::NodeRecord &);
+  bool IsGood;
+};
+
+using Node = holdings::NodeRecord;
+const NodeRow NodeRows[] = {
+    {"as a node writes it", [](Node &) {}, true},
+    {"no upstream yet", [](Node &it) { it.Life = {}; }, true},
+    {"no port", [](Node &it) { it.Peer.Port = 0; }, false},
+    {"any address", [](Node &it) { it.Peer.Host = "0.0.0.0"; }, false},
+    {"all addresses", [](Node &it) { it.Peer.Host = "255.255.255.255"; },
+     false},
+    {"any address of IPv6", [](Node &it) { it.Peer.Host = "::"; }, false},
+    {"the most slots", [](Node &it) { it.Slots = holdings::MostSlots; }, true},
+    {"too many slots", [](Node &it) { it.Slots = holdings::MostSlots + 1; },
+     false},
+    {"slots of 2^32-1", [](Node &it) { it.Slots = ~0U; }, false},
+    {"a negative birth", [](Node &it) { it.Life.Born = -1; }, false},
+    {"a birth of 2^63-1",
+     [](Node &it) { it.Life.Born = std::numeric_limits<std::int64_t>::max(); },
+     false},
+    {"a name that isn't text", [](Node &it) { it.Name = "\xff"; }, false},
+    {"an id that isn't text", [](Node &it) { it.Life.Id = "\xff"; }, false},
+};
+
+struct HoldingRow {
+  const char *Name;
+  holdings::Holding Row;
+  bool IsGood;
+};
+
+const HoldingRow HoldingRows[] = {
+    {"as a node writes it", {{0, 1023}, "n", {"u", 1}, 7, "5c"}, true},
+    {"the newest record may name itself", {{0, 1}, "n", {"u", 1}, 9, ""}, true},
+    {"a token that the log hasn't reached",
+     {{0, 1}, "n", {"u", 1}, 10, ""},
+     false},
+    {"a token of 2^64-1",
+     {{0, 1}, "n", {"u", 1}, std::numeric_limits<std::uint64_t>::max(), ""},
+     false},
+    {"a negative birth", {{0, 1}, "n", {"u", -1}, 7, ""}, false},
+    {"a birth of 2^63-1",
+     {{0, 1}, "n", {"u", std::numeric_limits<std::int64_t>::max()}, 7, ""},
+     false},
+    {"keys of another part", {{0, 1024}, "n", {"u", 1}, 7, ""}, false},
+    {"keys out of range", {{0, 4294967295U}, "n", {"u", 1}, 7, ""}, false},
+    {"a handover that isn't text", {{0, 1}, "n", {"u", 1}, 7, "\xff"}, false},
+};
+
+struct HintRow {
+  const char *Name;
+  holdings::NodeLoad Load;
+  bool IsGood;
+};
+
+constexpr double Infinity = std::numeric_limits<double>::infinity();
+const HintRow HintRows[] = {
+    {"as a node sends it", {0.5, 0.01}, true},
+    {"no load", {0, 0}, true},
+    {"a negative load", {-1, 0.01}, false},
+    {"a load without bound", {Infinity, 0.01}, false},
+    {"a cost without bound", {0.5, Infinity}, false},
+    {"a cost whose inverse overflows", {0.5, 1e-320}, false},
+    {"no number", {std::numeric_limits<double>::quiet_NaN(), 0.01}, false},
+};
+
+struct CreditRow {
+  const char *Name;
+  core::Endpoint ReplyTo;
+  bool IsGood;
+};
+
+const CreditRow CreditRows[] = {
+    {"as a node sends it", {"10.0.0.1", 80}, true},
+    {"no port", {"10.0.0.1", 0}, false},
+    {"all addresses", {"255.255.255.255", 80}, false},
+};
+
+/// End of the log.
+constexpr core::Offset End = 9;
+
+} // namespace
+
+ACACIA_TABLE_TEST(FleetRecords, DecodesNodes, NodeRows) {
+  silenceLibrary();
+  holdings::NodeRecord record = goodNode();
+  row.Change(record);
+  cr_assert_eq(decodeNode(encodeNode(record)).has_value(), row.IsGood, "%s",
+               row.Name);
+}
+
+ACACIA_TABLE_TEST(FleetRecords, DecodesHoldings, HoldingRows) {
+  silenceLibrary();
+  const auto part = decodeHoldings(encodeHoldings({{row.Row}}), 0, End);
+  cr_assert_eq(part.has_value(), row.IsGood, "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(FleetRecords, DecodesHints, HintRows) {
+  const auto bytes = encodeDatagram(FleetHint{"n", 9, row.Load});
+  cr_assert_eq(decodeDatagram(bytes).has_value(), row.IsGood, "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(FleetRecords, DecodesCredit, CreditRows) {
+  const auto bytes = encodeCredit({"a", row.ReplyTo, 1, 2});
+  cr_assert_eq(decodeCredit(bytes).has_value(), row.IsGood, "%s", row.Name);
+}
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -299,6 +299,14 @@
     ("keyed.fleet", "node/odd-2", b"\xff" * 64),
     ("keyed.fleet", "keys/" + SERVICE + "/99999999999", b"1"),
     ("keyed.fleet", "keys/" + SERVICE + "/0", b"\x0a\x02\x08"),
+    # A row whose token is 2^64-1.
+    ("keyed.fleet", "keys/" + SERVICE + "/0",
+     b"\x0a\x11\x10\xff\x07\x1a\x01x\x30" + b"\xff" * 9 + b"\x01"),
+    # A node without a port, ready, and the record of another key.
+    ("keyed.fleet", "node/odd", b"\x0a\x03odd\x1a\x07scripts"
+     b"\x22\x0b127.0.0.9:0\x48\x01\x50\x08"),
+    ("keyed.fleet", "node/odd-3", b"\x0a\x03odd\x1a\x07scripts"
+     b"\x22\x0b127.0.0.9:9\x48\x01\x50\x08"),
 ]
 
 
