Test of the feed: the order in which it reports an unreadable record

The row 'a record that can't be read stops nothing' landed with a wrong order of the calls, and had not been run: its program did not link at that moment. The feed tells that the log can be read, then which record can't. The row is as strict as before.

--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -59,7 +59,7 @@
      "s+r-+r"},
     {"a record that can't be read stops nothing",
      {ReadStep::OddLastPage, ReadStep::OddTail, ReadStep::Tail},
-     "usu+rr"},
+     "us+urr"},
     {"an outage during the pages",
      {ReadStep::Page, ReadStep::Unavailable, ReadStep::LastPage,
       ReadStep::Tail},
