A pause within the handshake no longer makes a peer unreachable

The connect deadline is 1 s. When the process gets no processor for longer, the handshake and the deadline are due at once: the transport's thread compares the clock before libzmq's thread has read the handshake, and the peer counts as lost.

The deadline is moved once, by 100 ms, when it is first found passed; a listener that never answers is given up at the second look.

--- a/Source/Wire/PeerConnection.cpp
+++ b/Source/Wire/PeerConnection.cpp
@@ -10,6 +10,10 @@
 /// Payloads from this size on are passed to libzmq without a copy.
 constexpr std::size_t CopyLimitBytes = 1024;
 
+/// From the connect deadline on, for libzmq's thread to take a handshake that
+/// came during a pause of the process.
+constexpr std::chrono::milliseconds OverdueGrace{100};
+
 constexpr int MonitoredEvents =
     ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_CONNECT_RETRIED |
     ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
@@ -116,8 +120,12 @@
 
 PeerConnection::State PeerConnection::check(core::TimePoint now) {
   readMonitor();
-  if (Now == State::Connecting && now >= ConnectDeadline)
+  if (Now != State::Connecting || now < ConnectDeadline)
+    return Now;
+  if (std::exchange(IsOverdue, true))
     Now = State::Lost;
+  else
+    ConnectDeadline = now + OverdueGrace;
   return Now;
 }
 
--- a/Source/Wire/PeerConnection.h
+++ b/Source/Wire/PeerConnection.h
@@ -66,7 +66,8 @@
   /// Sends what waits, as far as possible.
   void flush();
 
-  /// Reads the monitor and compares \p now with the connect deadline.
+  /// Reads the monitor and compares \p now with the connect deadline, which is
+  /// moved once: after a pause of the process, the handshake is due with it.
   State check(core::TimePoint now);
 
   /// Lets messages given to libzmq leave for this time after the end.
@@ -101,6 +102,8 @@
   State Now = State::Connecting;
   core::TimePoint LastUsed;
   core::TimePoint ConnectDeadline;
+  /// The deadline has been moved.
+  bool IsOverdue = false;
   std::uint64_t Sent = 0;
 };
 
--- a/Tests/Wire/PeerTransportTest.cpp
+++ b/Tests/Wire/PeerTransportTest.cpp
@@ -1,10 +1,15 @@
 #include "Wire/PeerTransport.h"
 
 #include <condition_variable>
+#include <cstring>
 #include <mutex>
+#include <thread>
 #include <vector>
 
+#include <zmq.hpp>
+
 #include "Support/Table.h"
+#include "Wire/PeerConnection.h"
 
 using namespace acaciaroad;
 using namespace acaciaroad::wire;
@@ -87,6 +92,20 @@
 
 const BurstRow BurstRows[] = {{1, true}, {1000, true}, {8000, false}};
 
+using State = PeerConnection::State;
+
+/// What stands at the address of a peer whose connect deadline has passed.
+struct OverdueRow {
+  const char *Name;
+  zmq::socket_type Peer;
+  State End;
+};
+
+const OverdueRow OverdueRows[] = {
+    {"a peer", zmq::socket_type::router, State::Connected},
+    {"a listener that never answers", zmq::socket_type::stream, State::Lost},
+};
+
 } // namespace
 
 ACACIA_TABLE_TEST(PeerTransportTest, keysDecideWhoIsHeard, SecurityRows) {
@@ -137,6 +156,29 @@
   }
 }
 
+// After a pause of the process, the handshake and its deadline are due at once.
+ACACIA_TABLE_TEST(PeerConnectionTest, pauseWithinTheHandshakeLosesNoPeer,
+                  OverdueRows) {
+  zmq::context_t context(1);
+  zmq::socket_t peer(context, row.Peer);
+  peer.set(zmq::sockopt::linger, 0);
+  peer.bind("tcp://127.0.0.1:*");
+  const std::string address =
+      peer.get(zmq::sockopt::last_endpoint).substr(std::strlen("tcp://"));
+  const auto start = core::BootClock::now();
+  PeerConnection connection(context, address, Channel::Forward, {}, start);
+  const auto overdue = connection.connectDeadline();
+  cr_assert(connection.check(overdue) != State::Lost, "%s", row.Name);
+  if (row.End == State::Lost) {
+    cr_assert(connection.check(connection.connectDeadline()) == State::Lost);
+    return;
+  }
+  while (connection.check(overdue) != State::Connected) {
+    cr_assert(core::BootClock::now() - start < Patience);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 Test(PeerTransportTest, unreachablePeerIsReportedWithTheMessage) {
   Inbox here;
   const auto sender = start(here);
