A request that waits at its own node until its time is over is refused, not unknown

Callers saw: 504 for requests that came late in a stop, waited beside their own node and never ran; 503 would have been true. The deadline now takes the order out of the own queue first, as the conclusion does.

--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -282,6 +282,13 @@
   if (IsOver)
     return;
   logGivenUp("deadline");
+  if (takeBack()) {
+    fail(Plan.giveUp(Limit == DeadlineLimit::NodeStop
+                         ? ErrorKind::NodeStopping
+                         : ErrorKind::DeadlineTooShort)
+             .Reason);
+    return;
+  }
   const requests::Step step = Plan.timedOut();
   const auto now = core::BootClock::now();
   auto *state = Entry.stateOf(Service);
@@ -326,14 +333,19 @@
                     {"configuration", View->Routes->configuration().Version}});
 }
 
+bool EntryRun::takeBack() {
+  if (!Ticket || !Entry.Own.withdraw(*Ticket))
+    return false;
+  Plan.withdrawn();
+  Ticket.reset();
+  return true;
+}
+
 void EntryRun::conclude() {
   if (IsOver)
     return;
   logGivenUp("node stopping");
-  if (Ticket && Entry.Own.withdraw(*Ticket)) {
-    Plan.withdrawn();
-    Ticket.reset();
-  }
+  takeBack();
   const requests::Step step = Plan.giveUp(ErrorKind::NodeStopping);
   cancelAttempt();
   fail(step.Reason);
--- a/Source/Proxy/EntryRun.h
+++ b/Source/Proxy/EntryRun.h
@@ -44,6 +44,9 @@
   void fail(core::ErrorKind reason);
   void abandon();
   void cancelAttempt();
+  /// Takes the order back if it waits for the own upstream; returns whether it
+  /// did, so that it has not run.
+  bool takeBack();
   void onDeadline();
   /// Keeps \p call for as long as a late answer takes, which saves its
   /// connection.
