One percent-encoding for acaciactl and the store's client

The adapter had written acaciactl's encodePart again, with '/' kept. Both call core::percentEncode now.

--- a/Source/Programs/Ctl/AdminCall.cpp
+++ b/Source/Programs/Ctl/AdminCall.cpp
@@ -59,21 +59,6 @@
   return fail(kind.value_or(ErrorKind::Internal), std::move(detail));
 }
 
-std::string encodePart(std::string_view text) {
-  std::string out;
-  for (char it : text) {
-    const bool isUnreserved = (it >= 'a' && it <= 'z') ||
-                              (it >= 'A' && it <= 'Z') ||
-                              (it >= '0' && it <= '9') || it == '-' ||
-                              it == '.' || it == '_' || it == '~';
-    if (isUnreserved)
-      out.push_back(it);
-    else
-      out += fmt::format("%{:02X}", static_cast<unsigned char>(it));
-  }
-  return out;
-}
-
 Result<Transport> httpTransport(std::string_view address, std::string token) {
   const auto node = core::parseEndpoint(address);
   if (!node)
--- a/Source/Programs/Ctl/AdminCall.h
+++ b/Source/Programs/Ctl/AdminCall.h
@@ -34,9 +34,6 @@
 /// of its kind.
 core::Result<nlohmann::json> toJson(const AdminAnswer &answer);
 
-/// Percent-encodes all but unreserved characters.
-std::string encodePart(std::string_view text);
-
 /// Returns a transport over HTTP to \p address, "ip:port". InvalidArgument for
 /// another address. Each call has a connection of its own, so that the library
 /// never sends one twice.
--- a/Source/Programs/Ctl/Session.cpp
+++ b/Source/Programs/Ctl/Session.cpp
@@ -7,6 +7,7 @@
 
 #include "Administration/Representation.h"
 #include "Core/Identifiers.h"
+#include "Core/PercentEncoding.h"
 
 namespace acaciaroad::ctl {
 
@@ -39,7 +40,7 @@
 }
 
 std::string itemTarget(std::string_view collection, std::string_view name) {
-  return fmt::format("/v1/{}/{}", collection, encodePart(name));
+  return fmt::format("/v1/{}/{}", collection, core::percentEncode(name));
 }
 
 /// Reads "field=value"; numbers and booleans by their form.
@@ -232,7 +233,7 @@
 
 ExitCode Session::listKeys(Words words) {
   const std::string query =
-      words.size() > 2 ? "?account=" + encodePart(words[2]) : "";
+      words.size() > 2 ? "?account=" + core::percentEncode(words[2]) : "";
   return show("/v1/keys" + query);
 }
 
@@ -298,8 +299,9 @@
 }
 
 ExitCode Session::owner(Words words) {
-  return show(fmt::format("/v1/owner?service={}&key={}", encodePart(words[1]),
-                          encodePart(words[2])));
+  return show(fmt::format("/v1/owner?service={}&key={}",
+                          core::percentEncode(words[1]),
+                          core::percentEncode(words[2])));
 }
 
 ExitCode Session::status(Words /*words*/) { return show("/v1/status"); }
@@ -307,7 +309,8 @@
 ExitCode Session::history(Words /*words*/) { return show("/v1/history"); }
 
 ExitCode Session::totals(Words /*words*/) {
-  const std::string target = "/v1/totals?day=" + encodePart(Options.Day);
+  const std::string target =
+      "/v1/totals?day=" + core::percentEncode(Options.Day);
   if (Options.Output != OutputFormat::Csv)
     return show(target);
   const auto answer = Hooks.Send({"GET", target + "&format=csv", ""});
