--- a/Source/Http/ConnectionTable.cpp
+++ b/Source/Http/ConnectionTable.cpp
@@ -171,15 +171,17 @@
   NextSweep = core::TimePoint::max();
   core::TimePoint next = NextSweep;
   for (const auto &[id, entry] : Entries) {
+    if (entry.Now == State::Claimed)
+      continue;
+    if (entry.Deadline > now) {
+      next = std::min(next, entry.Deadline);
+      continue;
+    }
     // One thread may be about to claim what it has seen a request on.
     const bool isAwaited = entry.Now == State::Parked && !entry.HeadDeadline &&
                            isReadable(entry.Connection->descriptor());
-    if (entry.Now == State::Claimed || (isAwaited && entry.Deadline <= now))
-      continue;
-    if (entry.Deadline <= now)
+    if (!isAwaited)
       over.push_back(id);
-    else
-      next = std::min(next, entry.Deadline);
   }
   for (const Id id : over)
     eraseLocked(id);
