--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -105,16 +105,16 @@
   void onRoom(net::CallResult result) {
     if (!Handler)
       return;
-    const bool isLate = core::BootClock::now() >= Data.Deadline;
-    const std::uint64_t room = result.End == net::CallEnd::Answered && !isLate
-                                   ? readRoom(result.Response)
-                                   : 0;
+    if (core::BootClock::now() >= Data.Deadline) {
+      result.End = net::CallEnd::NotSent;
+      result.Detail = "no room before the deadline";
+    }
+    const std::uint64_t room =
+        result.End == net::CallEnd::Answered ? readRoom(result.Response) : 0;
     if (room == 0) {
       Present.reset();
       // Nothing of the order has been sent.
-      if (isLate)
-        result.Detail = "no room before the deadline";
-      if (isLate || result.End == net::CallEnd::Broken)
+      if (result.End == net::CallEnd::Broken)
         result.End = net::CallEnd::NotSent;
       std::exchange(Handler, nullptr)(resultOf(std::move(result)));
       return;
--- a/Source/Sidecar/DrainPlan.cpp
+++ b/Source/Sidecar/DrainPlan.cpp
@@ -39,15 +39,8 @@
       End(allowed * EndPercent / 100) {}
 
 bool DrainPlan::mayEnd(core::Duration age, DrainLoad load) const {
-  switch (load) {
-  case DrainLoad::Requests:
-    return false;
-  case DrainLoad::Connections:
-    return age >= Readiness + PeerPatience;
-  case DrainLoad::Nothing:
-    break;
-  }
-  return true;
+  return load == DrainLoad::Nothing ||
+         (load == DrainLoad::Connections && age >= Readiness + PeerPatience);
 }
 
 DrainStep DrainPlan::next(core::Duration age, DrainLoad load) {
