--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -85,6 +85,10 @@
   bool HasAnswered = false;
 };
 
+void answerOk(const std::shared_ptr<Exchange> &exchange) {
+  exchange->respond(HttpResponse(http::status::ok, 11));
+}
+
 ClientOptions makeOptions() {
   ClientOptions out{
       milliseconds(500), seconds(1), seconds(5), 1U << 20U, 4, {}, {}};
@@ -523,9 +527,7 @@
   boost::asio::io_context loop;
   const auto server = HttpServer::create(
       loop, {"127.0.0.1", 0}, {1U << 20U, 600'000, seconds(1), seconds(2)},
-      [&](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      answerOk);
   cr_assert(server.has_value());
   tcp::socket socket(loop);
   socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
@@ -546,10 +548,7 @@
 Test(HttpServer, AcceptsAgainOnceDescriptorsAreFree) {
   boost::asio::io_context loop;
   const auto server = HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)}, answerOk);
   cr_assert(server.has_value());
   loop.run_for(milliseconds(10));
   tcp::socket socket(loop);
@@ -740,10 +739,7 @@
   boost::asio::io_context loop;
   const auto server = *HttpServer::create(
       loop, {"127.0.0.1", 0},
-      {4096, 4096, milliseconds(100), milliseconds(100)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      {4096, 4096, milliseconds(100), milliseconds(100)}, answerOk);
   const auto client = HttpClient::create(
       loop, {"127.0.0.1", server->port()},
       {seconds(1), seconds(1), seconds(60), 1024, 4, {}, {}});
@@ -762,10 +758,7 @@
 Test(HttpClient, KeepsNoConnectionOnceItIsRetired) {
   boost::asio::io_context loop;
   const auto server = *HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)}, answerOk);
   const auto client = HttpClient::create(
       loop, {"127.0.0.1", server->port()},
       {seconds(1), seconds(1), seconds(60), 1024, 4, {}, {}});
@@ -799,10 +792,7 @@
 ACACIA_TABLE_TEST(HttpClient, KeepsConnectionsToAServerThatCloses, EndingRows) {
   boost::asio::io_context loop;
   const auto server = *HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)}, answerOk);
   auto options = makeOptions();
   options.RequestName = nullptr;
   options.AnswerName = nullptr;
@@ -831,10 +821,7 @@
 Test(HttpServer, ServesWhatWasConnectedBeforeItStoppedAccepting) {
   boost::asio::io_context loop;
   const auto server = *HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)}, answerOk);
   const tcp::endpoint address(boost::asio::ip::address_v4::loopback(),
                               server->port());
   tcp::socket early(loop);
@@ -879,9 +866,7 @@
   boost::asio::io_context loop;
   const auto server = *HttpServer::create(
       loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), milliseconds(700)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      answerOk);
   loop.run_for(milliseconds(400));
   boost::asio::io_context clients;
   tcp::socket client(clients);
@@ -936,10 +921,7 @@
 ACACIA_TABLE_TEST(HttpServer, AnswersWhatHasComeBeforeItEnds, UnreadRows) {
   boost::asio::io_context loop;
   const auto server = *HttpServer::create(
-      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
-      [](const std::shared_ptr<Exchange> &exchange) {
-        exchange->respond(HttpResponse(http::status::ok, 11));
-      });
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)}, answerOk);
   tcp::socket socket(loop);
   socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
   loop.run_for(milliseconds(20));
