--- a/Source/Proxy/EntryRun.cpp
+++ b/Source/Proxy/EntryRun.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include "Core/Milliseconds.h"
+
 namespace acaciaroad::proxy {
 
 using core::ErrorKind;
@@ -24,11 +26,6 @@
 /// of the request that it belongs to.
 constexpr std::int32_t InnerRank = -1;
 
-std::int64_t toMs(core::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 } // namespace
 
 EntryRun::EntryRun(EntryService &entry, std::shared_ptr<net::Exchange> exchange,
@@ -312,25 +309,28 @@
 
 void EntryRun::logForwardFailed(ErrorKind reason, std::string_view detail,
                                 std::optional<bool> isKept) {
-  Entry.Log->write(logging::Level::Info, "forward_failed",
-                   {{"request_id", RequestId},
-                    {"node", TargetNode},
-                    {"reason", core::answerFor(reason).Name},
-                    {"detail", detail},
-                    {"connection", net::connectionName(isKept)},
-                    {"ms", toMs(core::BootClock::now() - SentAt)}});
+  Entry.Log->write(
+      logging::Level::Info, "forward_failed",
+      {{"request_id", RequestId},
+       {"node", TargetNode},
+       {"reason", core::answerFor(reason).Name},
+       {"detail", detail},
+       {"connection", net::connectionName(isKept)},
+       {"ms", core::toMilliseconds(core::BootClock::now() - SentAt)}});
 }
 
 void EntryRun::logGivenUp(std::string_view cause) {
-  Entry.Log->write(logging::Level::Info, "request_given_up",
-                   {{"request_id", RequestId},
-                    {"cause", cause},
-                    {"node", TargetNode},
-                    {"attempt", Attempt},
-                    {"ms", toMs(core::BootClock::now() - Exchange->Received)},
-                    {"allowed_ms", toMs(Deadline - Exchange->Received)},
-                    {"limit", toString(Limit)},
-                    {"configuration", View->Routes->configuration().Version}});
+  Entry.Log->write(
+      logging::Level::Info, "request_given_up",
+      {{"request_id", RequestId},
+       {"cause", cause},
+       {"node", TargetNode},
+       {"attempt", Attempt},
+       {"ms",
+        core::toMilliseconds(core::BootClock::now() - Exchange->Received)},
+       {"allowed_ms", core::toMilliseconds(Deadline - Exchange->Received)},
+       {"limit", toString(Limit)},
+       {"configuration", View->Routes->configuration().Version}});
 }
 
 bool EntryRun::takeBack() {
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "Core/Milliseconds.h"
 #include "Proxy/EntryRun.h"
 
 namespace acaciaroad::proxy {
@@ -254,20 +255,17 @@
   ++Counters.Errors[static_cast<std::size_t>(reason)];
   const CallerFields caller = Speech.ReadCaller(exchange.request());
   const auto now = core::BootClock::now();
-  const auto confirmed =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - ConfirmedAt);
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - exchange.Received);
-  Log->write(logging::Level::Info, "request_refused",
-             {{"request_id", caller.RequestId},
-              {"reason", answer.Name},
-              {"status", answer.HttpStatus},
-              {"ran", core::toString(answer.HasRan)},
-              {"detail", detail},
-              {"ms", age.count()},
-              {"configuration",
-               View->Routes ? View->Routes->configuration().Version : 0},
-              {"configuration_age_ms", confirmed.count()}});
+  Log->write(
+      logging::Level::Info, "request_refused",
+      {{"request_id", caller.RequestId},
+       {"reason", answer.Name},
+       {"status", answer.HttpStatus},
+       {"ran", core::toString(answer.HasRan)},
+       {"detail", detail},
+       {"ms", core::toMilliseconds(now - exchange.Received)},
+       {"configuration",
+        View->Routes ? View->Routes->configuration().Version : 0},
+       {"configuration_age_ms", core::toMilliseconds(now - ConfirmedAt)}});
   net::HttpResponse out(static_cast<net::http::status>(answer.HttpStatus), 11);
   Speech.WriteRequestId(out, caller.RequestId);
   if (answer.HttpStatus == 503 || answer.HttpStatus == 429) {
--- a/Source/Proxy/PeerFields.cpp
+++ b/Source/Proxy/PeerFields.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "Core/Milliseconds.h"
+
 namespace acaciaroad::proxy {
 
 using net::toBeast;
@@ -54,9 +56,8 @@
   set(fields, ClassField, forward.WorkClass);
   set(fields, RankField, fmt::to_string(forward.Rank));
   set(fields, KindField, fmt::to_string(static_cast<int>(forward.Kind)));
-  const auto target =
-      std::chrono::duration_cast<milliseconds>(forward.TargetLeft);
-  set(fields, TargetField, fmt::to_string(target.count()));
+  set(fields, TargetField,
+      fmt::to_string(core::toMilliseconds(forward.TargetLeft)));
 }
 
 ForwardFields readForward(const net::HttpFields &fields) {
@@ -74,12 +75,11 @@
 }
 
 void writeOutcome(net::HttpFields &fields, const ForwardOutcome &outcome) {
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(outcome.RetryAfter);
   set(fields, OutcomeField,
       fmt::format("{},{},{},{}", static_cast<int>(outcome.Outcome),
                   static_cast<int>(outcome.Reason),
-                  static_cast<int>(outcome.ReachedUpstream), ms.count()));
+                  static_cast<int>(outcome.ReachedUpstream),
+                  core::toMilliseconds(outcome.RetryAfter)));
   set(fields, LoadField,
       fmt::format("{},{},{}", outcome.Load.InFlight, outcome.Load.Queued,
                   outcome.Load.Limit));
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "Core/Milliseconds.h"
+
 namespace acaciaroad::proxy {
 
 using boost::beast::error_code;
@@ -309,8 +311,6 @@
   Queue.finished(id, out.Outcome.Outcome == AttemptOutcome::Answered, now);
   out.Outcome.Load = load();
   out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
-  const auto age =
-      std::chrono::duration_cast<milliseconds>(now - it->second.SentAt);
   if (out.Outcome.Outcome != AttemptOutcome::Answered)
     Log->write(logging::Level::Info, "order_failed",
                {{"request_id", it->second.Data.RequestId},
@@ -318,7 +318,7 @@
                 {"reason", core::answerFor(out.Outcome.Reason).Name},
                 {"detail", result.Detail},
                 {"connection", net::connectionName(result.IsKept)},
-                {"ms", age.count()},
+                {"ms", core::toMilliseconds(now - it->second.SentAt)},
                 {"status", result.Response.result_int()}});
   out.Answer = std::move(result.Response);
   settle(id, std::move(out));
@@ -338,12 +338,11 @@
     if (const auto *row =
             findHolding(holdingsOfService(), *it->second.Data.Key))
       out.Outcome.Holder = row->Node;
-  const auto ms = std::chrono::duration_cast<milliseconds>(
-      it->second.Data.Deadline - core::BootClock::now());
+  const auto left = it->second.Data.Deadline - core::BootClock::now();
   Log->write(logging::Level::Info, "order_refused",
              {{"request_id", it->second.Data.RequestId},
               {"reason", core::answerFor(reason).Name},
-              {"time_left_ms", ms.count()},
+              {"time_left_ms", core::toMilliseconds(left)},
               {"holder", out.Outcome.Holder},
               {"running", out.Outcome.Load.InFlight},
               {"waiting", out.Outcome.Load.Queued},
@@ -419,7 +418,7 @@
   applyColdRate(now);
   settleHandovers(now);
   advance();
-  std::vector<std::pair<upstream::Ticket, std::string>> late;
+  std::vector<std::pair<upstream::Ticket, const char *>> late;
   for (const auto &[id, it] : Orders) {
     if (it.Call && it.CutAt && now >= *it.CutAt)
       late.emplace_back(id, "its sender has left");
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -5,6 +5,7 @@
 
 #include "Codec/FleetRecords.h"
 #include "Core/Identifiers.h"
+#include "Core/Milliseconds.h"
 
 namespace acaciaroad::sidecar {
 
@@ -112,9 +113,9 @@
   const auto now = core::BootClock::now();
   if (!Agent.upstreamRefused(now))
     return;
-  const auto silence = std::chrono::duration_cast<milliseconds>(now - HeardAt);
   Log->write(logging::Level::Warning, "upstream_gone",
-             {{"upstream", Agent.life().Id}, {"silent_ms", silence.count()}});
+             {{"upstream", Agent.life().Id},
+              {"silent_ms", core::toMilliseconds(now - HeardAt)}});
   IsChanged = true;
   appendDue(now);
 }
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -9,6 +9,7 @@
 #include <fmt/core.h>
 #include <unistd.h>
 
+#include "Core/Milliseconds.h"
 #include "Net/RunLoop.h"
 
 namespace acaciaroad::sidecar {
@@ -150,12 +151,11 @@
     const std::string_view id =
         it.Request == nullptr ? ""
                               : Parts.Dialect.ReadCaller(*it.Request).RequestId;
-    const auto ms = std::chrono::duration_cast<milliseconds>(it.Age);
     Log->write(logging::Level::Info, "request_unanswered",
                {{"request_id", id},
                 {"server", name},
                 {"cause", net::toString(it.Cause)},
-                {"ms", ms.count()}});
+                {"ms", core::toMilliseconds(it.Age)}});
   });
 }
 
