--- a/Source/Accounts/AccountShares.cpp
+++ b/Source/Accounts/AccountShares.cpp
@@ -18,10 +18,18 @@
 /// instead of as bucket capacity.
 constexpr double BurstFractionAsRate = 0.5;
 
-/// Shares of a small account beyond the number of tokens that its burst allows,
-/// because some of their nodes may be down or partitioned. Each one adds one
-/// request to the largest possible burst.
-constexpr std::size_t ExtraShares = 4;
+/// Tokens that a share of a small account holds at least. A share of one token
+/// loses what it would gain while it is full, and many shares take long to
+/// search.
+constexpr double TokensPerShare = 3;
+
+/// Least number of shares, because some of their nodes may be down or
+/// partitioned. Each one holds one request at least.
+constexpr std::size_t MinShares = 6;
+
+/// Bounds the time that a caller is told to wait, for rates in requests per
+/// second.
+constexpr double MinRate = 0.1;
 
 /// Bucket capacity, in requests, of a node that has no share of its own.
 constexpr double BorrowerBurst = 8;
@@ -45,8 +53,9 @@
   const double capacity = fleetRate.Burst * (1 - BurstFractionAsRate);
   if (capacity >= static_cast<double>(nodes))
     return nodes;
-  return std::min(nodes, static_cast<std::size_t>(std::max(0.0, capacity)) +
-                             ExtraShares);
+  const auto shares =
+      static_cast<std::size_t>(std::max(0.0, capacity / TokensPerShare));
+  return std::min(nodes, std::max(shares, MinShares));
 }
 
 std::vector<std::string> AccountShares::rankNodes(std::string_view account,
@@ -174,8 +183,13 @@
 
 core::Duration AccountShares::timeUntilNext(std::string_view account) const {
   const auto it = Shares.find(std::string(account));
-  return it == Shares.end() ? core::Duration{}
-                            : it->second.Bucket.timeUntilNext();
+  if (it == Shares.end())
+    return {};
+  if (it->second.HasShare)
+    return it->second.Bucket.timeUntilNext();
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(
+          1 / std::max(MinRate, it->second.FleetRate.PerSecond)));
 }
 
 } // namespace acaciaroad::accounts
--- a/Source/Accounts/AccountShares.h
+++ b/Source/Accounts/AccountShares.h
@@ -77,6 +77,7 @@
   std::uint32_t wanted(std::string_view account) const;
 
   /// Returns the time until the share of \p account holds a whole token.
+  /// Without a share, the mean time until the whole fleet gets one.
   core::Duration timeUntilNext(std::string_view account) const;
 
 private:
--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -7,7 +7,12 @@
 namespace acaciaroad::holdings {
 
 void FleetLedger::applyNode(const NodeRecord &record, core::TimePoint readAt) {
-  Members[record.Name] = {record, readAt};
+  const Member *known = findMember(record.Name);
+  const bool isOld = known != nullptr &&
+                     known->Record.Incarnation == record.Incarnation &&
+                     known->Record.Sequence > record.Sequence;
+  if (!isOld)
+    Members[record.Name] = {record, readAt};
 }
 
 void FleetLedger::removeNode(std::string_view name) {
--- a/Source/Holdings/FleetLedger.h
+++ b/Source/Holdings/FleetLedger.h
@@ -41,6 +41,8 @@
 /// record in the log is valid.
 class FleetLedger {
 public:
+  /// Ignores a record that is older than the known one of the same incarnation:
+  /// an append may be delayed past a later one.
   void applyNode(const NodeRecord &record, core::TimePoint readAt);
   void removeNode(std::string_view name);
   void applyHoldings(std::string_view service, HoldingPart part);
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -127,6 +127,15 @@
     Lease.sent(sequence, sent);
   }
 
+  /// Returns whether \p sequence is the number of the last record sent.
+  bool isLastRecord(std::uint64_t sequence) const {
+    return Lease.isLast(sequence);
+  }
+  /// Renews the lease together with other nodes, from \p round on.
+  void joinRenewalRound(core::TimePoint round) { Lease.joinRound(round); }
+  /// Makes the node's record due at \p now.
+  void renewAt(core::TimePoint now) { Lease.renewAt(now); }
+
   /// Returns a notice that is due to be sent to the coordinator.
   std::optional<AddressedNotice> nextNotice(const FleetLedger &ledger,
                                             core::TimePoint now);
--- a/Source/Holdings/LeaseRenewal.cpp
+++ b/Source/Holdings/LeaseRenewal.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "Holdings/RenewalBatch.h"
+
 namespace acaciaroad::holdings {
 
 namespace {
@@ -27,26 +29,36 @@
 
 } // namespace
 
+bool isRenewal(const NodeRecord &record, const FleetLedger &ledger) {
+  const Member *known = ledger.findMember(record.Name);
+  return known != nullptr && isSame(known->Record, record);
+}
+
 std::optional<NodeRecord> LeaseRenewal::next(const NodeRecord &present,
                                              const FleetLedger &ledger,
                                              bool isKeyless,
                                              core::TimePoint now) {
-  const Member *self = ledger.findMember(present.Name);
-  const bool isKnown = self && isSame(self->Record, present);
   const core::Duration age = now - LastRecordAt;
-  const core::Duration interval =
-      isKeyless ? KeylessRenewInterval : RenewInterval;
+  Interval = isKeyless ? KeylessRenewInterval : RenewInterval;
   const bool isDue =
-      isKnown ? age >= interval
-              : !isSame(LastRecord, present) || age >= RecordRetryInterval;
+      isRenewal(present, ledger)
+          ? age >= Interval || (Round && now >= *Round)
+          : !isSame(LastRecord, present) || age >= RecordRetryInterval;
   if (!isDue)
     return std::nullopt;
+  Round.reset();
   LastRecord = present;
   LastRecord.Sequence = NextSequence++;
   LastRecordAt = now;
   return LastRecord;
 }
 
+void LeaseRenewal::joinRound(core::TimePoint round) {
+  const core::TimePoint latest = LastRecordAt + Interval;
+  if (round <= latest)
+    Round = round + RenewalRound * ((latest - round) / RenewalRound);
+}
+
 void LeaseRenewal::sent(std::uint64_t sequence, core::TimePoint at) {
   Sent.push_back({sequence, at});
 }
--- a/Source/Holdings/LeaseRenewal.h
+++ b/Source/Holdings/LeaseRenewal.h
@@ -14,6 +14,10 @@
 
 namespace acaciaroad::holdings {
 
+/// Returns whether \p record only renews the lease: the log has the same state
+/// of the node.
+bool isRenewal(const NodeRecord &record, const FleetLedger &ledger);
+
 /// Schedules the records of one incarnation of a node. The lease runs from the
 /// time at which the newest record that was read back from the log was sent.
 class LeaseRenewal {
@@ -26,9 +30,22 @@
                                  const FleetLedger &ledger, bool isKeyless,
                                  core::TimePoint now);
 
+  /// Moves the next renewal forward to the last round that isn't later than
+  /// the renewal interval allows. Rounds follow \p round at intervals of
+  /// RenewalRound.
+  void joinRound(core::TimePoint round);
+
+  /// Makes the next record due at \p now.
+  void renewAt(core::TimePoint now) { Round = now; }
+
   /// Called when the record is sent to the log.
   void sent(std::uint64_t sequence, core::TimePoint at);
 
+  /// Returns whether \p sequence is the number of the last record.
+  bool isLast(std::uint64_t sequence) const {
+    return sequence + 1 == NextSequence;
+  }
+
   /// Extends the lease if \p read, the node's record in the log, is one of
   /// \p incarnation. \p read is null if the log has none.
   void ledgerChanged(const NodeRecord *read, std::uint64_t incarnation);
@@ -46,6 +63,9 @@
   std::uint64_t NextSequence = 1;
   NodeRecord LastRecord;
   core::TimePoint LastRecordAt{};
+  core::Duration Interval{};
+  /// Time of the next renewal, if it is before the end of the interval.
+  std::optional<core::TimePoint> Round;
   core::TimePoint AuthorityUntil{};
 };
 
--- a/Source/Proxy/CreditExchange.cpp
+++ b/Source/Proxy/CreditExchange.cpp
@@ -1,6 +1,5 @@
 #include "Proxy/CreditExchange.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "Codec/FleetRecords.h"
@@ -12,11 +11,8 @@
 
 namespace {
 
-/// Nodes asked at once by a node that has a share of the account.
-constexpr std::size_t LendersPerTry = 2;
-
-/// Number of groups of lenders asked before a request is refused.
-constexpr int MaxTries = 3;
+/// Number of an answer that no node has asked for.
+constexpr std::uint64_t NoAsk = 0;
 
 /// Nodes are milliseconds apart and share a core with other processes.
 constexpr core::Duration AnswerTimeout = milliseconds(15);
@@ -61,35 +57,63 @@
   state.Waiting.push_back(std::move(done));
   if (state.Waiting.size() > 1)
     return;
-  state.Tries = 0;
-  ask(account, state);
+  state.Plan = accounts::BorrowPlan(Shares.lenders(account).size(),
+                                    core::randomId(), Shares.hasShare(account));
+  askOrRefuse(account, state);
+}
+
+void CreditExchange::giveBack(const std::string &account) {
+  const auto lenders = Shares.lenders(account);
+  if (Shares.hasShare(account) || lenders.empty()) {
+    Shares.giveBack(account, core::BootClock::now());
+    return;
+  }
+  const auto host = Hosts.find(lenders[core::randomId() % lenders.size()]);
+  if (host == Hosts.end()) {
+    Shares.giveBack(account, core::BootClock::now());
+    return;
+  }
+  Socket->send({host->second, Listen.Port},
+               codec::encodeCredit({account, std::nullopt, NoAsk, 1}));
 }
 
-void CreditExchange::ask(const std::string &account, BorrowState &state) {
-  ++state.Tries;
+void CreditExchange::askOrRefuse(const std::string &account,
+                                 BorrowState &state) {
+  for (;;) {
+    const auto positions = state.Plan.next();
+    if (positions.empty()) {
+      refuseWaiting(state);
+      return;
+    }
+    if (ask(account, state, positions) > 0)
+      return;
+  }
+}
+
+std::size_t CreditExchange::ask(const std::string &account, BorrowState &state,
+                                std::span<const std::size_t> positions) {
   state.AskId = NextAskId++;
   state.Answers = 0;
   const auto want = std::max(Shares.wanted(account),
                              static_cast<std::uint32_t>(state.Waiting.size()));
   const std::string bytes =
       codec::encodeCredit({account, Listen, state.AskId, want});
-  // A node without a share asks only one lender: credit that it borrows beyond
-  // its need is lost to the others.
-  const std::size_t maxAsked = Shares.hasShare(account) ? LendersPerTry : 1;
   const auto lenders = Shares.lenders(account);
-  const std::size_t first =
-      core::randomId() % std::max<std::size_t>(1, lenders.size());
   state.Asked = 0;
-  for (std::size_t n = 0; n < lenders.size() && state.Asked < maxAsked; ++n) {
-    const auto host = Hosts.find(lenders[(first + n) % lenders.size()]);
+  for (const std::size_t it : positions) {
+    // The number of lenders may have changed since the plan was made.
+    const auto host =
+        it < lenders.size() ? Hosts.find(lenders[it]) : Hosts.end();
     if (host == Hosts.end())
       continue;
     Socket->send({host->second, Listen.Port}, bytes);
     ++state.Asked;
   }
-  // The reference stays valid: map entries do not move and are never erased.
-  state.Timer.start(AnswerTimeout,
-                    [this, account, &state] { retryOrRefuse(account, state); });
+  if (state.Asked > 0)
+    // The reference stays valid: map entries do not move and are never erased.
+    state.Timer.start(AnswerTimeout,
+                      [this, account, &state] { askOrRefuse(account, state); });
+  return state.Asked;
 }
 
 void CreditExchange::onDatagram(std::string_view bytes) {
@@ -123,7 +147,7 @@
     return;
   ++state.Answers;
   if (state.Answers >= state.Asked)
-    retryOrRefuse(account, state);
+    askOrRefuse(account, state);
 }
 
 void CreditExchange::admitWaiting(const std::string &account,
@@ -142,14 +166,7 @@
     it(true);
 }
 
-void CreditExchange::retryOrRefuse(const std::string &account,
-                                   BorrowState &state) {
-  if (state.Waiting.empty())
-    return;
-  if (state.Tries < MaxTries && !Hosts.empty()) {
-    ask(account, state);
-    return;
-  }
+void CreditExchange::refuseWaiting(BorrowState &state) {
   state.BackOffUntil = core::BootClock::now() + BackOffTime;
   state.Timer.cancel();
   for (const auto &it : std::exchange(state.Waiting, {}))
--- a/Source/Proxy/CreditExchange.h
+++ b/Source/Proxy/CreditExchange.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Accounts/AccountShares.h"
+#include "Accounts/BorrowPlan.h"
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
 #include "Logging/Logger.h"
@@ -44,6 +46,10 @@
   void borrow(const std::string &account, const accounts::AccountRate &rate,
               std::function<void(bool)> done);
 
+  /// Returns the token of a request of \p account that was not executed. A node
+  /// without a share sends it to one that has, where others can borrow it.
+  void giveBack(const std::string &account);
+
 private:
   /// Requests of one account that wait for credit, and the lenders asked so
   /// far.
@@ -52,10 +58,10 @@
     accounts::AccountRate Rate;
     std::vector<std::function<void(bool)>> Waiting;
     net::Timeout Timer;
+    accounts::BorrowPlan Plan;
     std::uint64_t AskId = 0;
     std::size_t Asked = 0;
     std::size_t Answers = 0;
-    int Tries = 0;
     /// No lender is asked until then, after all tries failed.
     core::TimePoint BackOffUntil{};
   };
@@ -63,12 +69,16 @@
   CreditExchange(boost::asio::io_context &loop, core::Endpoint listen,
                  accounts::AccountShares &shares,
                  std::shared_ptr<logging::Logger> logger);
-  void ask(const std::string &account, BorrowState &state);
+  /// Asks the next lenders of the plan, or refuses if there are none.
+  void askOrRefuse(const std::string &account, BorrowState &state);
+  /// Asks the lenders at \p positions. Returns how many of them are known.
+  std::size_t ask(const std::string &account, BorrowState &state,
+                  std::span<const std::size_t> positions);
   void onDatagram(std::string_view bytes);
   void onAnswer(const std::string &account, std::uint64_t ask,
                 std::uint32_t lent);
   void admitWaiting(const std::string &account, BorrowState &state);
-  void retryOrRefuse(const std::string &account, BorrowState &state);
+  void refuseWaiting(BorrowState &state);
 
   boost::asio::io_context &Loop;
   core::Endpoint Listen;
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -249,7 +249,11 @@
 }
 
 void EntryService::refundCredit(const routing::ClientAccount *account) {
-  if (account != nullptr)
+  if (account == nullptr)
+    return;
+  if (Credit)
+    Credit->giveBack(account->Name);
+  else
     Shares.giveBack(account->Name, core::BootClock::now());
 }
 
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -34,10 +34,6 @@
 /// Polling by nodes that read through a relay.
 constexpr feed::PollTiming RelayPollTiming{milliseconds(0), milliseconds(500)};
 
-/// Number of nodes that read the logs directly and relay them. There are two,
-/// as one may fail or be partitioned.
-constexpr std::size_t ReaderCount = 2;
-
 /// Time after a read in which a change may be proposed. A proposal is refused
 /// if the log's end has moved, for example by the lease renewal of another
 /// node, which is rare so soon after a read.
@@ -55,6 +51,9 @@
 /// its keys move. It must stop getting them within five seconds.
 constexpr core::Duration DataCentreOutGrace = milliseconds(2000);
 
+/// Interval at which the counts of calls to the platform are logged.
+constexpr core::Duration StoreCallInterval = std::chrono::seconds(5);
+
 /// Interval at which nodes send their load to each other.
 constexpr core::Duration HintInterval = milliseconds(250);
 
@@ -73,7 +72,8 @@
                  std::shared_ptr<logging::Logger> logger, ControlHooks hooks)
     : Loop(loop), Options(std::move(options)), Codec(std::move(codec)),
       Logs(std::move(logs)), Log(std::move(logger)), Hooks(std::move(hooks)),
-      Timer(loop),
+      Timer(loop), Readers(Options.Agent.Name, Options.Agent.DataCentre),
+      Renewals(core::BootClock::now()),
       Agent(Options.Agent, Options.Timing, core::BootClock::now()) {}
 
 core::Result<void> Control::start() {
@@ -89,17 +89,16 @@
   if (!gossip)
     return tl::unexpected(gossip.error());
   Gossip = std::move(*gossip);
-  auto relay = LogRelay::create(
-      Loop, Options.Relay, [this](RelayedLog log) { return chooseRelay(log); });
+  auto relay = LogRelay::create(Loop, Options.Relay, relayHooks());
   if (!relay)
     return tl::unexpected(relay.error());
   Relay = std::move(*relay);
   Operators = std::make_unique<feed::KeyedFeed>(
-      Loop, Relay->wrap(RelayedLog::Operators, Logs.Operators),
+      Loop, Relay->wrap(RelayedLog::Operators, countSnapshots(Logs.Operators)),
       OperatorPollTiming, operatorHooks());
   Fleet = std::make_unique<feed::KeyedFeed>(
-      Loop, Relay->wrap(RelayedLog::Fleet, Logs.Fleet), FleetPollTiming,
-      fleetHooks());
+      Loop, Relay->wrap(RelayedLog::Fleet, countSnapshots(Logs.Fleet)),
+      FleetPollTiming, fleetHooks());
   Operators->start();
   Fleet->start();
   tick();
@@ -407,44 +406,51 @@
   Agent.setLoad(std::move(load));
 }
 
-std::optional<std::string> Control::chooseRelay(RelayedLog log) {
+RelayHooks Control::relayHooks() {
+  return {[this](RelayedLog log) { return chooseRelay(log); },
+          [this](std::string_view host, const core::Error &error) {
+            onRelayFailed(host, error);
+          },
+          [this](StoreCallCause cause) { countStoreCall(cause); },
+          [this](const feed::KeyedRecord &record,
+                 holdings::RenewalBatch::DoneHook onDone) {
+            return acceptRenewal(record, std::move(onDone));
+          }};
+}
+
+RelayChoice Control::chooseRelay(RelayedLog log) {
+  const auto now = core::BootClock::now();
   // A proposal needs the actual end of the log, which a relay may not know.
   if (log == RelayedLog::Fleet && isKeyed() &&
-      Agent.hasChangeToPropose(Ledger, core::BootClock::now()))
-    return std::nullopt;
+      Agent.hasChangeToPropose(Ledger, now))
+    return {{}, StoreCallCause::ProposalRead};
   if (log == RelayedLog::Fleet)
     if (auto hintSenderHost = std::exchange(HintSenderHost, std::nullopt))
-      return hintSenderHost;
-  if (Readers.empty())
-    return std::nullopt;
-  const std::size_t own = core::hashOf(Options.Agent.Name);
-  return Readers[own % Readers.size()];
+      return {*std::move(hintSenderHost)};
+  if (Readers.isReader())
+    return {{}, StoreCallCause::Poll};
+  if (auto host = Readers.select(now))
+    return {*std::move(host)};
+  return {{}, StoreCallCause::NoRelay};
+}
+
+void Control::onRelayFailed(std::string_view host, const core::Error &error) {
+  Readers.failed(host, core::BootClock::now());
+  Log->write(logging::Level::Debug, "relay_failed",
+             {{"host", host}, {"detail", error.Detail}});
 }
 
 void Control::updateReaders(core::TimePoint now) {
-  // Ranks nodes by the hash of their names, so that all nodes with the same
-  // records select the same readers.
-  std::vector<std::pair<std::uint64_t, const holdings::Member *>> ranked;
+  std::vector<feed::RelayCandidate> candidates;
   for (const auto &[name, it] : Ledger.members())
-    if (!it.isLapsed(now))
-      ranked.emplace_back(core::hashOf(name), &it);
-  std::sort(ranked.begin(), ranked.end());
-  ranked.resize(std::min(ranked.size(), ReaderCount));
-  std::vector<std::string> readers;
-  bool isReader = ranked.size() < ReaderCount;
-  for (const auto &[rank, it] : ranked) {
-    readers.push_back(it->Record.Peer.Host);
-    isReader = isReader || it->Record.Name == Options.Agent.Name;
-  }
-  if (isReader)
-    readers.clear();
-  if (readers == Readers && !IsFirstUpdate)
+    if (!it.isLapsed(now) && !it.Record.IsStopping)
+      candidates.push_back({name, it.Record.DataCentre, it.Record.Peer.Host});
+  if (!Readers.update(candidates))
     return;
-  IsFirstUpdate = false;
-  Readers = std::move(readers);
+  const bool isReader = Readers.isReader();
   Log->write(logging::Level::Info, "log_readers",
              {{"reads_itself", isReader},
-              {"reader", Readers.empty() ? "" : Readers.front()}});
+              {"reader", Readers.select(now).value_or("")}});
   Operators->setPollTiming(isReader ? OperatorPollTiming : RelayPollTiming);
   Fleet->setPollTiming(isReader ? FleetPollTiming : RelayPollTiming);
 }
@@ -526,6 +532,8 @@
   answerDeferredHeartbeats(now);
   sendReleaseNotice(now);
   appendPending(now);
+  appendRenewals(now);
+  reportStoreCalls(now);
   publish(now);
   Timer.expires_after(TickInterval);
   Timer.async_wait([this](error_code ec) {
@@ -538,8 +546,13 @@
   if (IsAppending || !IsFleetLoaded)
     return;
   if (const auto record = Agent.nextRecord(Ledger, !isKeyed(), now)) {
-    appendNodeRecord(*record);
-    return;
+    if (!holdings::isRenewal(*record, Ledger)) {
+      appendNodeRecord(*record);
+      return;
+    }
+    renewLease(*record);
+    if (IsAppending)
+      return;
   }
   if (!isKeyed() || !Agent.hasChangeToPropose(Ledger, now))
     return;
@@ -554,6 +567,9 @@
 void Control::appendNodeRecord(const holdings::NodeRecord &record) {
   IsAppending = true;
   Agent.recordSent(record.Sequence, core::BootClock::now());
+  countStoreCall(holdings::isRenewal(record, Ledger)
+                     ? StoreCallCause::Renewal
+                     : StoreCallCause::StateChange);
   const holdings::Member *known = Ledger.findMember(record.Name);
   const bool isStateChange = known == nullptr ||
                              known->Record.State != record.State ||
@@ -575,6 +591,112 @@
       });
 }
 
+void Control::renewLease(const holdings::NodeRecord &record) {
+  const auto now = core::BootClock::now();
+  const auto host = Readers.select(now);
+  if (HasRenewalFailed || (!host && !Readers.isReader())) {
+    HasRenewalFailed = false;
+    appendNodeRecord(record);
+    return;
+  }
+  Agent.recordSent(record.Sequence, now);
+  auto onDone = [this, sequence = record.Sequence](auto round) {
+    onLeaseRenewed(sequence, round);
+  };
+  if (host)
+    Relay->sendRenewal(*host,
+                       {codec::nodeKey(record.Name), codec::encodeNode(record)},
+                       std::move(onDone));
+  else if (!Renewals.add({record, now, onDone}))
+    onDone(std::nullopt);
+}
+
+void Control::onLeaseRenewed(std::uint64_t sequence,
+                             std::optional<core::Duration> round) {
+  const auto now = core::BootClock::now();
+  // The renewal may follow a later record in the log, with an older state.
+  if (round && Agent.isLastRecord(sequence)) {
+    Agent.joinRenewalRound(now + *round);
+    return;
+  }
+  HasRenewalFailed = true;
+  Agent.renewAt(now);
+  appendPending(now);
+}
+
+bool Control::acceptRenewal(const feed::KeyedRecord &record,
+                            holdings::RenewalBatch::DoneHook onDone) {
+  const codec::FleetKey key = codec::parseFleetKey(record.Key);
+  auto node = record.Value && key.What == codec::FleetKey::Kind::Node
+                  ? codec::decodeNode(*record.Value)
+                  : core::fail(core::ErrorKind::CorruptMessage,
+                               "not the record of a node");
+  if (!node || node->Name != key.Name) {
+    Log->write(logging::Level::Warning, "renewal_unreadable",
+               {{"key", record.Key},
+                {"detail", node ? "the name differs from the key"
+                                : node.error().Detail}});
+    return false;
+  }
+  return Renewals.add(
+      {std::move(*node), core::BootClock::now(), std::move(onDone)});
+}
+
+void Control::appendRenewals(core::TimePoint now) {
+  const auto due = Renewals.dueAt();
+  if (!due || now < *due)
+    return;
+  auto batch = std::make_shared<std::vector<holdings::RenewalBatch::Renewal>>(
+      Renewals.take(Ledger, now));
+  if (batch->empty())
+    return;
+  countStoreCall(StoreCallCause::Renewal);
+  std::vector<feed::KeyedRecord> records;
+  for (const auto &it : *batch)
+    records.push_back(
+        {codec::nodeKey(it.Record.Name), codec::encodeNode(it.Record)});
+  Logs.Fleet.Append(records, std::nullopt,
+                    [this, batch](const core::Result<core::Offset> &result) {
+                      if (!result)
+                        Log->write(logging::Level::Warning,
+                                   "renewals_not_appended",
+                                   {{"records", batch->size()},
+                                    {"detail", result.error().Detail}});
+                      std::optional<core::Duration> round;
+                      if (result)
+                        round = Renewals.untilNextRound(core::BootClock::now());
+                      for (const auto &it : *batch)
+                        it.OnDone(round);
+                    });
+}
+
+void Control::countStoreCall(StoreCallCause cause) {
+  ++StoreCalls[static_cast<std::size_t>(cause)];
+}
+
+feed::KeyedLog Control::countSnapshots(const feed::KeyedLog &log) {
+  feed::KeyedLog out = log;
+  out.ReadNewest = [this, read = log.ReadNewest](std::string_view after,
+                                                 feed::PageHandler handler) {
+    countStoreCall(StoreCallCause::Snapshot);
+    read(after, std::move(handler));
+  };
+  return out;
+}
+
+void Control::reportStoreCalls(core::TimePoint now) {
+  if (now - StoreCallsReportedAt < StoreCallInterval)
+    return;
+  StoreCallsReportedAt = now;
+  Hooks.OnStoreCalls(StoreCalls);
+  std::vector<logging::Field> fields;
+  for (std::size_t n = 0; n < StoreCalls.size(); ++n)
+    if (StoreCalls[n] != 0)
+      fields.push_back(
+          {toString(static_cast<StoreCallCause>(n)), StoreCalls[n]});
+  Log->write(logging::Level::Info, "store_calls", fields);
+}
+
 void Control::appendHoldingChange(const holdings::HoldingChange &change) {
   IsAppending = true;
   Log->write(logging::Level::Info, "holdings_proposed",
@@ -610,6 +732,8 @@
   Log->write(logging::Level::Info, "holdings_proposal_ended",
              {{"accepted", result.has_value()},
               {"detail", result ? "" : result.error().Detail}});
+  countStoreCall(result ? StoreCallCause::ChangeAccepted
+                        : StoreCallCause::ChangeRefused);
   Agent.changeCompleted(outcome, core::BootClock::now());
   HasUnannouncedChange = HasUnannouncedChange || result.has_value();
   if (result)
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -17,14 +17,17 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Feed/KeyedFeed.h"
+#include "Feed/RelaySelector.h"
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingAgent.h"
+#include "Holdings/RenewalBatch.h"
 #include "Logging/Logger.h"
 #include "Net/DatagramSocket.h"
 #include "Net/HttpServer.h"
 #include "Proxy/TrafficView.h"
 #include "Sidecar/LogRelay.h"
 #include "Sidecar/SidecarTypes.h"
+#include "Sidecar/StoreCalls.h"
 
 namespace acaciaroad::sidecar {
 
@@ -33,6 +36,8 @@
   std::function<void(std::shared_ptr<const proxy::TrafficView>)> OnView;
   /// The known configuration was up to date at some time after the argument.
   std::function<void(core::TimePoint)> OnConfigurationConfirmed;
+  /// Calls to the platform's logs since the start.
+  std::function<void(const StoreCallCounts &)> OnStoreCalls;
 };
 
 /// Identity, timing and listen addresses of the control part.
@@ -90,8 +95,9 @@
   void logGrant(const holdings::Grant &grant);
   void answerDeferredHeartbeats(core::TimePoint now);
 
-  /// Returns the host to read \p log from, or nothing to read it directly.
-  std::optional<std::string> chooseRelay(RelayedLog log);
+  RelayHooks relayHooks();
+  RelayChoice chooseRelay(RelayedLog log);
+  void onRelayFailed(std::string_view host, const core::Error &error);
   /// Recomputes which nodes read the logs directly, and this node's polling.
   void updateReaders(core::TimePoint now);
   void onDatagram(std::string_view bytes);
@@ -103,6 +109,20 @@
   void tick();
   void appendPending(core::TimePoint now);
   void appendNodeRecord(const holdings::NodeRecord &record);
+  /// Renews the lease through a reader, or directly if none is known.
+  void renewLease(const holdings::NodeRecord &record);
+  /// Continues after the renewal \p sequence was appended or, if \p round is
+  /// nullopt, wasn't. \p round is the time until the next regular append.
+  void onLeaseRenewed(std::uint64_t sequence,
+                      std::optional<core::Duration> round);
+  /// Adds the renewal of another node to the next append. Returns false if the
+  /// record is invalid or there is no room.
+  bool acceptRenewal(const feed::KeyedRecord &record,
+                     holdings::RenewalBatch::DoneHook onDone);
+  void appendRenewals(core::TimePoint now);
+  void countStoreCall(StoreCallCause cause);
+  void reportStoreCalls(core::TimePoint now);
+  feed::KeyedLog countSnapshots(const feed::KeyedLog &log);
   void appendHoldingChange(const holdings::HoldingChange &change);
   void onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                         core::TimePoint sent,
@@ -123,8 +143,10 @@
   holdings::NodeLoad OwnLoad;
   core::TimePoint HintsSentAt{};
   std::unique_ptr<LogRelay> Relay;
-  /// Hosts of the nodes that read the logs directly; empty if this is one.
-  std::vector<std::string> Readers;
+  feed::RelaySelector Readers;
+  holdings::RenewalBatch Renewals;
+  StoreCallCounts StoreCalls{};
+  core::TimePoint StoreCallsReportedAt{};
   /// Host that announced new records; the next fleet read goes there.
   std::optional<std::string> HintSenderHost;
   /// Until then the known end of the log is recent enough for a proposal.
@@ -137,7 +159,9 @@
   holdings::HoldingAgent Agent;
   bool IsFleetLoaded = false;
   bool IsAppending = false;
-  bool IsFirstUpdate = true;
+  /// The last renewal through a reader failed, so the next one is appended
+  /// directly.
+  bool HasRenewalFailed = false;
   bool IsViewStale = false;
   /// This node appended records that have not been announced to others yet.
   bool HasUnannouncedChange = false;
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -1,12 +1,14 @@
 #include "Sidecar/LogRelay.h"
 
 #include <charconv>
+#include <string>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 #include "Codec/FleetRecords.h"
+#include "Core/Milliseconds.h"
 
 namespace acaciaroad::sidecar {
 
@@ -35,7 +37,15 @@
 /// second each and a margin.
 constexpr core::Duration MaxRelayAge = milliseconds(2400);
 
+/// Relays that one read asks before it goes to the log.
+constexpr int MaxRelaysPerRead = 2;
+
+/// Time for a renewal to be collected with others and appended. After it, the
+/// node appends the renewal itself.
+constexpr core::Duration RenewalTimeout = milliseconds(800);
+
 constexpr std::string_view PathPrefix = "/relay/";
+constexpr std::string_view RenewalPath = "/relay/renewals";
 
 net::ClientOptions makeOptions() {
   net::ClientOptions out;
@@ -52,19 +62,19 @@
   return fmt::format("{}{}/{}", PathPrefix, static_cast<int>(name), from);
 }
 
-struct RelayRead {
+struct RelayTarget {
   RelayedLog Name = RelayedLog::Operators;
   core::Offset From = 0;
 };
 
-std::optional<RelayRead> parseTarget(std::string_view target) {
+std::optional<RelayTarget> parseTarget(std::string_view target) {
   if (!target.starts_with(PathPrefix))
     return std::nullopt;
   target.remove_prefix(PathPrefix.size());
   if (target.size() < 3 || target[1] != '/' ||
       (target[0] != '0' && target[0] != '1'))
     return std::nullopt;
-  RelayRead out;
+  RelayTarget out;
   out.Name = static_cast<RelayedLog>(target[0] - '0');
   const char *end = target.data() + target.size();
   const auto [it, ec] = std::from_chars(target.data() + 2, end, out.From);
@@ -73,12 +83,26 @@
   return out;
 }
 
+/// Parses the answer to a renewal: milliseconds until the next regular append.
+std::optional<core::Duration> parseRound(const net::CallResult &result) {
+  if (result.End != net::CallEnd::Answered ||
+      result.Response.result() != net::http::status::ok)
+    return std::nullopt;
+  const std::string &body = result.Response.body();
+  std::uint32_t ms = 0;
+  const char *end = body.data() + body.size();
+  const auto [it, ec] = std::from_chars(body.data(), end, ms);
+  if (ec != std::errc() || it != end)
+    return std::nullopt;
+  return milliseconds(ms);
+}
+
 } // namespace
 
 core::Result<std::unique_ptr<LogRelay>>
 LogRelay::create(boost::asio::io_context &loop, const core::Endpoint &listen,
-                 ChooseHost choose) {
-  std::unique_ptr<LogRelay> out(new LogRelay(loop, listen, std::move(choose)));
+                 RelayHooks hooks) {
+  std::unique_ptr<LogRelay> out(new LogRelay(loop, listen, std::move(hooks)));
   constexpr net::ServerLimits Limits{4096, 4096, std::chrono::seconds(3),
                                      std::chrono::seconds(60)};
   auto server = net::HttpServer::create(
@@ -93,8 +117,8 @@
 }
 
 LogRelay::LogRelay(boost::asio::io_context &loop, core::Endpoint listen,
-                   ChooseHost choose)
-    : Loop(loop), Listen(std::move(listen)), Choose(std::move(choose)),
+                   RelayHooks hooks)
+    : Loop(loop), Listen(std::move(listen)), Hooks(std::move(hooks)),
       Clients(loop, makeOptions()) {}
 
 feed::KeyedLog LogRelay::wrap(RelayedLog name, const feed::KeyedLog &log) {
@@ -102,24 +126,54 @@
   out.ReadFrom = [this, name,
                   direct = log.ReadFrom](core::Offset from, core::Duration wait,
                                          feed::TailHandler handler) {
-    const auto host = Choose(name);
-    if (!host) {
-      direct(from, wait, std::move(handler));
-      return;
-    }
-    readFrom(name, *host, from,
-             [direct, from,
-              handler = std::move(handler)](core::Result<feed::Tail> tail) {
-               if (tail)
-                 handler(std::move(tail));
-               else
-                 direct(from, core::Duration{}, handler);
-             });
+    start(std::make_shared<Read>(
+        Read{name, from, wait, std::move(handler), direct, 0}));
   };
   return out;
 }
 
+void LogRelay::start(const std::shared_ptr<Read> &read) {
+  const RelayChoice choice = Hooks.Choose(read->Name);
+  if (choice.Host.empty()) {
+    readDirectly(*read, choice.Cause);
+    return;
+  }
+  readFrom(read->Name, choice.Host, read->From,
+           [this, read, host = choice.Host](core::Result<feed::Tail> tail) {
+             if (tail)
+               read->Handler(std::move(tail));
+             else
+               onRelayFailed(read, host, tail.error());
+           });
+}
+
+void LogRelay::onRelayFailed(const std::shared_ptr<Read> &read,
+                             std::string_view host, const core::Error &error) {
+  read->Wait = core::Duration{};
+  // The other relays don't have the records either.
+  if (error.Kind == ErrorKind::LogTrimmed) {
+    readDirectly(*read, StoreCallCause::RelayRefused);
+    return;
+  }
+  Hooks.OnFailed(host, error);
+  if (++read->FailedRelays < MaxRelaysPerRead)
+    start(read);
+  else
+    readDirectly(*read, error.Kind == ErrorKind::NodeIsolated
+                            ? StoreCallCause::RelayOutdated
+                            : StoreCallCause::RelaySilent);
+}
+
+void LogRelay::readDirectly(const Read &read, StoreCallCause cause) {
+  Hooks.OnStoreRead(cause);
+  read.Direct(read.From, read.Wait, read.Handler);
+}
+
 void LogRelay::serve(const std::shared_ptr<net::Exchange> &exchange) {
+  if (net::toView(exchange->request().target()) == RenewalPath) {
+    serveRenewal(exchange);
+    return;
+  }
   const auto read = parseTarget(net::toView(exchange->request().target()));
   const auto tail =
       read ? buffer(read->Name).read(read->From, core::BootClock::now())
@@ -133,21 +187,59 @@
   exchange->respond(std::move(out));
 }
 
-void LogRelay::readFrom(RelayedLog name, const std::string &host,
-                        core::Offset from, feed::TailHandler handler) {
+void LogRelay::serveRenewal(const std::shared_ptr<net::Exchange> &exchange) {
+  const auto tail = codec::decodeTail(exchange->request().body());
+  const auto onDone = [exchange](std::optional<core::Duration> round) {
+    net::HttpResponse out(round ? net::http::status::ok
+                                : net::http::status::service_unavailable,
+                          11);
+    if (round)
+      out.body() = std::to_string(core::toMilliseconds(*round));
+    exchange->respond(std::move(out));
+  };
+  if (!tail || tail->Records.size() != 1 ||
+      !Hooks.OnRenewal(tail->Records.front(), onDone))
+    exchange->respond(net::HttpResponse(net::http::status::bad_request, 11));
+}
+
+void LogRelay::sendRenewal(const std::string &host,
+                           const feed::KeyedRecord &record,
+                           holdings::RenewalBatch::DoneHook onDone) {
+  net::HttpRequest request{net::http::verb::post, std::string(RenewalPath), 11};
+  feed::Tail tail;
+  tail.Records.push_back(record);
+  request.body() = codec::encodeTail(tail);
+  net::sendWithTimeout(
+      Loop, clientOf(host), std::move(request),
+      net::CallTimeout::ofWholeCall(RenewalTimeout),
+      [onDone = std::move(onDone)](const net::CallResult &result) {
+        onDone(parseRound(result));
+      });
+}
+
+net::HttpClient &LogRelay::clientOf(const std::string &host) {
   const core::Endpoint server{host, Listen.Port};
   if (Clients.size() >= MaxRelayHosts && !Clients.contains(server))
     Clients.keepOnly({});
+  return *Clients.clientFor(server);
+}
+
+void LogRelay::readFrom(RelayedLog name, const std::string &host,
+                        core::Offset from, feed::TailHandler handler) {
   net::sendWithTimeout(
-      Loop, *Clients.clientFor(server),
-      {net::http::verb::get, targetOf(name, from), 11},
+      Loop, clientOf(host), {net::http::verb::get, targetOf(name, from), 11},
       net::CallTimeout::ofWholeCall(RelayTimeout),
       [handler = std::move(handler)](net::CallResult result) {
-        if (result.End != net::CallEnd::Answered ||
-            result.Response.result() != net::http::status::ok) {
+        if (result.End != net::CallEnd::Answered) {
           handler(core::fail(ErrorKind::PeerUnreachable, result.Detail));
           return;
         }
+        if (result.Response.result() != net::http::status::ok) {
+          handler(core::fail(ErrorKind::LogTrimmed,
+                             fmt::format("the relay answered {}",
+                                         result.Response.result_int())));
+          return;
+        }
         auto tail = codec::decodeTail(result.Response.body());
         if (tail && tail->Age > MaxRelayAge)
           tail = core::fail(ErrorKind::NodeIsolated,
--- a/Source/Sidecar/LogRelay.h
+++ b/Source/Sidecar/LogRelay.h
@@ -8,42 +8,86 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
 #include "Feed/FeedTypes.h"
 #include "Feed/RelayBuffer.h"
+#include "Holdings/RenewalBatch.h"
 #include "Net/HttpClientPool.h"
 #include "Net/HttpServer.h"
+#include "Sidecar/StoreCalls.h"
 
 namespace acaciaroad::sidecar {
 
 /// Identifies a relayed log; the number is part of the request path.
 enum class RelayedLog : std::uint8_t { Operators, Fleet };
 
+/// Where a node reads records from.
+struct RelayChoice {
+  /// The node to read from; empty to read the log itself.
+  std::string Host;
+  /// Why the log itself is read, if it is.
+  StoreCallCause Cause = StoreCallCause::Poll;
+};
+
+struct RelayHooks {
+  std::function<RelayChoice(RelayedLog)> Choose;
+  /// A read from the host failed. `Choose` is asked again, once.
+  std::function<void(std::string_view host, const core::Error &)> OnFailed;
+  /// The log itself is read.
+  std::function<void(StoreCallCause)> OnStoreRead;
+  /// Another node asks this one to append the renewal of its lease. Returns
+  /// false if the record is invalid or there is no room; OnDone isn't called
+  /// then.
+  std::function<bool(const feed::KeyedRecord &,
+                     holdings::RenewalBatch::DoneHook)>
+      OnRenewal;
+};
+
 /// Serves buffered records to other nodes and reads records from them. Falls
-/// back to the log if the relay fails or its data is too old.
+/// back to another relay, and then to the log, if the relay fails or its data
+/// is too old.
 class LogRelay {
 public:
-  /// Returns the host to read from, or nothing to read the log directly.
-  using ChooseHost = std::function<std::optional<std::string>(RelayedLog)>;
-
   /// Fails with InvalidArgument if the address cannot be bound.
   static core::Result<std::unique_ptr<LogRelay>>
   create(boost::asio::io_context &loop, const core::Endpoint &listen,
-         ChooseHost choose);
+         RelayHooks hooks);
 
   /// Returns \p log with tail reads sent to a relay whenever one is chosen.
   feed::KeyedLog wrap(RelayedLog name, const feed::KeyedLog &log);
 
+  /// Asks \p host to append a node's \p record together with others.
+  void sendRenewal(const std::string &host, const feed::KeyedRecord &record,
+                   holdings::RenewalBatch::DoneHook onDone);
+
   feed::RelayBuffer &buffer(RelayedLog name) {
     return Buffers[static_cast<std::size_t>(name)];
   }
 
 private:
+  /// A read of a log that may go to a relay.
+  struct Read {
+    RelayedLog Name = RelayedLog::Operators;
+    core::Offset From = 0;
+    core::Duration Wait{};
+    feed::TailHandler Handler;
+    /// Reads the log itself.
+    std::function<void(core::Offset, core::Duration, feed::TailHandler)> Direct;
+    int FailedRelays = 0;
+  };
+
   LogRelay(boost::asio::io_context &loop, core::Endpoint listen,
-           ChooseHost choose);
+           RelayHooks hooks);
   void serve(const std::shared_ptr<net::Exchange> &exchange);
+  void serveRenewal(const std::shared_ptr<net::Exchange> &exchange);
+  net::HttpClient &clientOf(const std::string &host);
+  void start(const std::shared_ptr<Read> &read);
+  void onRelayFailed(const std::shared_ptr<Read> &read, std::string_view host,
+                     const core::Error &error);
+  void readDirectly(const Read &read, StoreCallCause cause);
   void readFrom(RelayedLog name, const std::string &host, core::Offset from,
                 feed::TailHandler handler);
 
@@ -52,7 +96,7 @@
 
   boost::asio::io_context &Loop;
   core::Endpoint Listen;
-  ChooseHost Choose;
+  RelayHooks Hooks;
   std::unique_ptr<net::HttpServer> Server;
   std::array<feed::RelayBuffer, 2> Buffers{feed::RelayBuffer(BufferBytes),
                                            feed::RelayBuffer(BufferBytes)};
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -178,6 +178,10 @@
             boost::asio::post(TrafficLoop, [this, requestedAt] {
               Entry->configurationConfirmed(requestedAt);
             });
+          },
+          [this](const StoreCallCounts &counts) {
+            boost::asio::post(TrafficLoop,
+                              [this, counts] { StoreCalls = counts; });
           }};
 }
 
@@ -199,7 +203,7 @@
   if (target == Settings.Health.MetricsPath) {
     net::HttpResponse out(net::http::status::ok, 11);
     out.set(net::http::field::content_type, "text/plain; version=0.0.4");
-    out.body() = proxy::render(Counters);
+    out.body() = proxy::render(Counters) + render(StoreCalls);
     exchange->respond(std::move(out));
     return;
   }
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -91,6 +91,8 @@
   boost::asio::steady_timer DrainTimer;
   boost::asio::steady_timer SettingsTimer;
   proxy::TrafficCounters Counters;
+  /// As reported by the control thread.
+  StoreCallCounts StoreCalls{};
   std::unique_ptr<proxy::UpstreamService> Upstream;
   std::unique_ptr<proxy::EntryService> Entry;
   std::unique_ptr<proxy::PeerService> Peers;
--- a/Tests/Holdings/FleetLedgerTest.cpp
+++ b/Tests/Holdings/FleetLedgerTest.cpp
@@ -43,6 +43,20 @@
      {1}},
 };
 
+struct OrderRow {
+  const char *Name;
+  std::uint64_t Incarnation;
+  std::uint64_t Sequence;
+  bool IsApplied;
+};
+
+// After sequence 5 of incarnation 1.
+const OrderRow OrderRows[] = {
+    {"the next record", 1, 6, true},
+    {"an older record", 1, 4, false},
+    {"the first record of another incarnation", 2, 1, true},
+};
+
 struct OrphanRow {
   const char *Name;
   std::vector<Holding> Rows;
@@ -97,3 +111,23 @@
     found.push_back(it.Keys);
   cr_assert(found == row.Orphans, "%s", row.Name);
 }
+
+// An append may be delayed past a later one of the same node.
+ACACIA_TABLE_TEST(FleetLedger, KeepsTheNewestRecord, OrderRows) {
+  FleetLedger ledger;
+  NodeRecord record;
+  record.Name = "node";
+  record.Incarnation = 1;
+  record.Sequence = 5;
+  record.State = UpstreamState::Leaving;
+  ledger.applyNode(record, TimePoint() + seconds(10));
+  record.Incarnation = row.Incarnation;
+  record.Sequence = row.Sequence;
+  record.State = UpstreamState::Ready;
+  ledger.applyNode(record, TimePoint() + seconds(12));
+  const Member *member = ledger.findMember("node");
+  cr_assert_eq(member->Record.State == UpstreamState::Ready, row.IsApplied,
+               "%s", row.Name);
+  cr_assert_eq(member->ReadAt == TimePoint() + seconds(12), row.IsApplied, "%s",
+               row.Name);
+}
--- a/Tests/Holdings/FleetModel.cpp
+++ b/Tests/Holdings/FleetModel.cpp
@@ -18,6 +18,10 @@
 constexpr core::Duration LongestGrant = seconds(10);
 constexpr core::Duration TickInterval = milliseconds(50);
 constexpr core::Duration ReadInterval = milliseconds(600);
+/// Longest time that another node holds a renewal before it appends it.
+constexpr std::uint64_t MaxRenewalDelayMs = 1000;
+/// Longest time from a renewal to the next round.
+constexpr std::uint64_t MaxRenewalRoundMs = 2300;
 
 /// Record of the log: of a node or of a part of the holdings.
 struct LogRecord {
@@ -384,12 +388,18 @@
     if (node.IsAppending || !node.HasReadLog)
       return;
     if (const auto record = node.Agent->nextRecord(node.Ledger, false, Now)) {
-      node.IsAppending = true;
+      // Renewals wait for those of other nodes.
+      const bool isBatched = isRenewal(*record, node.Ledger);
+      node.IsAppending = !isBatched;
       core::TimePoint sent = Now;
       if (Options.Broken == BrokenRule::LeaseFromAnswer)
         sent += NodeLease / 2;
       node.Agent->recordSent(record->Sequence, sent);
-      submit(node, {{*record, std::nullopt}}, std::nullopt);
+      submit(node, {{*record, std::nullopt}}, std::nullopt,
+             isBatched ? milliseconds(1) + randomDelay(MaxRenewalDelayMs)
+                       : core::Duration{});
+      if (isBatched)
+        node.Agent->joinRenewalRound(Now + randomDelay(MaxRenewalRoundMs));
       return;
     }
     if (auto change = node.Agent->nextChange(node.Ledger, Now)) {
@@ -410,11 +420,11 @@
   }
 
   /// Appends records as the platform does: the append may be delayed or lost,
-  /// and so may its answer.
+  /// and so may its answer. \p wait is the time until the records are sent.
   void submit(ModelNode &node, std::vector<LogRecord> records,
-              std::optional<std::size_t> at) {
+              std::optional<std::size_t> at, core::Duration wait = {}) {
     const bool isChange = records.front().Part.has_value();
-    core::Duration latency = delay();
+    core::Duration latency = delay() + wait;
     bool isAnswered = !node.IsPartitioned;
     bool isDone = !node.IsPartitioned;
     if (Options.HasFaults && Rng.chance(0.08)) {
@@ -436,11 +446,12 @@
                   Out.Changes += isChange ? 1 : 0;
                   Log.insert(Log.end(), records.begin(), records.end());
                 });
+    const bool isBatched = wait.count() > 0;
     Events.at(answerAt, [this, &node, incarnation, isAnswered, isAccepted,
-                         isChange] {
+                         isChange, isBatched] {
       if (!isRunning(node, incarnation))
         return;
-      node.IsAppending = false;
+      node.IsAppending = node.IsAppending && isBatched;
       if (!isChange)
         return;
       auto end = ChangeOutcome::Unknown;
--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -1,6 +1,11 @@
 #include "Sidecar/LogRelay.h"
 
+#include <memory>
+#include <optional>
 #include <string>
+#include <vector>
+
+#include <boost/asio/post.hpp>
 
 #include "Support/Table.h"
 
@@ -14,6 +19,25 @@
 /// Rows run in parallel; each uses its own port, counted from here.
 constexpr std::uint16_t FirstPort = 23480;
 
+/// Chooses \p hosts one after the other, the next one when one has failed, and
+/// then the log itself. Sets \p cause when the log itself is read.
+RelayHooks makeHooks(std::vector<std::string> hosts,
+                     std::optional<StoreCallCause> &cause) {
+  RelayHooks out;
+  const auto left = std::make_shared<std::vector<std::string>>(hosts);
+  out.Choose = [left](RelayedLog) -> RelayChoice {
+    if (left->empty())
+      return {{}, StoreCallCause::NoRelay};
+    return {left->front()};
+  };
+  out.OnFailed = [left](std::string_view host, const core::Error &) {
+    cr_assert_eq(host, left->front());
+    left->erase(left->begin());
+  };
+  out.OnStoreRead = [&cause](StoreCallCause it) { cause = it; };
+  return out;
+}
+
 struct ReadRow {
   const char *Name;
   /// Size of the record in the relay's buffer in bytes; 0 if it has not read
@@ -21,18 +45,71 @@
   std::size_t Bytes;
   /// Age of the relay's data.
   core::Duration Age;
-  /// Whether the log is read directly.
-  bool IsDirect;
+  /// Relays to be asked; 127.0.0.2 is the one with the record, and nothing
+  /// listens at the others.
+  std::vector<std::string> Hosts;
+  /// Why the log is read directly; nullopt if it isn't.
+  std::optional<StoreCallCause> Cause;
 };
 
 const ReadRow ReadRows[] = {
-    {"small record from the relay", 100, milliseconds(300), false},
-    {"record near the size limit from the relay", 32'000, milliseconds(300),
-     false},
-    {"record over the size limit from the log", 400'000, milliseconds(300),
-     true},
-    {"relay without data", 0, milliseconds(300), true},
-    {"relay with outdated data", 100, seconds(3), true},
+    {"small record from the relay",
+     100,
+     milliseconds(300),
+     {"127.0.0.2"},
+     std::nullopt},
+    {"record near the size limit from the relay",
+     32'000,
+     milliseconds(300),
+     {"127.0.0.2"},
+     std::nullopt},
+    {"record over the size limit from the log",
+     400'000,
+     milliseconds(300),
+     {"127.0.0.2", "127.0.0.2"},
+     StoreCallCause::RelayRefused},
+    {"relay without data",
+     0,
+     milliseconds(300),
+     {"127.0.0.2", "127.0.0.2"},
+     StoreCallCause::RelayRefused},
+    {"one relay with outdated data",
+     100,
+     seconds(3),
+     {"127.0.0.2"},
+     StoreCallCause::NoRelay},
+    {"relays with outdated data",
+     100,
+     seconds(3),
+     {"127.0.0.2", "127.0.0.2"},
+     StoreCallCause::RelayOutdated},
+    {"one lost relay",
+     100,
+     milliseconds(300),
+     {"127.0.0.3", "127.0.0.2"},
+     std::nullopt},
+    {"all relays lost",
+     100,
+     milliseconds(300),
+     {"127.0.0.3", "127.0.0.4", "127.0.0.2"},
+     StoreCallCause::RelaySilent},
+};
+
+struct RenewalRow {
+  const char *Name;
+  /// Whether the reader accepts the record.
+  bool IsAccepted;
+  /// What the reader tells once the batch has ended.
+  std::optional<core::Duration> Round;
+  const char *Host;
+  std::optional<core::Duration> Expected;
+};
+
+const RenewalRow RenewalRows[] = {
+    {"appended", true, milliseconds(1750), "127.0.0.2", milliseconds(1750)},
+    {"not appended", true, std::nullopt, "127.0.0.2", std::nullopt},
+    {"not accepted", false, std::nullopt, "127.0.0.2", std::nullopt},
+    {"no reader listens", true, milliseconds(1750), "127.0.0.3", std::nullopt},
 };
 
 } // namespace
@@ -40,12 +117,10 @@
 ACACIA_TABLE_TEST(LogRelay, Reads, ReadRows) {
   boost::asio::io_context loop;
   const auto port = static_cast<std::uint16_t>(FirstPort + (&row - ReadRows));
-  const auto noRelay = [](RelayedLog) { return std::nullopt; };
-  const auto relay = LogRelay::create(loop, {"127.0.0.2", port}, noRelay);
+  const auto relay = LogRelay::create(loop, {"127.0.0.2", port}, {});
+  std::optional<StoreCallCause> cause;
   const auto reader =
-      LogRelay::create(loop, {"127.0.0.1", port}, [](RelayedLog) {
-        return std::optional<std::string>("127.0.0.2");
-      });
+      LogRelay::create(loop, {"127.0.0.1", port}, makeHooks(row.Hosts, cause));
   cr_assert(relay.has_value() && reader.has_value());
   if (row.Bytes > 0) {
     const auto requestedAt = core::BootClock::now() - row.Age;
@@ -54,8 +129,8 @@
     buffer.reset(0, requestedAt);
     buffer.add({&record, 1}, 1, requestedAt);
   }
-  bool isDirect = false;
   feed::KeyedLog log;
+  bool isDirect = false;
   log.ReadFrom = [&](core::Offset, core::Duration,
                      const feed::TailHandler &handler) {
     isDirect = true;
@@ -71,5 +146,33 @@
       });
   loop.run_for(seconds(2));
   cr_assert(isDone, "%s", row.Name);
-  cr_assert_eq(isDirect, row.IsDirect, "%s", row.Name);
+  cr_assert_eq(isDirect, row.Cause.has_value(), "%s", row.Name);
+  cr_assert(cause == row.Cause, "%s: %s", row.Name,
+            cause ? toString(*cause).data() : "not read");
+}
+
+ACACIA_TABLE_TEST(LogRelay, PassesRenewalsOn, RenewalRows) {
+  boost::asio::io_context loop;
+  const auto port = static_cast<std::uint16_t>(FirstPort + std::size(ReadRows) +
+                                               (&row - RenewalRows));
+  const feed::KeyedRecord record{"node/n", "record"};
+  RelayHooks hooks;
+  hooks.OnRenewal = [&](const feed::KeyedRecord &it, const auto &onDone) {
+    cr_assert_eq(it.Key, record.Key);
+    cr_assert(it.Value == record.Value);
+    if (row.IsAccepted)
+      boost::asio::post(loop, [&, onDone] { onDone(row.Round); });
+    return row.IsAccepted;
+  };
+  const auto relay = LogRelay::create(loop, {"127.0.0.2", port}, hooks);
+  const auto node = LogRelay::create(loop, {"127.0.0.1", port}, {});
+  cr_assert(relay.has_value() && node.has_value());
+  bool isDone = false;
+  (*node)->sendRenewal(row.Host, record, [&](auto round) {
+    cr_assert(round == row.Expected, "%s", row.Name);
+    isDone = true;
+    loop.stop();
+  });
+  loop.run_for(seconds(2));
+  cr_assert(isDone, "%s", row.Name);
 }
