--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -263,6 +263,19 @@
     known.PendingUtilization = 0;
 }
 
+double HoldingAgent::typicalCost(core::TimePoint now) const {
+  std::vector<double> costs;
+  for (const auto &[node, it] : PeerLoads)
+    if (it.Load.Cost > 0 && now - it.At < LoadLifetime)
+      costs.push_back(it.Load.Cost);
+  if (costs.empty())
+    return 0;
+  const auto middle =
+      costs.begin() + static_cast<std::ptrdiff_t>(costs.size() / 2);
+  std::nth_element(costs.begin(), middle, costs.end());
+  return *middle;
+}
+
 std::vector<MoveCandidate>
 HoldingAgent::moveCandidates(const FleetLedger &ledger,
                              core::TimePoint now) const {
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -106,6 +106,10 @@
   void setPeerLoad(std::string_view node, const NodeLoad &load,
                    core::TimePoint now);
 
+  /// Returns the median cost of a request on the other nodes of the service, as
+  /// recently reported; 0 if none is known.
+  double typicalCost(core::TimePoint now) const;
+
   /// Called when the node starts to shut down; it then proposes no more
   /// changes.
   void beginDrain() { Draining = true; }
--- a/Source/Holdings/LeaseRenewal.cpp
+++ b/Source/Holdings/LeaseRenewal.cpp
@@ -42,10 +42,9 @@
   Interval = isKeyless ? KeylessRenewInterval : RenewInterval;
   const core::Duration retryInterval =
       IsAcknowledged ? Interval : RecordRetryInterval;
-  const bool isDue =
-      isRenewal(present, ledger)
-          ? age >= Interval || (Round && now >= *Round)
-          : !isSame(LastRecord, present) || age >= retryInterval;
+  const bool isDue = isRenewal(present, ledger)
+                         ? age >= Interval || (Round && now >= *Round)
+                         : !isSame(LastRecord, present) || age >= retryInterval;
   if (!isDue)
     return std::nullopt;
   Round.reset();
--- a/Source/Holdings/LoadMove.cpp
+++ b/Source/Holdings/LoadMove.cpp
@@ -17,8 +17,9 @@
 constexpr double TargetUtilization = 0.5;
 
 /// Maximum number of ranges that a node moves at once. Each range has no holder
-/// for about one heartbeat interval.
-constexpr std::size_t MaxMoveTargets = 8;
+/// for about one heartbeat interval. Keys that become hot together may bring
+/// many times the load that one node can take.
+constexpr std::size_t MaxMoveTargets = 32;
 
 /// Minimum difference in utilization for a move. Smaller differences are noise,
 /// and moving keys back and forth costs more than it gains.
@@ -35,6 +36,10 @@
 /// worth a move.
 constexpr double MinMoveFraction = 0.15;
 
+/// Maximum utilization of a target after it received a bucket that exceeds its
+/// share, relative to that of the node before the move.
+constexpr double MaxRelativeLoad = 0.5;
+
 /// Candidate range for a move and its request rate.
 struct Window {
   KeyRange Keys;
@@ -64,9 +69,23 @@
   return best;
 }
 
+/// Returns the bucket in \p range with the lowest rate above 0; nullopt if
+/// there is none.
+std::optional<Window> lightestBucket(const KeyedLoad &load,
+                                     const KeyRange &range) {
+  const Key n = load.BucketKeys;
+  std::optional<Window> out;
+  for (Key it = (range.From + n - 1) / n; it < (range.To + 1) / n; ++it)
+    if (load.Rates[it] > 0 && (!out || load.Rates[it] < out->Rate))
+      out = Window{{it * n, (it + 1) * n - 1}, load.Rates[it]};
+  return out;
+}
+
 /// Load that one target should receive.
 struct Share {
   std::string Node;
+  /// Utilization before the move.
+  double Utilization = 0;
   /// Requests a second.
   double Rate = 0;
   /// Utilization per request a second at the target.
@@ -105,7 +124,7 @@
   }
   std::vector<Share> out;
   for (const MoveCandidate &it : std::span(sorted).first(n))
-    out.push_back({it.Node,
+    out.push_back({it.Node, it.Load.Utilization,
                    (level - it.Load.Utilization) / it.Load.Cost * MoveFraction,
                    it.Load.Cost});
   return out;
@@ -124,15 +143,28 @@
     return {};
   std::vector<KeyRange> left(own.begin(), own.end());
   std::vector<LoadMove> out;
+  double utilization = load.Node.Utilization;
   for (const Share &it : computeShares(load.Node, candidates)) {
     std::optional<Window> best;
+    std::optional<Window> lightest;
     for (const KeyRange &range : left) {
       const auto window = bestWindow(load, range, it.Rate * MaxOvershoot);
       if (window && (!best || window->Rate > best->Rate))
         best = window;
+      const auto bucket = lightestBucket(load, range);
+      if (bucket && (!lightest || bucket->Rate < lightest->Rate))
+        lightest = bucket;
     }
+    // Hot keys that are spread over many targets may each exceed a share. Such
+    // a bucket still moves if the target ends up with far less load than this
+    // node.
+    if (!best && lightest &&
+        it.Utilization + lightest->Rate * it.Cost <=
+            utilization * MaxRelativeLoad)
+      best = lightest;
     if (!best || best->Rate < it.Rate * MinMoveFraction)
       continue;
+    utilization -= best->Rate * load.Node.Cost;
     out.push_back({best->Keys, it.Node, best->Rate * it.Cost});
     std::vector<KeyRange> rest;
     for (const KeyRange &range : left)
--- a/Source/Proxy/TrafficView.h
+++ b/Source/Proxy/TrafficView.h
@@ -50,6 +50,8 @@
   bool IsOpen = false;
   std::uint32_t Slots = 0;
   core::TimePoint ColdUntil{};
+  /// Mean service time on the other nodes of the service; 0 if unknown.
+  core::Duration TypicalServiceTime{};
   /// When the latest heartbeat came.
   core::TimePoint HeardAt{};
   /// Keys of the upstream's latest grant.
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -132,6 +132,7 @@
   ColdRate = service == nullptr ? 0 : service->ColdRate;
   IsKeyed = service != nullptr && service->IsKeyed;
   Queue.setSlots(own.IsOpen ? own.Slots : 0);
+  Queue.setTypicalServiceTime(own.TypicalServiceTime);
   if (!own.IsOpen)
     for (const upstream::Dequeued &it : Queue.refuseAll(ErrorKind::NoUpstream))
       refuse(it.Id, it.Reason);
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -576,22 +576,22 @@
                              known->Record.IsStopping != record.IsStopping;
   const feed::KeyedRecord records[] = {
       {codec::nodeKey(record.Name), codec::encodeNode(record)}};
-  Logs.Fleet.Append(
-      records, std::nullopt,
-      [this, isStateChange, sequence = record.Sequence](
-          const core::Result<core::Offset> &result) {
-        IsAppending = false;
-        if (result)
-          Agent.recordAcknowledged(sequence);
-        if (!result)
-          Log->write(logging::Level::Warning, "record_not_appended",
-                     {{"detail", result.error().Detail}});
-        else if (isStateChange) {
-          HasUnannouncedChange = true;
-          Fleet->readNow();
-        }
-        appendPending(core::BootClock::now());
-      });
+  Logs.Fleet.Append(records, std::nullopt,
+                    [this, isStateChange, sequence = record.Sequence](
+                        const core::Result<core::Offset> &result) {
+                      IsAppending = false;
+                      if (result)
+                        Agent.recordAcknowledged(sequence);
+                      if (!result)
+                        Log->write(logging::Level::Warning,
+                                   "record_not_appended",
+                                   {{"detail", result.error().Detail}});
+                      else if (isStateChange) {
+                        HasUnannouncedChange = true;
+                        Fleet->readNow();
+                      }
+                      appendPending(core::BootClock::now());
+                    });
 }
 
 void Control::renewLease(const holdings::NodeRecord &record) {
@@ -763,6 +763,9 @@
   const auto *self = Ledger.findMember(Options.Agent.Name);
   out.Slots = self == nullptr ? 0 : self->Record.Slots;
   out.ColdUntil = ColdUntil;
+  out.TypicalServiceTime =
+      std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(
+          Agent.typicalCost(core::BootClock::now()) * out.Slots));
   out.HeardAt = HeardAt;
   if (LastGrant)
     out.Granted = LastGrant->Rows;
--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -33,26 +33,41 @@
 /// Lower bound for Retry-After: about two round trips to the caller.
 constexpr core::Duration MinRetryDelay = std::chrono::milliseconds(50);
 
-void updateMean(core::Duration &mean, core::Duration sample, int divisor) {
-  mean = mean.count() == 0 ? sample : mean + (sample - mean) / divisor;
-}
+/// Samples from which on a mean stands for itself. Service times vary several
+/// times over.
+constexpr std::uint32_t EnoughSamples = 16;
 
 } // namespace
 
+void OrderQueue::ServiceTimeMean::update(core::Duration sample, int divisor,
+                                         core::TimePoint now) {
+  Value = Value.count() == 0 ? sample : Value + (sample - Value) / divisor;
+  UpdatedAt = now;
+  Samples = std::min(Samples + 1, EnoughSamples);
+}
+
+core::Duration OrderQueue::withTypical(const ServiceTimeMean &mean) const {
+  if (Typical.count() == 0)
+    return mean.Value;
+  return (mean.Value * mean.Samples +
+          Typical * (EnoughSamples - mean.Samples)) /
+         EnoughSamples;
+}
+
 core::Duration
 OrderQueue::expectedServiceTime(std::string_view workClass) const {
   const auto it = ClassMeans.find(workClass);
-  return it == ClassMeans.end() ? OverallMean : it->second.Value;
+  return withTypical(it == ClassMeans.end() ? OverallMean : it->second);
 }
 
 bool OrderQueue::resetStaleMean(std::string_view workClass,
                                 core::TimePoint now) {
   const auto it = ClassMeans.find(workClass);
   const core::TimePoint updatedAt =
-      it == ClassMeans.end() ? OverallUpdatedAt : it->second.UpdatedAt;
+      it == ClassMeans.end() ? OverallMean.UpdatedAt : it->second.UpdatedAt;
   if (now - updatedAt < MaxMeanAge)
     return false;
-  ClassMeans[std::string(workClass)] = {core::Duration{}, now};
+  ClassMeans[std::string(workClass)] = {core::Duration{}, now, EnoughSamples};
   return true;
 }
 
@@ -63,7 +78,7 @@
   const auto slots = std::max<std::int64_t>(1, Slots);
   // On average, a slot becomes free every mean service time divided by the
   // number of slots.
-  return OverallMean * (ahead + 1) / slots;
+  return meanServiceTime() * (ahead + 1) / slots;
 }
 
 std::optional<core::ErrorKind>
@@ -116,12 +131,10 @@
     return;
   if (didRun) {
     const core::Duration serviceTime = now - it->second.StartedAt;
-    ServiceTimeMean &classMean = ClassMeans[it->second.WorkClass];
-    updateMean(classMean.Value, serviceTime, MeanSampleDivisor);
-    classMean.UpdatedAt = now;
-    OverallUpdatedAt = now;
-    updateMean(OverallMean, serviceTime, MeanSampleDivisor);
-    updateMean(LongTermMean, serviceTime, LongTermSampleDivisor);
+    ClassMeans[it->second.WorkClass].update(serviceTime, MeanSampleDivisor,
+                                            now);
+    OverallMean.update(serviceTime, MeanSampleDivisor, now);
+    LongTermMean.update(serviceTime, LongTermSampleDivisor, now);
   }
   Running.erase(it);
 }
@@ -168,7 +181,7 @@
   const auto slots = std::max<std::int64_t>(1, Slots);
   const auto waiting = static_cast<std::int64_t>(Waiting.size());
   return std::max(MinRetryDelay, expectedServiceTime(workClass) +
-                                     OverallMean * waiting / slots);
+                                     meanServiceTime() * waiting / slots);
 }
 
 } // namespace acaciaroad::upstream
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -56,6 +56,12 @@
     ColdStartLimiter.setLimit(perSecond);
   }
 
+  /// Sets the mean service time on the other nodes of the service, 0 if
+  /// unknown. It stands in for the own mean until enough orders have been
+  /// measured: a node that is given busy keys may have seen only a few, short
+  /// ones.
+  void setTypicalServiceTime(core::Duration typical) { Typical = typical; }
+
   /// Announces that the node stops at \p end. Orders that can't end by then are
   /// refused.
   void setShutdownTime(core::TimePoint end) { ShutdownTime = end; }
@@ -90,10 +96,12 @@
   std::uint32_t slots() const { return Slots; }
   /// Returns the mean service time of all work classes; 0 before the first
   /// order.
-  core::Duration meanServiceTime() const { return OverallMean; }
+  core::Duration meanServiceTime() const { return withTypical(OverallMean); }
   /// Returns the mean service time over more orders, which short slowdowns
   /// affect less.
-  core::Duration longTermServiceTime() const { return LongTermMean; }
+  core::Duration longTermServiceTime() const {
+    return withTypical(LongTermMean);
+  }
 
 private:
   struct RunningOrder {
@@ -103,6 +111,11 @@
   struct ServiceTimeMean {
     core::Duration Value{};
     core::TimePoint UpdatedAt{};
+    /// Number of measured orders.
+    std::uint32_t Samples = 0;
+
+    /// \p divisor is the inverse weight of the sample.
+    void update(core::Duration sample, int divisor, core::TimePoint now);
   };
   struct QueuePosition {
     std::int32_t Rank = 0;
@@ -113,6 +126,9 @@
   };
 
   void start(const QueuedOrder &order, core::TimePoint now);
+  /// Returns the mean with the typical service time in place of the samples
+  /// that are missing.
+  core::Duration withTypical(const ServiceTimeMean &mean) const;
   core::Duration expectedServiceTime(std::string_view workClass) const;
   /// Resets the mean service time of the class if it is too old to refuse all
   /// orders of the class by it. Returns whether it was reset.
@@ -132,9 +148,9 @@
   std::map<Ticket, QueuedOrder> Orders;
   /// Mean service time of each work class.
   std::map<std::string, ServiceTimeMean, std::less<>> ClassMeans;
-  core::Duration OverallMean{};
-  core::TimePoint OverallUpdatedAt{};
-  core::Duration LongTermMean{};
+  ServiceTimeMean OverallMean;
+  ServiceTimeMean LongTermMean;
+  core::Duration Typical{};
 };
 
 } // namespace acaciaroad::upstream
--- a/Tests/Holdings/LoadMoveTest.cpp
+++ b/Tests/Holdings/LoadMoveTest.cpp
@@ -58,6 +58,24 @@
     {"no candidates", {1.3, 0.01}, {60, 70}, {}, {}},
 };
 
+struct HotRow {
+  const char *Name;
+  /// Utilization of the overloaded node, and the buckets that bring it.
+  double Utilization;
+  std::size_t Buckets;
+  std::size_t Candidates;
+  /// Utilization that the moves must not exceed on any target.
+  double MaxTarget;
+};
+
+// One hundred nodes at a third of their capacity.
+const HotRow HotRows[] = {
+    {"twice the capacity on 15 buckets", 2, 15, 100, 1},
+    {"14 times the capacity on 15 buckets", 14, 15, 100, 1.3},
+    {"14 times the capacity on 50 buckets", 14, 50, 100, 1},
+    {"few candidates", 14, 50, 5, 3},
+};
+
 struct SubtractRow {
   const char *Name;
   KeyRange Range;
@@ -115,6 +133,27 @@
   }
 }
 
+// Keys that become hot together are spread at once, not over several rounds.
+ACACIA_TABLE_TEST(LoadMove, SpreadsHotKeys, HotRows) {
+  constexpr double Cost = 0.056;
+  constexpr double Idle = 0.33;
+  KeyedLoad load{{row.Utilization, Cost}, {}, 4};
+  load.Rates.assign(row.Buckets,
+                    row.Utilization / Cost / static_cast<double>(row.Buckets));
+  const KeyRange own[] = {{0, static_cast<Key>(row.Buckets) * 4 - 1}};
+  std::vector<MoveCandidate> candidates;
+  for (std::size_t n = 0; n < row.Candidates; ++n)
+    candidates.push_back({std::to_string(n), {Idle, Cost}});
+  double left = row.Utilization;
+  for (const LoadMove &it : planLoadMoves(load, own, candidates)) {
+    cr_assert_leq(Idle + it.AddedUtilization, row.MaxTarget, "%s: %f", row.Name,
+                  Idle + it.AddedUtilization);
+    left -= it.AddedUtilization;
+  }
+  cr_assert_leq(left, std::max(1.0, row.Utilization / 2), "%s: %f left",
+                row.Name, left);
+}
+
 ACACIA_TABLE_TEST(KeyPlacement, Subtracts, SubtractRows) {
   cr_assert(subtract(row.Range, row.Taken) == row.Left, "%s", row.Name);
 }
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -241,6 +241,62 @@
   cr_assert(decision.Reason == core::ErrorKind::NoUpstream);
 }
 
+struct TypicalRow {
+  const char *Name;
+  /// Orders that the node has measured, and their service time.
+  int Measured;
+  core::Duration MeasuredTime;
+  /// On the other nodes.
+  core::Duration Typical;
+};
+
+const TypicalRow TypicalRows[] = {
+    {"no order measured", 0, {}, milliseconds(390)},
+    {"two short orders measured", 2, milliseconds(9), milliseconds(390)},
+    {"enough orders measured", 40, milliseconds(390), milliseconds(390)},
+    {"other nodes are faster", 40, milliseconds(390), milliseconds(40)},
+    {"nothing known of other nodes", 40, milliseconds(390), {}},
+};
+
+// A node that had little work is given keys that become hot, and all requests
+// that waited for them come at once. What it admits ends by its deadline.
+ACACIA_TABLE_TEST(OrderQueue, AdmitsWhatCanEndInTime, TypicalRows) {
+  constexpr core::Duration ServiceTime = milliseconds(390);
+  constexpr std::uint32_t Slots = 7;
+  OrderQueue queue;
+  queue.setSlots(Slots);
+  queue.setTypicalServiceTime(row.Typical);
+  TimePoint now{};
+  Ticket id = 0;
+  for (int n = 0; n < row.Measured; ++n) {
+    queue.offer({++id, "work", 0, now + seconds(2), now + seconds(2)}, now);
+    now += row.MeasuredTime;
+    queue.finished(id, true, now);
+  }
+  std::vector<std::pair<TimePoint, Ticket>> running;
+  for (int n = 0; n < 300; ++n) {
+    const auto decision = queue.offer(
+        {++id, "work", 0, now + seconds(2), now + milliseconds(1300)}, now);
+    if (decision.Status == AdmissionStatus::Start)
+      running.emplace_back(now + ServiceTime, id);
+  }
+  const TimePoint deadline = now + seconds(2);
+  int late = 0;
+  while (!running.empty()) {
+    now = running.front().first;
+    late += now > deadline ? 1 : 0;
+    queue.finished(running.front().second, true, now);
+    running.erase(running.begin());
+    for (const Dequeued &it : queue.advance(now)) {
+      if (it.Status == AdmissionStatus::Start)
+        running.emplace_back(now + ServiceTime, it.Id);
+      else
+        ++late;
+    }
+  }
+  cr_assert_eq(late, 0, "%s: %d", row.Name, late);
+}
+
 Test(OrderQueue, LimitsRateOfColdUpstream) {
   OrderQueue queue;
   queue.setSlots(100);
