Net: test that endless answers on all connections fit the smallest machine

Asked by the report of other operators: a faulty target sent bytes without end, in a head or a body, and the machine that had called it ran out of memory. One answer and all bodies together were bounded before; whether the process stays under the 160 MB of the smallest machine with such answers on all 100 connections of a node was not shown. It does, in each of seven rows (heads, no HTTP, bodies of three kinds, chunks of two sizes): no change of the code was needed. Open: the same for slow clients that take in large answers, which are not counted.

--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1,3 +1,4 @@
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -1565,6 +1566,60 @@
 
 namespace {
 
+/// Memory of the smallest machine, in bytes.
+constexpr std::uint64_t MachineBytes = 160U << 20U;
+
+/// Returns the most memory that this process has had resident, in bytes.
+std::uint64_t peakMemory() {
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  while (status >> word)
+    if (word == "VmHWM:") {
+      std::uint64_t kilobytes = 0;
+      status >> kilobytes;
+      return kilobytes << 10U;
+    }
+  return UINT64_MAX;
+}
+
+const ManyRow MachineRows[] = {
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+    {"a header field", "HTTP/1.1 200 OK\r\nX: ", "x"},
+    {"no HTTP", "", "x"},
+    {"bodies without a length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"bodies of a stated length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\n", "x"},
+    {"chunks", ChunkedHead, "400\r\n" + std::string(1024, 'x') + "\r\n"},
+    {"small chunks", ChunkedHead, "2\r\nok\r\n"},
+};
+
+} // namespace
+
+// With the bounds of a node, an upstream whose answers have no end on all of
+// its connections leaves room on the smallest machine.
+ACACIA_TABLE_TEST(HttpClient, FitsTheSmallestMachine, MachineRows) {
+  constexpr int Calls = 100;
+  boost::asio::io_context loop;
+  tests::EndlessServer endless(loop, row.Prefix, row.Piece);
+  ClientOptions options = makeOptions();
+  options.BodyBytes = 16U << 20U;
+  options.MostConnections = Calls;
+  options.Memory = AnswerMemory::create(32U << 20U);
+  const auto client =
+      HttpClient::create(loop, {"127.0.0.1", endless.port()}, options);
+  int ended = 0;
+  for (int n = 0; n < Calls; ++n)
+    client->send({http::verb::get, "/", 11},
+                 [&](const CallResult &) { ++ended; });
+  while (ended < Calls && loop.run_one_for(seconds(5)) > 0)
+    continue;
+  cr_assert_eq(ended, Calls, "%s: %d", row.Name, ended);
+  cr_assert_lt(peakMemory(), MachineBytes, "%s: %lu MB", row.Name,
+               static_cast<unsigned long>(peakMemory() >> 20U));
+}
+
+namespace {
+
 struct EndlessRequestRow {
   const char *Name;
   std::string Prefix;
