Proxy: waiting orders follow their keys

They leave the queue when the grant leaves their key out, wait for the handover, and are sent on to the new holder with the deadline that is left. An order whose key was released just before its turn isn't sent. Test: three of five rows of WaitingOrdersFollowTheirKeys failed before.

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -139,6 +139,7 @@
   const auto now = core::BootClock::now();
   applyColdRate(now);
   resolveHandovers(now);
+  readmitWaiting(now);
   advance();
 }
 
@@ -186,6 +187,9 @@
 upstream::Ticket UpstreamService::offer(Order order, OrderHandler handler) {
   const auto now = core::BootClock::now();
   const upstream::Ticket id = NextTicket++;
+  if (IsKeyed && order.Key &&
+      ownershipOf(*order.Key, now) != upstream::KeyOwnership::NotOwned)
+    Keys.recordRequest(*order.Key);
   Orders.emplace(id,
                  OrderRun{std::move(order), std::move(handler), {}, {}, {}});
   admit(id, now);
@@ -204,7 +208,6 @@
     refuse(id, ErrorKind::NoOwner);
     return;
   }
-  Keys.recordRequest(*order.Key);
   if (keyOwnership == upstream::KeyOwnership::Held)
     enqueue(id, now);
   else if (Draining ||
@@ -231,6 +234,23 @@
     refuse(id, decision.Reason);
 }
 
+bool UpstreamService::holdsKeyOf(const Order &order,
+                                 core::TimePoint now) const {
+  return !IsKeyed || !order.Key ||
+         ownershipOf(*order.Key, now) == upstream::KeyOwnership::Held;
+}
+
+void UpstreamService::readmitWaiting(core::TimePoint now) {
+  std::vector<upstream::Ticket> lost;
+  for (const auto &[id, it] : Orders)
+    if (!it.Call && !holdsKeyOf(it.Data, now))
+      lost.push_back(id);
+  std::sort(lost.begin(), lost.end());
+  for (const upstream::Ticket it : lost)
+    if (Queue.cancel(it))
+      admit(it, now);
+}
+
 void UpstreamService::resolveHandovers(core::TimePoint now) {
   if (Handovers.isEmpty())
     return;
@@ -402,11 +422,17 @@
 }
 
 void UpstreamService::advance() {
-  for (const upstream::Dequeued &it : Queue.advance(core::BootClock::now())) {
-    if (it.Status == upstream::AdmissionStatus::Start)
-      send(it.Id);
-    else
+  const auto now = core::BootClock::now();
+  for (const upstream::Dequeued &it : Queue.advance(now)) {
+    if (it.Status != upstream::AdmissionStatus::Start) {
       refuse(it.Id, it.Reason);
+    } else if (holdsKeyOf(Orders.at(it.Id).Data, now)) {
+      send(it.Id);
+    } else {
+      // The upstream would reject it.
+      Queue.finished(it.Id, false, now);
+      admit(it.Id, now);
+    }
   }
 }
 
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -130,6 +130,11 @@
   /// it.
   void admit(upstream::Ticket id, core::TimePoint now);
   void enqueue(upstream::Ticket id, core::TimePoint now);
+  /// Whether the upstream may run the order now: it holds its key, if any.
+  bool holdsKeyOf(const Order &order, core::TimePoint now) const;
+  /// Takes the waiting orders whose keys the upstream no longer holds out of
+  /// the queue, so that they follow their keys instead of waiting for a slot.
+  void readmitWaiting(core::TimePoint now);
   /// Enqueues or refuses orders whose handover has completed or timed out.
   void resolveHandovers(core::TimePoint now);
   std::span<const holdings::Holding> holdingsOfService() const;
--- /dev/null
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -0,0 +1,168 @@
+#include "Proxy/UpstreamService.h"
+
+#include <string>
+#include <vector>
+
+#include "Net/HttpServer.h"
+#include "Support/Table.h"
+
+using namespace acaciaroad;
+using namespace acaciaroad::proxy;
+using net::HttpFields;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr holdings::Key KeyOfOrders = 7;
+
+HeaderCodec makeHeaderCodec() {
+  HeaderCodec out;
+  out.ReadCaller = [](const HttpFields &fields) {
+    CallerFields caller;
+    caller.RequestId = net::fieldOf(fields, "id");
+    return caller;
+  };
+  out.WriteOrder = [](HttpFields &, const OrderFields &) {};
+  out.ReadAnswer = [](const HttpFields &fields) {
+    AnswerFields answer;
+    answer.RequestId = net::fieldOf(fields, "id");
+    answer.IsSigned = true;
+    return answer;
+  };
+  return out;
+}
+
+/// Who holds the key of all orders: the node's upstream by its latest grant,
+/// and a node by the log.
+struct Ownership {
+  bool IsGranted;
+  const char *Holder;
+};
+
+struct FollowRow {
+  const char *Name;
+  /// Views that are set one after the other while one order runs and two wait.
+  std::vector<Ownership> Views;
+  /// Orders that the upstream gets after its first one has ended.
+  int Sent;
+  /// Orders that are refused before that, with the holder to go to.
+  int Refused;
+};
+
+const FollowRow FollowRows[] = {
+    {"the key stays", {{true, "here"}}, 2, 0},
+    {"the key goes to another node", {{false, "there"}}, 0, 2},
+    {"the key is released first, then goes to another node",
+     {{false, "here"}, {false, "there"}},
+     0,
+     2},
+    {"the key is released and granted again",
+     {{false, "here"}, {true, "here"}},
+     2,
+     0},
+    {"the key is released", {{false, "here"}}, 0, 0},
+};
+
+/// A node with one slot whose upstream answers only when told.
+class Fixture {
+public:
+  Fixture() {
+    UpstreamServer = *net::HttpServer::create(
+        Loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+        [this](const auto &exchange) { Open.push_back(exchange); });
+    logging::LoggerOptions options;
+    options.Sink = [](std::string_view) {};
+    Upstream = std::make_unique<UpstreamService>(
+        Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
+        makeHeaderCodec(), *logging::Logger::create(std::move(options)),
+        Counters, UpstreamHooks{[] {}, [](const auto &) {}});
+  }
+
+  void setView(const Ownership &ownership) {
+    auto view = std::make_shared<TrafficView>();
+    const holdings::Holding row{{}, ownership.Holder, {"u", 1}, 1, {}};
+    view->Services["service"].Holdings = {row};
+    view->Own.Node = "here";
+    view->Own.Process = {"u", 1};
+    view->Own.IsOpen = true;
+    view->Own.Slots = 1;
+    view->Own.GrantedUntil = core::BootClock::now() + seconds(5);
+    if (ownership.IsGranted)
+      view->Own.Granted = {row};
+    Upstream->setView(std::move(view), &Service);
+  }
+
+  void offer(const std::string &id) {
+    Order order;
+    order.Request = {net::http::verb::get, "/", 11};
+    order.Request.set("id", id);
+    order.RequestId = id;
+    order.Deadline = core::BootClock::now() + seconds(3);
+    order.Target = order.Deadline;
+    order.ExpectedUpstream = "u";
+    order.Key = KeyOfOrders;
+    Upstream->offer(std::move(order), [this](OrderResult result) {
+      Results.push_back(std::move(result));
+    });
+  }
+
+  void run() {
+    Loop.restart();
+    Loop.run_for(milliseconds(200));
+  }
+
+  void answerAll() {
+    for (const auto &it : std::exchange(Open, {})) {
+      net::HttpResponse out(net::http::status::ok, 11);
+      out.set("id", it->request()["id"]);
+      it->respond(std::move(out));
+    }
+  }
+
+  boost::asio::io_context Loop;
+  TrafficCounters Counters;
+  routing::Service Service = [] {
+    routing::Service out;
+    out.Name = "service";
+    out.IsKeyed = true;
+    return out;
+  }();
+  std::unique_ptr<net::HttpServer> UpstreamServer;
+  std::vector<std::shared_ptr<net::Exchange>> Open;
+  std::unique_ptr<UpstreamService> Upstream;
+  std::vector<OrderResult> Results;
+};
+
+} // namespace
+
+// Keys move away from a node because many requests wait there. Those requests
+// go where the keys go; at the former holder they would wait for a slot and
+// then be rejected.
+ACACIA_TABLE_TEST(UpstreamService, WaitingOrdersFollowTheirKeys, FollowRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  for (const char *id : {"1", "2", "3"})
+    fixture.offer(id);
+  fixture.run();
+  cr_assert_eq(fixture.Open.size(), 1U, "%s", row.Name);
+  for (const Ownership &it : row.Views) {
+    fixture.setView(it);
+    fixture.run();
+  }
+  cr_assert_eq(fixture.Results.size(), static_cast<std::size_t>(row.Refused),
+               "%s: %zu", row.Name, fixture.Results.size());
+  for (const OrderResult &it : fixture.Results) {
+    cr_assert(it.Outcome.Outcome == requests::AttemptOutcome::RefusedNotRun);
+    cr_assert(it.Outcome.Reason == core::ErrorKind::NoOwner);
+    cr_assert_eq(it.Outcome.Holder, row.Views.back().Holder);
+    cr_assert_not(it.Outcome.ReachedUpstream);
+  }
+  int sent = 0;
+  for (int n = 0; n < 4; ++n) {
+    fixture.answerAll();
+    fixture.run();
+    sent += static_cast<int>(fixture.Open.size());
+  }
+  cr_assert_eq(sent, row.Sent, "%s: %d", row.Name, sent);
+}
