--- a/Source/Holdings/LeaseRenewal.h
+++ b/Source/Holdings/LeaseRenewal.h
@@ -41,8 +41,8 @@
   /// Called when the record is sent to the log.
   void sent(std::uint64_t sequence, core::TimePoint at);
 
-  /// Called when the log has acknowledged the record. It is not sent again, even
-  /// if it takes long until it is read back.
+  /// Called when the log has acknowledged the record. It is not sent again,
+  /// even if it takes long until it is read back.
   void acknowledged(std::uint64_t sequence) {
     IsAcknowledged = IsAcknowledged || isLast(sequence);
   }
