--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -73,7 +73,7 @@
     : Loop(loop), Options(std::move(options)), Codec(std::move(codec)),
       Logs(std::move(logs)), Log(std::move(logger)), Hooks(std::move(hooks)),
       Timer(loop), Readers(Options.Agent.Name, Options.Agent.DataCentre),
-      Renewals(core::BootClock::now()),
+      Renewals(Logs.Fleet, Log, core::BootClock::now()),
       Agent(Options.Agent, Options.Timing, core::BootClock::now()) {}
 
 core::Result<void> Control::start() {
@@ -414,7 +414,7 @@
           [this](StoreCallCause cause) { countStoreCall(cause); },
           [this](const feed::KeyedRecord &record,
                  holdings::RenewalBatch::DoneHook onDone) {
-            return acceptRenewal(record, std::move(onDone));
+            return Renewals.accept(record, std::move(onDone));
           }};
 }
 
@@ -532,7 +532,8 @@
   answerDeferredHeartbeats(now);
   sendReleaseNotice(now);
   appendPending(now);
-  appendRenewals(now);
+  if (Renewals.appendDue(Ledger, now))
+    countStoreCall(StoreCallCause::Renewal);
   reportStoreCalls(now);
   publish(now);
   Timer.expires_after(TickInterval);
@@ -627,52 +628,6 @@
   appendPending(now);
 }
 
-bool Control::acceptRenewal(const feed::KeyedRecord &record,
-                            holdings::RenewalBatch::DoneHook onDone) {
-  const codec::FleetKey key = codec::parseFleetKey(record.Key);
-  auto node = record.Value && key.What == codec::FleetKey::Kind::Node
-                  ? codec::decodeNode(*record.Value)
-                  : core::fail(core::ErrorKind::CorruptMessage,
-                               "not the record of a node");
-  if (!node || node->Name != key.Name) {
-    Log->write(logging::Level::Warning, "renewal_unreadable",
-               {{"key", record.Key},
-                {"detail", node ? "the name differs from the key"
-                                : node.error().Detail}});
-    return false;
-  }
-  return Renewals.add(
-      {std::move(*node), core::BootClock::now(), std::move(onDone)});
-}
-
-void Control::appendRenewals(core::TimePoint now) {
-  const auto due = Renewals.dueAt();
-  if (!due || now < *due)
-    return;
-  auto batch = std::make_shared<std::vector<holdings::RenewalBatch::Renewal>>(
-      Renewals.take(Ledger, now));
-  if (batch->empty())
-    return;
-  countStoreCall(StoreCallCause::Renewal);
-  std::vector<feed::KeyedRecord> records;
-  for (const auto &it : *batch)
-    records.push_back(
-        {codec::nodeKey(it.Record.Name), codec::encodeNode(it.Record)});
-  Logs.Fleet.Append(records, std::nullopt,
-                    [this, batch](const core::Result<core::Offset> &result) {
-                      if (!result)
-                        Log->write(logging::Level::Warning,
-                                   "renewals_not_appended",
-                                   {{"records", batch->size()},
-                                    {"detail", result.error().Detail}});
-                      std::optional<core::Duration> round;
-                      if (result)
-                        round = Renewals.untilNextRound(core::BootClock::now());
-                      for (const auto &it : *batch)
-                        it.OnDone(round);
-                    });
-}
-
 void Control::countStoreCall(StoreCallCause cause) {
   ++StoreCalls[static_cast<std::size_t>(cause)];
 }
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -20,12 +20,12 @@
 #include "Feed/RelaySelector.h"
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingAgent.h"
-#include "Holdings/RenewalBatch.h"
 #include "Logging/Logger.h"
 #include "Net/DatagramSocket.h"
 #include "Net/HttpServer.h"
 #include "Proxy/TrafficView.h"
 #include "Sidecar/LogRelay.h"
+#include "Sidecar/RenewalCollector.h"
 #include "Sidecar/SidecarTypes.h"
 #include "Sidecar/StoreCalls.h"
 
@@ -115,11 +115,6 @@
   /// nullopt, wasn't. \p round is the time until the next regular append.
   void onLeaseRenewed(std::uint64_t sequence,
                       std::optional<core::Duration> round);
-  /// Adds the renewal of another node to the next append. Returns false if the
-  /// record is invalid or there is no room.
-  bool acceptRenewal(const feed::KeyedRecord &record,
-                     holdings::RenewalBatch::DoneHook onDone);
-  void appendRenewals(core::TimePoint now);
   void countStoreCall(StoreCallCause cause);
   void reportStoreCalls(core::TimePoint now);
   feed::KeyedLog countSnapshots(const feed::KeyedLog &log);
@@ -144,7 +139,7 @@
   core::TimePoint HintsSentAt{};
   std::unique_ptr<LogRelay> Relay;
   feed::RelaySelector Readers;
-  holdings::RenewalBatch Renewals;
+  RenewalCollector Renewals;
   StoreCallCounts StoreCalls{};
   core::TimePoint StoreCallsReportedAt{};
   /// Host that announced new records; the next fleet read goes there.
