Holdings: ignore records of earlier incarnations; back off from refused proposals

Late records: a renewal that another node holds for up to a second may be appended after its node has restarted. The ledger then named the earlier incarnation again, and a notice of released keys from before the restart, up to a second old, counted once more: the keys were reassigned while the later incarnation granted them. The ledger remembers former incarnations and ignores them.

Proposals: a node whose proposal was refused read the log and proposed again at once. When a coordinator is lost, all nodes with released keys do so. After the second refusal they now wait 20 to 640 ms, each its own time. Test: 'always refused' had over 400 proposals in five seconds, now at most 22.

--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -1,18 +1,40 @@
 #include "Holdings/FleetLedger.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Holdings/KeyPlacement.h"
 
 namespace acaciaroad::holdings {
 
+namespace {
+
+/// Records are delayed by seconds at most, in which a node restarts a few
+/// times.
+constexpr std::size_t MaxFormerIncarnations = 8;
+
+} // namespace
+
 void FleetLedger::applyNode(const NodeRecord &record, core::TimePoint readAt) {
-  const Member *known = findMember(record.Name);
-  const bool isOld = known != nullptr &&
-                     known->Record.Incarnation == record.Incarnation &&
-                     known->Record.Sequence > record.Sequence;
-  if (!isOld)
-    Members[record.Name] = {record, readAt};
+  const auto [it, isNew] = Members.try_emplace(record.Name);
+  Member &member = it->second;
+  if (!isNew) {
+    const NodeRecord &known = member.Record;
+    auto &former = member.FormerIncarnations;
+    if (known.Incarnation == record.Incarnation) {
+      if (known.Sequence > record.Sequence)
+        return;
+    } else {
+      if (std::find(former.begin(), former.end(), record.Incarnation) !=
+          former.end())
+        return;
+      former.push_back(known.Incarnation);
+      if (former.size() > MaxFormerIncarnations)
+        former.pop_front();
+    }
+  }
+  member.Record = record;
+  member.ReadAt = readAt;
 }
 
 void FleetLedger::removeNode(std::string_view name) {
--- a/Source/Holdings/FleetLedger.h
+++ b/Source/Holdings/FleetLedger.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_HOLDINGS_FLEETLEDGER_H
 #define ACACIAROAD_HOLDINGS_FLEETLEDGER_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -31,6 +32,8 @@
 struct Member {
   NodeRecord Record;
   core::TimePoint ReadAt{};
+  /// Earlier incarnations of the node, the latest ones.
+  std::deque<std::uint64_t> FormerIncarnations;
   bool isLapsed(core::TimePoint now) const {
     return now - ReadAt > NodeLapseTimeout;
   }
@@ -41,8 +44,10 @@
 /// record in the log is valid.
 class FleetLedger {
 public:
-  /// Ignores a record that is older than the known one of the same incarnation:
-  /// an append may be delayed past a later one.
+  /// Ignores a record that is older than the known one of the same incarnation,
+  /// and one of an earlier incarnation: an append may be delayed past a later
+  /// one. If such a record counted, released keys that the earlier incarnation
+  /// told of could be reassigned while the later one grants them.
   void applyNode(const NodeRecord &record, core::TimePoint readAt);
   void removeNode(std::string_view name);
   void applyHoldings(std::string_view service, HoldingPart part);
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -63,6 +63,16 @@
 /// are conditional on the end of the log, so at most one of them is appended.
 constexpr core::Duration PendingTimeout = milliseconds(1500);
 
+/// Proposals that are repeated at once after a refusal. The lease renewal of
+/// another node may refuse the first one by chance.
+constexpr int ImmediateProposals = 1;
+
+/// Longest wait after the next refusal. Covers a proposal of another node.
+constexpr core::Duration InitialProposalBackoff = milliseconds(40);
+
+/// Limits the wait to 640 ms.
+constexpr int MaxBackoffDoublings = 4;
+
 /// Interval between planned moves of one node, in which the effect of a move
 /// becomes visible.
 constexpr core::Duration MoveInterval = std::chrono::seconds(1);
@@ -373,7 +383,8 @@
 std::optional<HoldingChange>
 HoldingAgent::planChange(const FleetLedger &ledger, core::TimePoint now) const {
   const bool isPending = Pending && now - Pending->Since <= PendingTimeout;
-  if (isPending || Draining || now >= Lease.authorityUntil())
+  if (isPending || Draining || now >= Lease.authorityUntil() ||
+      now < NextProposal)
     return std::nullopt;
   if (auto out = planProcessRestart(ledger))
     return out;
@@ -542,12 +553,28 @@
     return;
   if (outcome == ChangeOutcome::Refused) {
     Pending.reset();
+    ++Refusals;
+    NextProposal = now + proposalBackoff();
     return;
   }
+  Refusals = 0;
   Pending->Since = now;
   NextBatch = now + BatchInterval;
 }
 
+core::Duration HoldingAgent::proposalBackoff() const {
+  if (Refusals <= ImmediateProposals)
+    return {};
+  const int doublings =
+      std::min(Refusals - ImmediateProposals - 1, MaxBackoffDoublings);
+  const core::Duration longest = InitialProposalBackoff * (1 << doublings);
+  // Nodes that collided must not propose at the same time again.
+  const auto jitter = static_cast<core::Duration::rep>(
+      core::hashOf(Identity.Name, static_cast<std::uint64_t>(Refusals)) %
+      static_cast<std::uint64_t>(longest.count()));
+  return longest / 2 + core::Duration(jitter) / 2;
+}
+
 core::Duration HoldingAgent::answerDelay(const FleetLedger &ledger) const {
   if (!HasHeartbeat || State != UpstreamState::Ready || !Release.isIdle())
     return {};
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -159,7 +159,9 @@
   bool hasChangeToPropose(const FleetLedger &ledger, core::TimePoint now) const;
 
   /// Returns a change to append now. There are no further ones until the log
-  /// has moved on, the append was refused, or a timeout has passed.
+  /// has moved on, the append was refused, or a timeout has passed. After a few
+  /// refusals, proposals back off: many nodes propose at once if their
+  /// coordinator is lost.
   std::optional<HoldingChange> nextChange(const FleetLedger &ledger,
                                           core::TimePoint now);
   void changeCompleted(ChangeOutcome outcome, core::TimePoint now);
@@ -208,6 +210,7 @@
   std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
                                            core::TimePoint now) const;
   NodeRecord describe() const;
+  core::Duration proposalBackoff() const;
 
   /// A change that was proposed and whose outcome isn't read yet.
   struct PendingChange {
@@ -245,6 +248,10 @@
   /// The upstream may hold keys until its last grant ends, at this time.
   core::TimePoint HeldUntil{};
   std::optional<PendingChange> Pending;
+  /// Changes refused since the last one that was appended.
+  int Refusals = 0;
+  /// No change is proposed until then.
+  core::TimePoint NextProposal{};
   /// Set while `reassignableKeys` isn't empty.
   std::optional<core::TimePoint> ReassignableSince;
   core::TimePoint LastNoticeAt{};
--- a/Tests/Holdings/FleetLedgerTest.cpp
+++ b/Tests/Holdings/FleetLedgerTest.cpp
@@ -50,11 +50,12 @@
   bool IsApplied;
 };
 
-// After sequence 5 of incarnation 1.
+// After incarnation 3 and then sequence 5 of incarnation 1.
 const OrderRow OrderRows[] = {
     {"the next record", 1, 6, true},
     {"an older record", 1, 4, false},
     {"the first record of another incarnation", 2, 1, true},
+    {"a later record of the former incarnation", 3, 9, false},
 };
 
 struct OrphanRow {
@@ -117,6 +118,9 @@
   FleetLedger ledger;
   NodeRecord record;
   record.Name = "node";
+  record.Incarnation = 3;
+  record.Sequence = 8;
+  ledger.applyNode(record, TimePoint() + seconds(9));
   record.Incarnation = 1;
   record.Sequence = 5;
   record.State = UpstreamState::Leaving;
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -73,6 +73,19 @@
     {"refused and misses heartbeats", "bssr", UpstreamState::Absent},
 };
 
+struct BackoffRow {
+  const char *Name;
+  /// Number of proposals that the log refuses, before it accepts one.
+  int Refusals;
+  /// Within five seconds.
+  std::size_t MaxProposals;
+};
+
+const BackoffRow BackoffRows[] = {
+    {"refused once", 1, 2},
+    {"always refused", 10'000, 22},
+};
+
 /// A notice from "node" to the coordinator "a" about keys 0 to 999, which the
 /// log assigns to "node" under token 7.
 struct NoticeRow {
@@ -325,6 +338,44 @@
   }
 }
 
+// Many nodes propose at once if their coordinator is lost. Those that the log
+// refuses back off, not in step with each other.
+ACACIA_TABLE_TEST(HoldingAgent, BacksOffFromRefusedProposals, BackoffRows) {
+  std::vector<std::vector<core::Duration>> gaps;
+  for (const std::string name : {"a", "b", "c"}) {
+    FleetLedger ledger = makeLedger();
+    HoldingAgent agent = makeReady(name, ledger);
+    ledger.removeNode("node"); // Its keys need a new holder.
+    std::vector<TimePoint> proposals;
+    const TimePoint end = Start + seconds(5);
+    for (TimePoint now = Start; now < end; now += milliseconds(5)) {
+      for (const char *it : {"a", "b", "c"}) {
+        const NodeRecord record = ledger.findMember(it)->Record;
+        ledger.applyNode(record, now);
+      }
+      agent.ledgerChanged(ledger, now);
+      if (!agent.nextChange(ledger, now))
+        continue;
+      proposals.push_back(now);
+      const bool isRefused = static_cast<int>(proposals.size()) <= row.Refusals;
+      agent.changeCompleted(
+          isRefused ? ChangeOutcome::Refused : ChangeOutcome::Appended, now);
+      if (!isRefused)
+        break;
+    }
+    cr_assert_gt(proposals.size(), 1U, "%s", row.Name);
+    cr_assert_leq(proposals.size(), row.MaxProposals, "%s: %zu", row.Name,
+                  proposals.size());
+    cr_assert_leq((proposals[1] - proposals[0]).count(),
+                  core::Duration(milliseconds(10)).count(), "%s", row.Name);
+    gaps.emplace_back();
+    for (std::size_t n = 1; n < proposals.size(); ++n)
+      gaps.back().push_back(proposals[n] - proposals[n - 1]);
+  }
+  cr_assert(row.Refusals == 1 || (gaps[0] != gaps[1] && gaps[1] != gaps[2]),
+            "%s", row.Name);
+}
+
 // A restarted node of the same name grants the same keys under the same token,
 // as long as the upstream process that holds them is still running.
 Test(HoldingAgent, ResumesAfterARestart) {
