--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -21,7 +21,7 @@
 
 /// Chooses \p hosts one after the other, the next one when one has failed, and
 /// then the log itself. Sets \p cause when the log itself is read.
-RelayHooks makeHooks(std::vector<std::string> hosts,
+RelayHooks makeHooks(const std::vector<std::string> &hosts,
                      std::optional<StoreCallCause> &cause) {
   RelayHooks out;
   const auto left = std::make_shared<std::vector<std::string>>(hosts);
