Holdings: withhold what a restarted node gave up before its first heartbeat

Cause: a node that was restarted, and then paused until the grants of its former incarnation had ended, took its upstream for gone and told the coordinator that its keys were free. It withheld them only if they were its own, and before the first heartbeat owns() compares with a process that isn't known, so it withheld nothing; the first heartbeat cleared what was withheld besides. The heartbeat came 170 ms after the notice, the node granted the keys again, and 460 ms later the coordinator gave them to another node: two holders.

Ruled out: the late records of former incarnations (node-4 has one incarnation from 30,490 ms on).

Test: HoldingAgent KeepsWhatItGaveUpFromALateHeartbeat; the two rows of a restarted node failed before.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -122,7 +122,9 @@
   if (!isSameProcess) {
     Process = heartbeat.Process;
     GrantedRows.clear();
-    Release.clear();
+    // What was given up before the first heartbeat stays withheld.
+    if (HasHeartbeat)
+      Release.clear();
     IsProcessLeaving =
         Process.Id == LeftUpstreamId && now - LeftAt < LeavingRetention;
     // The previous process has ended and holds no keys. The new one doesn't
@@ -167,7 +169,8 @@
 }
 
 bool HoldingAgent::owns(const Holding &row) const {
-  return row.Node == Identity.Name && row.Process == Process;
+  // Before the first heartbeat, the upstream may be the process in the log.
+  return row.Node == Identity.Name && (row.Process == Process || !HasHeartbeat);
 }
 
 std::vector<Holding>
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -86,6 +86,25 @@
     {"always refused", 10'000, 22},
 };
 
+struct GoneRow {
+  const char *Name;
+  /// Whether the upstream sent a heartbeat before it fell silent. If not, the
+  /// node has just been restarted.
+  bool IsKnown;
+  /// Whether the node proposes new holders itself, as its coordinator doesn't.
+  bool Proposes;
+  /// Start time of the process that sends a heartbeat afterwards.
+  std::int64_t Born;
+};
+
+const GoneRow GoneRows[] = {
+    {"known upstream, notice", true, false, 1},
+    {"known upstream, proposal", true, true, 1},
+    {"restarted node, notice", false, false, 1},
+    {"restarted node, proposal", false, true, 1},
+    {"restarted node and upstream, notice", false, false, 2},
+};
+
 /// A notice from "node" to the coordinator "a" about keys 0 to 999, which the
 /// log assigns to "node" under token 7.
 struct NoticeRow {
@@ -192,6 +211,41 @@
   cr_assert(agent.nextChange(ledger, now).has_value());
 }
 
+// A node gives up the keys of an upstream that is silent. Others may have them
+// from then on, so a heartbeat that comes late doesn't get them back.
+ACACIA_TABLE_TEST(HoldingAgent, KeepsWhatItGaveUpFromALateHeartbeat, GoneRows) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent({"node", "dc", "service", {"127.0.0.1", 1}, 1},
+                     {HeartbeatInterval, seconds(10)}, Start);
+  if (row.IsKnown)
+    agent.acceptHeartbeat(makeHeartbeat("u-node", 1, 1), Start);
+  const auto renew = [&](TimePoint now) {
+    if (const auto record = agent.nextRecord(ledger, false, now)) {
+      agent.recordSent(record->Sequence, now);
+      ledger.applyNode(*record, now);
+    }
+    agent.ledgerChanged(ledger, now);
+  };
+  TimePoint now = Start;
+  renew(now);
+  now += seconds(4);
+  renew(now);
+  const auto notice = agent.nextNotice(ledger, now);
+  cr_assert(notice.has_value(), "%s", row.Name);
+  cr_assert_eq(notice->Notice.Keys.size(), 1U, "%s", row.Name);
+  if (row.Proposes) {
+    now += seconds(1);
+    cr_assert(agent.nextChange(ledger, now).has_value(), "%s", row.Name);
+    agent.changeCompleted(ChangeOutcome::Unknown, now);
+  }
+  now += milliseconds(10);
+  cr_assert(agent.acceptHeartbeat(makeHeartbeat("u-node", row.Born, 2), now));
+  renew(now);
+  const auto grant = agent.grant(ledger, now);
+  cr_assert(grant.has_value(), "%s", row.Name);
+  cr_assert(grant->Rows.empty(), "%s: granted again", row.Name);
+}
+
 // Released keys that a new record assigns to the same holder are granted again.
 Test(HoldingAgent, GrantsReturnedKeysAgain) {
   FleetLedger ledger = makeLedger();
