Core: one Backoff, also for refused proposals of holdings

HoldingAgent had its own exponential back-off with jitter; platform::Backoff was there. It moves to Core, where decisions may use it, and the proposals call it: pauses from 40 ms to 640 ms, drawn from the upper half, as before. The draws differ, the bounds don't. KeyedFeed's pauses double without jitter and stay.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -63,15 +63,10 @@
 /// are conditional on the end of the log, so at most one of them is appended.
 constexpr core::Duration PendingTimeout = milliseconds(1500);
 
-/// Proposals that are repeated at once after a refusal. The lease renewal of
-/// another node may refuse the first one by chance.
-constexpr int ImmediateProposals = 1;
-
-/// Longest wait after the next refusal. Covers a proposal of another node.
-constexpr core::Duration InitialProposalBackoff = milliseconds(40);
-
-/// Limits the wait to 640 ms.
-constexpr int MaxBackoffDoublings = 4;
+/// Bounds of the pause after a refused proposal. The shortest one covers a
+/// proposal of another node.
+constexpr core::Duration ShortestProposalPause = milliseconds(40);
+constexpr core::Duration LongestProposalPause = milliseconds(640);
 
 /// Interval between planned moves of one node, in which the effect of a move
 /// becomes visible.
@@ -100,7 +95,9 @@
 
 HoldingAgent::HoldingAgent(AgentIdentity identity, AgentTiming timing,
                            core::TimePoint started)
-    : Identity(std::move(identity)), Timing(timing) {
+    : Identity(std::move(identity)), Timing(timing),
+      ProposalPauses(ShortestProposalPause, LongestProposalPause,
+                     core::hashOf(Identity.Name)) {
   // The previous incarnation of the node may have granted keys just before it
   // ended.
   HeldUntil = started + withDrift(grantLength());
@@ -556,28 +553,18 @@
     return;
   if (outcome == ChangeOutcome::Refused) {
     Pending.reset();
-    ++Refusals;
-    NextProposal = now + proposalBackoff();
+    // The first one is repeated at once: the lease renewal of another node may
+    // have refused it by chance.
+    if (std::exchange(WasRefused, true))
+      NextProposal = now + ProposalPauses.next();
     return;
   }
-  Refusals = 0;
+  WasRefused = false;
+  ProposalPauses.reset();
   Pending->Since = now;
   NextBatch = now + BatchInterval;
 }
 
-core::Duration HoldingAgent::proposalBackoff() const {
-  if (Refusals <= ImmediateProposals)
-    return {};
-  const int doublings =
-      std::min(Refusals - ImmediateProposals - 1, MaxBackoffDoublings);
-  const core::Duration longest = InitialProposalBackoff * (1 << doublings);
-  // Nodes that collided must not propose at the same time again.
-  const auto jitter = static_cast<core::Duration::rep>(
-      core::hashOf(Identity.Name, static_cast<std::uint64_t>(Refusals)) %
-      static_cast<std::uint64_t>(longest.count()));
-  return longest / 2 + core::Duration(jitter) / 2;
-}
-
 core::Duration HoldingAgent::answerDelay(const FleetLedger &ledger) const {
   if (!HasHeartbeat || State != UpstreamState::Ready || !Release.isIdle())
     return {};
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "Core/Backoff.h"
 #include "Core/Clock.h"
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingTypes.h"
@@ -210,7 +211,6 @@
   std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
                                            core::TimePoint now) const;
   NodeRecord describe() const;
-  core::Duration proposalBackoff() const;
 
   /// A change that was proposed and whose outcome isn't read yet.
   struct PendingChange {
@@ -248,8 +248,9 @@
   /// The upstream may hold keys until its last grant ends, at this time.
   core::TimePoint HeldUntil{};
   std::optional<PendingChange> Pending;
-  /// Changes refused since the last one that was appended.
-  int Refusals = 0;
+  /// The last change was refused.
+  bool WasRefused = false;
+  core::Backoff ProposalPauses;
   /// No change is proposed until then.
   core::TimePoint NextProposal{};
   /// Set while `reassignableKeys` isn't empty.
--- a/Source/Platform/LogFollower.h
+++ b/Source/Platform/LogFollower.h
@@ -12,7 +12,6 @@
 #include <string>
 #include <thread>
 
-#include "Platform/Backoff.h"
 #include "Platform/LogClient.h"
 
 namespace acaciaroad::platform {
@@ -64,7 +63,7 @@
   const LogFollowerOptions Options;
   // The state below belongs to the thread.
   core::Offset Next;
-  Backoff Pauses;
+  core::Backoff Pauses;
   enum class Reachability : std::uint8_t { Unknown, Yes, No };
   Reachability LogState = Reachability::Unknown;
   std::mutex Mutex;
