--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -126,6 +126,18 @@
   return out;
 }
 
+core::Result<holdings::NodeRecord> decodeNode(std::string_view value,
+                                              std::string_view name) {
+  auto out = decodeNode(value);
+  if (out && out->Name != name)
+    return corrupt("the node name in the record differs from its key");
+  return out;
+}
+
+feed::KeyedRecord toLogRecord(const holdings::NodeRecord &record) {
+  return {nodeKey(record.Name), encodeNode(record)};
+}
+
 std::string encodeHoldings(std::span<const holdings::Holding> rows) {
   pb::FleetHoldings out;
   for (const holdings::Holding &it : rows)
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -41,6 +41,11 @@
 std::string encodeNode(const holdings::NodeRecord &record);
 /// Fails with CorruptMessage.
 core::Result<holdings::NodeRecord> decodeNode(std::string_view value);
+/// Fails with CorruptMessage, also for the record of another node than \p name.
+core::Result<holdings::NodeRecord> decodeNode(std::string_view value,
+                                              std::string_view name);
+/// Returns the record of the fleet's log that holds \p record.
+feed::KeyedRecord toLogRecord(const holdings::NodeRecord &record);
 
 std::string encodeHoldings(std::span<const holdings::Holding> rows);
 /// Fails with CorruptMessage, also for rows that overlap, are out of order, lie
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -94,11 +94,11 @@
     return tl::unexpected(relay.error());
   Relay = std::move(*relay);
   Operators = std::make_unique<feed::KeyedFeed>(
-      Loop, Relay->wrap(RelayedLog::Operators, countSnapshots(Logs.Operators)),
+      Loop, Relay->wrap(RelayedLog::Operators, Logs.Operators),
       OperatorPollTiming, operatorHooks());
   Fleet = std::make_unique<feed::KeyedFeed>(
-      Loop, Relay->wrap(RelayedLog::Fleet, countSnapshots(Logs.Fleet)),
-      FleetPollTiming, fleetHooks());
+      Loop, Relay->wrap(RelayedLog::Fleet, Logs.Fleet), FleetPollTiming,
+      fleetHooks());
   Operators->start();
   Fleet->start();
   tick();
@@ -263,11 +263,9 @@
   case codec::FleetKey::Kind::Node:
     if (!record.Value)
       Ledger.removeNode(key.Name);
-    else if (const auto node = codec::decodeNode(*record.Value); !node)
+    else if (const auto node = codec::decodeNode(*record.Value, key.Name);
+             !node)
       logRecordError(node.error());
-    else if (node->Name != key.Name)
-      logRecordError({core::ErrorKind::CorruptMessage,
-                      "the node name in the record differs from its key"});
     else
       Ledger.applyNode(*node, now);
     return;
@@ -425,12 +423,12 @@
       Agent.hasChangeToPropose(Ledger, now))
     return {{}, StoreCallCause::ProposalRead};
   if (log == RelayedLog::Fleet)
-    if (auto hintSenderHost = std::exchange(HintSenderHost, std::nullopt))
-      return {*std::move(hintSenderHost)};
+    if (const auto hintSenderHost = std::exchange(HintSenderHost, std::nullopt))
+      return {*hintSenderHost};
   if (Readers.isReader())
     return {{}, StoreCallCause::Poll};
-  if (auto host = Readers.select(now))
-    return {*std::move(host)};
+  if (const auto host = Readers.select(now))
+    return {*host};
   return {{}, StoreCallCause::NoRelay};
 }
 
@@ -575,26 +573,30 @@
   const bool isStateChange = known == nullptr ||
                              known->Record.State != record.State ||
                              known->Record.IsStopping != record.IsStopping;
-  const feed::KeyedRecord records[] = {
-      {codec::nodeKey(record.Name), codec::encodeNode(record)}};
+  const feed::KeyedRecord records[] = {codec::toLogRecord(record)};
   Logs.Fleet.Append(records, std::nullopt,
                     [this, isStateChange, sequence = record.Sequence](
                         const core::Result<core::Offset> &result) {
-                      IsAppending = false;
-                      if (result)
-                        Agent.recordAcknowledged(sequence);
-                      if (!result)
-                        Log->write(logging::Level::Warning,
-                                   "record_not_appended",
-                                   {{"detail", result.error().Detail}});
-                      else if (isStateChange) {
-                        HasUnannouncedChange = true;
-                        Fleet->readNow();
-                      }
-                      appendPending(core::BootClock::now());
+                      onNodeRecordAppended(sequence, isStateChange, result);
                     });
 }
 
+void Control::onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
+                                   const core::Result<core::Offset> &result) {
+  IsAppending = false;
+  if (!result) {
+    Log->write(logging::Level::Warning, "record_not_appended",
+               {{"detail", result.error().Detail}});
+  } else {
+    Agent.recordAcknowledged(sequence);
+    if (isStateChange) {
+      HasUnannouncedChange = true;
+      Fleet->readNow();
+    }
+  }
+  appendPending(core::BootClock::now());
+}
+
 void Control::renewLease(const holdings::NodeRecord &record) {
   const auto now = core::BootClock::now();
   const auto host = Readers.select(now);
@@ -608,9 +610,7 @@
     onLeaseRenewed(sequence, round);
   };
   if (host)
-    Relay->sendRenewal(*host,
-                       {codec::nodeKey(record.Name), codec::encodeNode(record)},
-                       std::move(onDone));
+    Relay->sendRenewal(*host, codec::toLogRecord(record), std::move(onDone));
   else if (!Renewals.add({record, now, onDone}))
     onDone(std::nullopt);
 }
@@ -632,16 +632,6 @@
   ++StoreCalls[static_cast<std::size_t>(cause)];
 }
 
-feed::KeyedLog Control::countSnapshots(const feed::KeyedLog &log) {
-  feed::KeyedLog out = log;
-  out.ReadNewest = [this, read = log.ReadNewest](std::string_view after,
-                                                 feed::PageHandler handler) {
-    countStoreCall(StoreCallCause::Snapshot);
-    read(after, std::move(handler));
-  };
-  return out;
-}
-
 void Control::reportStoreCalls(core::TimePoint now) {
   if (now - StoreCallsReportedAt < StoreCallInterval)
     return;
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -109,6 +109,8 @@
   void tick();
   void appendPending(core::TimePoint now);
   void appendNodeRecord(const holdings::NodeRecord &record);
+  void onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
+                            const core::Result<core::Offset> &result);
   /// Renews the lease through a reader, or directly if none is known.
   void renewLease(const holdings::NodeRecord &record);
   /// Continues after the renewal \p sequence was appended or, if \p round is
@@ -117,7 +119,6 @@
                       std::optional<core::Duration> round);
   void countStoreCall(StoreCallCause cause);
   void reportStoreCalls(core::TimePoint now);
-  feed::KeyedLog countSnapshots(const feed::KeyedLog &log);
   void appendHoldingChange(const holdings::HoldingChange &change);
   void onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                         core::TimePoint sent,
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -123,6 +123,11 @@
 
 feed::KeyedLog LogRelay::wrap(RelayedLog name, const feed::KeyedLog &log) {
   feed::KeyedLog out = log;
+  out.ReadNewest = [this, read = log.ReadNewest](std::string_view after,
+                                                 feed::PageHandler handler) {
+    Hooks.OnStoreRead(StoreCallCause::Snapshot);
+    read(after, std::move(handler));
+  };
   out.ReadFrom = [this, name,
                   direct = log.ReadFrom](core::Offset from, core::Duration wait,
                                          feed::TailHandler handler) {
--- a/Source/Sidecar/LogRelay.h
+++ b/Source/Sidecar/LogRelay.h
@@ -56,7 +56,8 @@
   create(boost::asio::io_context &loop, const core::Endpoint &listen,
          RelayHooks hooks);
 
-  /// Returns \p log with tail reads sent to a relay whenever one is chosen.
+  /// Returns \p log with tail reads sent to a relay whenever one is chosen, and
+  /// other reads reported as reads of the log itself.
   feed::KeyedLog wrap(RelayedLog name, const feed::KeyedLog &log);
 
   /// Asks \p host to append a node's \p record together with others.
--- a/Source/Sidecar/RenewalCollector.cpp
+++ b/Source/Sidecar/RenewalCollector.cpp
@@ -16,14 +16,12 @@
                               holdings::RenewalBatch::DoneHook onDone) {
   const codec::FleetKey key = codec::parseFleetKey(record.Key);
   auto node = record.Value && key.What == codec::FleetKey::Kind::Node
-                  ? codec::decodeNode(*record.Value)
+                  ? codec::decodeNode(*record.Value, key.Name)
                   : core::fail(core::ErrorKind::CorruptMessage,
                                "not the record of a node");
-  if (!node || node->Name != key.Name) {
+  if (!node) {
     Log->write(logging::Level::Warning, "renewal_unreadable",
-               {{"key", record.Key},
-                {"detail", node ? "the name differs from the key"
-                                : node.error().Detail}});
+               {{"key", record.Key}, {"detail", node.error().Detail}});
     return false;
   }
   return Batch.add(
@@ -43,8 +41,7 @@
   std::vector<feed::KeyedRecord> records;
   records.reserve(renewals->size());
   for (const auto &it : *renewals)
-    records.push_back(
-        {codec::nodeKey(it.Record.Name), codec::encodeNode(it.Record)});
+    records.push_back(codec::toLogRecord(it.Record));
   Fleet.Append(records, std::nullopt,
                [this, renewals](const core::Result<core::Offset> &result) {
                  if (!result)
