Proxy: look up who has an order's key once

Each order was looked up twice on its way in, in offer() for the rate of its key and in admit(). The ownership is found once and passed on; it also replaces holdsKeyOf().

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -170,6 +171,12 @@
              : upstream::KeyOwnership::NotOwned;
 }
 
+upstream::KeyOwnership UpstreamService::ownershipOf(const Order &order,
+                                                    core::TimePoint now) const {
+  return IsKeyed && order.Key ? ownershipOf(*order.Key, now)
+                              : upstream::KeyOwnership::Held;
+}
+
 std::optional<ErrorKind>
 UpstreamService::refusalReason(const Order &order) const {
   const OwnUpstream &own = View->Own;
@@ -187,32 +194,29 @@
 upstream::Ticket UpstreamService::offer(Order order, OrderHandler handler) {
   const auto now = core::BootClock::now();
   const upstream::Ticket id = NextTicket++;
-  if (IsKeyed && order.Key &&
-      ownershipOf(*order.Key, now) != upstream::KeyOwnership::NotOwned)
+  const auto ownership = ownershipOf(order, now);
+  if (IsKeyed && order.Key && ownership != upstream::KeyOwnership::NotOwned)
     Keys.recordRequest(*order.Key);
   Orders.emplace(id,
                  OrderRun{std::move(order), std::move(handler), {}, {}, {}});
-  admit(id, now);
+  admit(id, ownership, now);
   scheduleTick();
   return id;
 }
 
-void UpstreamService::admit(upstream::Ticket id, core::TimePoint now) {
-  const Order &order = Orders.at(id).Data;
-  if (!IsKeyed || !order.Key) {
+void UpstreamService::admit(upstream::Ticket id,
+                            upstream::KeyOwnership ownership,
+                            core::TimePoint now) {
+  if (ownership == upstream::KeyOwnership::Held) {
     enqueue(id, now);
     return;
   }
-  const upstream::KeyOwnership keyOwnership = ownershipOf(*order.Key, now);
-  if (keyOwnership == upstream::KeyOwnership::NotOwned) {
-    refuse(id, ErrorKind::NoOwner);
-    return;
-  }
-  if (keyOwnership == upstream::KeyOwnership::Held)
-    enqueue(id, now);
-  else if (Draining ||
-           !Handovers.add(id, *order.Key,
-                          order.Target - Queue.meanServiceTime(), now))
+  const Order &order = Orders.at(id).Data;
+  const bool isWaiting =
+      ownership == upstream::KeyOwnership::InHandover && !Draining &&
+      Handovers.add(id, *order.Key, order.Target - Queue.meanServiceTime(),
+                    now);
+  if (!isWaiting)
     refuse(id, ErrorKind::NoOwner);
 }
 
@@ -234,21 +238,18 @@
     refuse(id, decision.Reason);
 }
 
-bool UpstreamService::holdsKeyOf(const Order &order,
-                                 core::TimePoint now) const {
-  return !IsKeyed || !order.Key ||
-         ownershipOf(*order.Key, now) == upstream::KeyOwnership::Held;
-}
-
 void UpstreamService::readmitWaiting(core::TimePoint now) {
-  std::vector<upstream::Ticket> lost;
-  for (const auto &[id, it] : Orders)
-    if (!it.Call && !holdsKeyOf(it.Data, now))
-      lost.push_back(id);
-  std::sort(lost.begin(), lost.end());
-  for (const upstream::Ticket it : lost)
-    if (Queue.cancel(it))
-      admit(it, now);
+  std::map<upstream::Ticket, upstream::KeyOwnership> lost;
+  for (const auto &[id, it] : Orders) {
+    if (it.Call)
+      continue;
+    const auto ownership = ownershipOf(it.Data, now);
+    if (ownership != upstream::KeyOwnership::Held)
+      lost.emplace(id, ownership);
+  }
+  for (const auto &[id, ownership] : lost)
+    if (Queue.cancel(id))
+      admit(id, ownership, now);
 }
 
 void UpstreamService::resolveHandovers(core::TimePoint now) {
@@ -426,13 +427,16 @@
   for (const upstream::Dequeued &it : Queue.advance(now)) {
     if (it.Status != upstream::AdmissionStatus::Start) {
       refuse(it.Id, it.Reason);
-    } else if (holdsKeyOf(Orders.at(it.Id).Data, now)) {
+      continue;
+    }
+    const auto ownership = ownershipOf(Orders.at(it.Id).Data, now);
+    if (ownership == upstream::KeyOwnership::Held) {
       send(it.Id);
-    } else {
-      // The upstream would reject it.
-      Queue.finished(it.Id, false, now);
-      admit(it.Id, now);
+      continue;
     }
+    // The upstream would reject it.
+    Queue.finished(it.Id, false, now);
+    admit(it.Id, ownership, now);
   }
 }
 
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -124,14 +124,16 @@
   /// Whether the upstream holds \p key, is to get it, or another node has it.
   upstream::KeyOwnership ownershipOf(holdings::Key key,
                                      core::TimePoint now) const;
+  /// The same for the key of \p order. Held if the service has no keys.
+  upstream::KeyOwnership ownershipOf(const Order &order,
+                                     core::TimePoint now) const;
   /// Returns why an order cannot be accepted, if so.
   std::optional<core::ErrorKind> refusalReason(const Order &order) const;
   /// Enqueues an order, lets it wait for the handover of its key, or refuses
-  /// it.
-  void admit(upstream::Ticket id, core::TimePoint now);
+  /// it, according to the \p ownership of its key.
+  void admit(upstream::Ticket id, upstream::KeyOwnership ownership,
+             core::TimePoint now);
   void enqueue(upstream::Ticket id, core::TimePoint now);
-  /// Whether the upstream may run the order now: it holds its key, if any.
-  bool holdsKeyOf(const Order &order, core::TimePoint now) const;
   /// Takes the waiting orders whose keys the upstream no longer holds out of
   /// the queue, so that they follow their keys instead of waiting for a slot.
   void readmitWaiting(core::TimePoint now);
