--- a/Source/Accounts/BorrowPlan.h
+++ b/Source/Accounts/BorrowPlan.h
@@ -10,10 +10,10 @@
 namespace acaciaroad::accounts {
 
 /// Plans the search of one node for credit of one account, for a fleet with
-/// much more nodes than the account has requests a second. Most nodes have no
-/// share of it then, and the shares hold about one token each. So each lender
-/// is asked at most once, until many of them had nothing: the account is then
-/// over its rate.
+/// many more nodes than the account has requests a second. Most nodes have no
+/// share of it then, and the shares hold a few tokens each. So each lender is
+/// asked at most once, until many of them had nothing: the account is then over
+/// its rate.
 class BorrowPlan {
 public:
   /// A plan without lenders.
--- a/Source/Proxy/CreditExchange.cpp
+++ b/Source/Proxy/CreditExchange.cpp
@@ -64,30 +64,23 @@
 
 void CreditExchange::giveBack(const std::string &account) {
   const auto lenders = Shares.lenders(account);
-  if (Shares.hasShare(account) || lenders.empty()) {
+  const auto host =
+      Shares.hasShare(account) || lenders.empty()
+          ? Hosts.end()
+          : Hosts.find(lenders[core::randomId() % lenders.size()]);
+  if (host == Hosts.end())
     Shares.giveBack(account, core::BootClock::now());
-    return;
-  }
-  const auto host = Hosts.find(lenders[core::randomId() % lenders.size()]);
-  if (host == Hosts.end()) {
-    Shares.giveBack(account, core::BootClock::now());
-    return;
-  }
-  Socket->send({host->second, Listen.Port},
-               codec::encodeCredit({account, std::nullopt, NoAsk, 1}));
+  else
+    Socket->send({host->second, Listen.Port},
+                 codec::encodeCredit({account, std::nullopt, NoAsk, 1}));
 }
 
 void CreditExchange::askOrRefuse(const std::string &account,
                                  BorrowState &state) {
-  for (;;) {
-    const auto positions = state.Plan.next();
-    if (positions.empty()) {
-      refuseWaiting(state);
-      return;
-    }
-    if (ask(account, state, positions) > 0)
+  for (auto it = state.Plan.next(); !it.empty(); it = state.Plan.next())
+    if (ask(account, state, it) > 0)
       return;
-  }
+  refuseWaiting(state);
 }
 
 std::size_t CreditExchange::ask(const std::string &account, BorrowState &state,
@@ -109,10 +102,11 @@
     Socket->send({host->second, Listen.Port}, bytes);
     ++state.Asked;
   }
-  if (state.Asked > 0)
+  if (state.Asked > 0) {
     // The reference stays valid: map entries do not move and are never erased.
     state.Timer.start(AnswerTimeout,
                       [this, account, &state] { askOrRefuse(account, state); });
+  }
   return state.Asked;
 }
 
