--- a/Source/Feed/RelaySelector.cpp
+++ b/Source/Feed/RelaySelector.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+/// There are at least two readers, as one may fail.
 constexpr std::size_t MinReaders = 2;
 
 /// Nodes for each reader. A node sends its reader about four small requests a
@@ -21,37 +22,41 @@
 /// candidates when its lease has expired, after several seconds.
 constexpr core::Duration FailureRetention = std::chrono::seconds(3);
 
-} // namespace
-
 std::size_t readerCount(std::size_t nodes) {
   return std::max(MinReaders, (nodes + NodesPerReader - 1) / NodesPerReader);
 }
 
+/// Returns the nodes that read the logs directly.
 std::vector<RelayCandidate>
 selectReaders(std::span<const RelayCandidate> candidates) {
-  std::vector<std::pair<std::uint64_t, RelayCandidate>> hashed;
-  hashed.reserve(candidates.size());
+  struct Ranked {
+    std::uint64_t Hash = 0;
+    RelayCandidate Node;
+    /// Position among the nodes of its data centre.
+    std::size_t Rank = 0;
+  };
+  std::vector<Ranked> ranked;
+  ranked.reserve(candidates.size());
   for (const RelayCandidate &it : candidates)
-    hashed.emplace_back(core::hashOf(it.Name), it);
-  std::sort(hashed.begin(), hashed.end(), [](const auto &a, const auto &b) {
-    return std::tie(a.first, a.second.Name) < std::tie(b.first, b.second.Name);
+    ranked.push_back({core::hashOf(it.Name), it, 0});
+  std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) {
+    return std::tie(a.Hash, a.Node.Name) < std::tie(b.Hash, b.Node.Name);
   });
-  // The first node of each data centre comes first, then the second ones.
   std::map<std::string_view, std::size_t> taken;
-  std::vector<std::pair<std::size_t, RelayCandidate>> ranked;
-  ranked.reserve(hashed.size());
-  for (const auto &[hash, it] : hashed)
-    ranked.emplace_back(taken[it.DataCentre]++, it);
+  for (Ranked &it : ranked)
+    it.Rank = taken[it.Node.DataCentre]++;
   std::stable_sort(
       ranked.begin(), ranked.end(),
-      [](const auto &a, const auto &b) { return a.first < b.first; });
+      [](const auto &a, const auto &b) { return a.Rank < b.Rank; });
+  ranked.resize(std::min(ranked.size(), readerCount(ranked.size())));
   std::vector<RelayCandidate> out;
-  const std::size_t n = std::min(ranked.size(), readerCount(ranked.size()));
-  for (const auto &[rank, it] : std::span(ranked).first(n))
-    out.push_back(it);
+  for (const Ranked &it : ranked)
+    out.push_back(it.Node);
   return out;
 }
 
+} // namespace
+
 bool RelaySelector::update(std::span<const RelayCandidate> candidates) {
   auto readers = selectReaders(candidates);
   const bool isReader =
--- a/Source/Feed/RelaySelector.h
+++ b/Source/Feed/RelaySelector.h
@@ -4,7 +4,6 @@
 #ifndef ACACIAROAD_FEED_RELAYSELECTOR_H
 #define ACACIAROAD_FEED_RELAYSELECTOR_H
 
-#include <cstddef>
 #include <optional>
 #include <span>
 #include <string>
@@ -20,20 +19,14 @@
   std::string_view Name;
   std::string_view DataCentre;
   std::string_view Host;
-  bool operator==(const RelayCandidate &) const = default;
 };
 
-/// Returns how many of \p nodes nodes read the logs directly: in proportion to
-/// the fleet, so that a reader serves the same number of nodes in any fleet,
-/// and at least two, as one may fail.
-std::size_t readerCount(std::size_t nodes);
-
-/// Returns the nodes that read the logs directly, the same ones on all nodes
-/// with the same \p candidates. They are spread evenly over the data centres.
-std::vector<RelayCandidate>
-selectReaders(std::span<const RelayCandidate> candidates);
-
-/// Selects the reader that serves one node: one of its own data centre if
+/// Selects the nodes that read the logs directly, the same ones on all nodes
+/// that know the same fleet. Their number is in proportion to the fleet, so
+/// that a reader serves the same number of nodes in any fleet, and they are
+/// spread evenly over the data centres.
+///
+/// Selects also the reader that serves one node: one of its own data centre if
 /// possible. A reader that failed is passed over for some seconds, and the next
 /// one serves the node, so that the nodes of a lost reader don't all turn to
 /// the platform.
