--- a/Source/Holdings/LoadMove.cpp
+++ b/Source/Holdings/LoadMove.cpp
@@ -69,15 +69,16 @@
   return best;
 }
 
-/// Returns the bucket in \p range with the lowest rate above 0; nullopt if
-/// there is none.
+/// Returns the whole bucket in \p ranges with the lowest rate above 0; nullopt
+/// if there is none.
 std::optional<Window> lightestBucket(const KeyedLoad &load,
-                                     const KeyRange &range) {
+                                     std::span<const KeyRange> ranges) {
   const Key n = load.BucketKeys;
   std::optional<Window> out;
-  for (Key it = (range.From + n - 1) / n; it < (range.To + 1) / n; ++it)
-    if (load.Rates[it] > 0 && (!out || load.Rates[it] < out->Rate))
-      out = Window{{it * n, (it + 1) * n - 1}, load.Rates[it]};
+  for (const KeyRange &range : ranges)
+    for (Key it = (range.From + n - 1) / n; it < (range.To + 1) / n; ++it)
+      if (load.Rates[it] > 0 && (!out || load.Rates[it] < out->Rate))
+        out = Window{{it * n, (it + 1) * n - 1}, load.Rates[it]};
   return out;
 }
 
@@ -146,22 +147,20 @@
   double utilization = load.Node.Utilization;
   for (const Share &it : computeShares(load.Node, candidates)) {
     std::optional<Window> best;
-    std::optional<Window> lightest;
     for (const KeyRange &range : left) {
       const auto window = bestWindow(load, range, it.Rate * MaxOvershoot);
       if (window && (!best || window->Rate > best->Rate))
         best = window;
-      const auto bucket = lightestBucket(load, range);
-      if (bucket && (!lightest || bucket->Rate < lightest->Rate))
-        lightest = bucket;
     }
     // Hot keys that are spread over many targets may each exceed a share. Such
     // a bucket still moves if the target ends up with far less load than this
     // node.
-    if (!best && lightest &&
-        it.Utilization + lightest->Rate * it.Cost <=
-            utilization * MaxRelativeLoad)
-      best = lightest;
+    if (!best) {
+      best = lightestBucket(load, left);
+      if (best &&
+          it.Utilization + best->Rate * it.Cost > utilization * MaxRelativeLoad)
+        best.reset();
+    }
     if (!best || best->Rate < it.Rate * MinMoveFraction)
       continue;
     utilization -= best->Rate * load.Node.Cost;
