--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -13,25 +13,26 @@
 /// times.
 constexpr std::size_t MaxFormerIncarnations = 8;
 
+/// Returns whether the log had a later record of the node before \p record.
+bool isOutdated(const NodeRecord &record, const Member &known) {
+  if (known.Record.Incarnation == record.Incarnation)
+    return known.Record.Sequence > record.Sequence;
+  const auto &former = known.FormerIncarnations;
+  return std::find(former.begin(), former.end(), record.Incarnation) !=
+         former.end();
+}
+
 } // namespace
 
 void FleetLedger::applyNode(const NodeRecord &record, core::TimePoint readAt) {
   const auto [it, isNew] = Members.try_emplace(record.Name);
   Member &member = it->second;
-  if (!isNew) {
-    const NodeRecord &known = member.Record;
-    auto &former = member.FormerIncarnations;
-    if (known.Incarnation == record.Incarnation) {
-      if (known.Sequence > record.Sequence)
-        return;
-    } else {
-      if (std::find(former.begin(), former.end(), record.Incarnation) !=
-          former.end())
-        return;
-      former.push_back(known.Incarnation);
-      if (former.size() > MaxFormerIncarnations)
-        former.pop_front();
-    }
+  if (!isNew && isOutdated(record, member))
+    return;
+  if (!isNew && member.Record.Incarnation != record.Incarnation) {
+    member.FormerIncarnations.push_back(member.Record.Incarnation);
+    if (member.FormerIncarnations.size() > MaxFormerIncarnations)
+      member.FormerIncarnations.pop_front();
   }
   member.Record = record;
   member.ReadAt = readAt;
