--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -67,6 +67,8 @@
       it == ClassMeans.end() ? OverallMean.UpdatedAt : it->second.UpdatedAt;
   if (now - updatedAt < MaxMeanAge)
     return false;
+  // Counts as measured, so that the typical service time doesn't refuse the
+  // orders instead.
   ClassMeans[std::string(workClass)] = {core::Duration{}, now, EnoughSamples};
   return true;
 }
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -95,7 +95,7 @@
   }
   std::uint32_t slots() const { return Slots; }
   /// Returns the mean service time of all work classes; 0 before the first
-  /// order.
+  /// order if no typical one is known.
   core::Duration meanServiceTime() const { return withTypical(OverallMean); }
   /// Returns the mean service time over more orders, which short slowdowns
   /// affect less.
@@ -111,7 +111,8 @@
   struct ServiceTimeMean {
     core::Duration Value{};
     core::TimePoint UpdatedAt{};
-    /// Number of measured orders.
+    /// Number of measured orders, up to the number from which on the mean
+    /// stands for itself.
     std::uint32_t Samples = 0;
 
     /// \p divisor is the inverse weight of the sample.
