Proxy tests: one codec of header fields for both services

UpstreamServiceTest had its own, with fewer fields. The assertions are the same; its upstream signs the answers now, as the shared codec reads the signature.

--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Proxy/FieldCodec.h"
 #include "Proxy/PeerService.h"
 #include "Support/ByteServer.h"
 #include "Support/EndlessServer.h"
@@ -23,45 +24,15 @@
 using net::HttpResponse;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using tests::makeHeaderCodec;
+using tests::UpstreamId;
 
 namespace {
 
 const char *const NodeName = "here";
-const char *const UpstreamId = "u";
 /// Used by two nodes on different addresses, in one test only.
 constexpr std::uint16_t CreditPort = 23413;
 
-/// Uses field names of this test; those of the platform are in its adapter.
-HeaderCodec makeHeaderCodec() {
-  HeaderCodec out;
-  out.ReadCaller = [](const HttpFields &fields) {
-    CallerFields caller;
-    caller.RequestId = net::fieldOf(fields, "id");
-    caller.AccountKey = net::fieldOf(fields, "account-key");
-    caller.TimeLimit = seconds(5);
-    caller.Key = 7;
-    return caller;
-  };
-  out.WriteOrder = [](HttpFields &fields, const OrderFields &order) {
-    fields.erase("account-key");
-    fields.set("account", net::toBeast(order.Account));
-  };
-  out.ReadOrder = [](const HttpFields &) {
-    return OrderFields{seconds(5), UpstreamId, {}, {}};
-  };
-  out.ReadAnswer = [](const HttpFields &fields) {
-    AnswerFields answer;
-    answer.RequestId = net::fieldOf(fields, "id");
-    answer.IsNotRun = fields.count("not-run") > 0;
-    answer.IsSigned = fields.count("signed") > 0;
-    return answer;
-  };
-  out.WriteRequestId = [](HttpFields &fields, std::string_view id) {
-    fields.set("id", net::toBeast(id));
-  };
-  return out;
-}
-
 routing::Route makeRoute(const std::string &name, bool isPublic) {
   routing::Route out;
   out.Name = name;
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -4,35 +4,16 @@
 #include <vector>
 
 #include "Net/HttpServer.h"
+#include "Proxy/FieldCodec.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
 using namespace acaciaroad::proxy;
-using net::HttpFields;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-constexpr holdings::Key KeyOfOrders = 7;
-
-HeaderCodec makeHeaderCodec() {
-  HeaderCodec out;
-  out.ReadCaller = [](const HttpFields &fields) {
-    CallerFields caller;
-    caller.RequestId = net::fieldOf(fields, "id");
-    return caller;
-  };
-  out.WriteOrder = [](HttpFields &, const OrderFields &) {};
-  out.ReadAnswer = [](const HttpFields &fields) {
-    AnswerFields answer;
-    answer.RequestId = net::fieldOf(fields, "id");
-    answer.IsSigned = true;
-    return answer;
-  };
-  return out;
-}
-
 /// Who holds the key of all orders: the node's upstream by its latest grant,
 /// and a node by the log.
 struct Ownership {
@@ -75,16 +56,17 @@
     options.Sink = [](std::string_view) {};
     Upstream = std::make_unique<UpstreamService>(
         Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
-        makeHeaderCodec(), *logging::Logger::create(std::move(options)),
+        tests::makeHeaderCodec(), *logging::Logger::create(std::move(options)),
         Counters, UpstreamHooks{[] {}, [](const auto &) {}});
   }
 
   void setView(const Ownership &ownership) {
     auto view = std::make_shared<TrafficView>();
-    const holdings::Holding row{{}, ownership.Holder, {"u", 1}, 1, {}};
+    const holdings::Holding row{
+        {}, ownership.Holder, {tests::UpstreamId, 1}, 1, {}};
     view->Services["service"].Holdings = {row};
     view->Own.Node = "here";
-    view->Own.Process = {"u", 1};
+    view->Own.Process = {tests::UpstreamId, 1};
     view->Own.IsOpen = true;
     view->Own.Slots = 1;
     view->Own.GrantedUntil = core::BootClock::now() + seconds(5);
@@ -100,8 +82,8 @@
     order.RequestId = id;
     order.Deadline = core::BootClock::now() + seconds(3);
     order.Target = order.Deadline;
-    order.ExpectedUpstream = "u";
-    order.Key = KeyOfOrders;
+    order.ExpectedUpstream = tests::UpstreamId;
+    order.Key = tests::RequestKey;
     Upstream->offer(std::move(order), [this](OrderResult result) {
       Results.push_back(std::move(result));
     });
@@ -116,6 +98,7 @@
     for (const auto &it : std::exchange(Open, {})) {
       net::HttpResponse out(net::http::status::ok, 11);
       out.set("id", it->request()["id"]);
+      out.set("signed", "1");
       it->respond(std::move(out));
     }
   }
