--- a/Source/Platform/LogFollower.h
+++ b/Source/Platform/LogFollower.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 
+#include "Core/Backoff.h"
 #include "Platform/LogClient.h"
 
 namespace acaciaroad::platform {
