--- a/Source/Feed/RelaySelector.cpp
+++ b/Source/Feed/RelaySelector.cpp
@@ -50,6 +50,7 @@
       [](const auto &a, const auto &b) { return a.Rank < b.Rank; });
   ranked.resize(std::min(ranked.size(), readerCount(ranked.size())));
   std::vector<RelayCandidate> out;
+  out.reserve(ranked.size());
   for (const Ranked &it : ranked)
     out.push_back(it.Node);
   return out;
