Net: notice a client that left behind requests not yet read

A client sends a request, a second one while the first is handled, and leaves: the wait for bytes ends with the second request and was not set again, since it would end at once; the end behind it went unseen until the first answer. A request whose client has left is cancelled within half a second; here it ran on to its end. Ruled out: waiting for errors of the socket (a closing client sends no error), reading ahead (bytes held for a client that may send without end).

HttpServer TellsThatAClientHasLeft is a table; its rows with a request, or part of one, sent behind failed before. Its row without replaces the former test, within 500 ms in place of 2 s. AnswersPipelinedRequestsInOrder is new and passed before: order, refusals in the middle, bodies, HEAD, an answer that closes, no HTTP.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-/// Interval at which idle and slow connections are looked for; well under the
-/// shortest timeout that is configured, 3 s.
-constexpr core::Duration SweepInterval = std::chrono::milliseconds(500);
+/// Interval at which idle and slow connections are looked for, and clients that
+/// left behind unread requests: a request is cancelled within half a second.
+constexpr core::Duration SweepInterval = std::chrono::milliseconds(250);
 
 /// Pause after a failed accept, such as one without a free descriptor.
 constexpr core::Duration AcceptPause = std::chrono::milliseconds(50);
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace acaciaroad::net {
@@ -122,20 +123,29 @@
     checkAbandoned();
 }
 
+bool ServerSession::hasClientClosed() {
+  pollfd socket{Socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&socket, 1, 0) > 0;
+}
+
+void ServerSession::abandon() {
+  const auto exchange = Current.lock();
+  close();
+  if (exchange)
+    exchange->abandon();
+}
+
 void ServerSession::checkAbandoned() {
   char buf = 0;
   const auto n =
       ::recv(Socket.native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0)
-    return; // The next request; it is read after this one's answer.
+    return; // The next request; closeIfLate() looks for the end behind it.
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
     waitReadable();
     return;
   }
-  const auto exchange = Current.lock();
-  close();
-  if (exchange)
-    exchange->abandon();
+  abandon();
 }
 
 void ServerSession::read() {
@@ -315,6 +325,10 @@
 void ServerSession::closeIfLate(core::TimePoint now) {
   if (!Server)
     return;
+  if (State == Phase::Handling && !WaitPending && hasClientClosed()) {
+    abandon();
+    return;
+  }
   const auto &limits = Server->limits();
   // A request may have come that the loop has not seen yet.
   const bool isIdle = State == Phase::Idle &&
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -26,7 +26,8 @@
   void start();
   void respond(HttpResponse response);
 
-  /// Closes the connection if it is idle or slow for longer than allowed.
+  /// Closes the connection if it is idle or slow for longer than allowed, or if
+  /// its client has left behind bytes that are not read yet.
   void closeIfLate(core::TimePoint now);
 
   /// Whether bytes of a request have come that is still to be read.
@@ -48,6 +49,11 @@
   void waitReadable();
   void onReadable();
   void checkAbandoned();
+  /// Returns whether the client has ended its half of the connection, whatever
+  /// it sent before.
+  bool hasClientClosed();
+  /// Closes the connection and cancels the request that is handled.
+  void abandon();
   void read();
   void onHeader(boost::beast::error_code ec);
   void readBody();
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1,9 +1,11 @@
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -593,27 +595,171 @@
   cr_assert_eq(received, 2);
 }
 
-Test(HttpServer, TellsThatAClientHasLeft) {
+namespace {
+
+struct PipelineRow {
+  const char *Name;
+  /// Sent at once.
+  std::string Bytes;
+  /// Paths of the requests that the handler gets.
+  std::string Handled;
+  /// Status and path of each answer.
+  std::string Answers;
+};
+
+std::string safeRequest(const std::string &path,
+                        const std::string &field = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + field + "\r\n";
+}
+
+std::string unsafeRequest(const std::string &path) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+const PipelineRow PipelineRows[] = {
+    {"a later one is quicker",
+     safeRequest("/slow") + safeRequest("/a") + safeRequest("/b"), "/slow/a/b",
+     "200/slow 200/a 200/b "},
+    {"one in the middle is refused",
+     safeRequest("/slow") + safeRequest("/refused") + safeRequest("/b"),
+     "/slow/refused/b", "200/slow 503/refused 200/b "},
+    {"a body in the middle",
+     safeRequest("/slow") + unsafeRequest("/a") + safeRequest("/b"),
+     "/slow/a/b", "200/slow 200/a 200/b "},
+    {"an unsafe one waits for its turn",
+     safeRequest("/slow") + unsafeRequest("/slow") + unsafeRequest("/b"),
+     "/slow/slow/b", "200/slow 200/slow 200/b "},
+    {"the last answer closes",
+     safeRequest("/slow") + safeRequest("/a", "Connection: close\r\n") +
+         safeRequest("/b"),
+     "/slow/a", "200/slow 200/a "},
+    {"no HTTP in the middle",
+     safeRequest("/slow") + "garbage\r\n\r\n" + safeRequest("/b"), "/slow",
+     "200/slow 400 "},
+    {"an answer without a body in the middle",
+     safeRequest("/slow") + "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n" +
+         safeRequest("/b"),
+     "/slow/a/b", "200/slow 200/a 200/b "},
+};
+
+/// Answers by path: "/slow" after some time, "/refused" with 503, others with
+/// 200 at once. Each answer names its path.
+void answerByPath(boost::asio::io_context &loop,
+                  const std::shared_ptr<Exchange> &exchange) {
+  const std::string path(toView(exchange->request().target()));
+  HttpResponse out(path == "/refused" ? http::status::service_unavailable
+                                      : http::status::ok,
+                   11);
+  out.set("path", path);
+  if (path != "/slow") {
+    exchange->respond(std::move(out));
+    return;
+  }
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(loop, milliseconds(100));
+  timer->async_wait([exchange, timer, out = std::move(out)](error_code) {
+    exchange->respond(out);
+  });
+}
+
+/// Returns "STATUS/PATH " for each head in \p bytes.
+std::string summarise(std::string_view bytes) {
+  constexpr std::string_view StatusLine = "HTTP/1.1 ";
+  constexpr std::string_view Path = "path: ";
+  std::string out;
+  while (!bytes.empty()) {
+    const auto end = std::min(bytes.find("\r\n\r\n"), bytes.size() - 4);
+    const std::string_view head = bytes.substr(0, end);
+    bytes.remove_prefix(end + 4);
+    out += head.substr(StatusLine.size(), 3);
+    if (const auto it = head.find(Path); it != std::string_view::npos)
+      out += head.substr(it + Path.size(),
+                         head.find("\r\n", it) - it - Path.size());
+    out += ' ';
+  }
+  return out;
+}
+
+} // namespace
+
+ACACIA_TABLE_TEST(HttpServer, AnswersPipelinedRequestsInOrder, PipelineRows) {
+  boost::asio::io_context loop;
+  std::string handled;
+  const auto server = HttpServer::create(
+      loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(1)},
+      [&](const std::shared_ptr<Exchange> &exchange) {
+        handled += toView(exchange->request().target());
+        answerByPath(loop, exchange);
+      });
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
+  boost::asio::write(socket, boost::asio::buffer(row.Bytes));
+  std::string answers;
+  boost::asio::async_read(socket, boost::asio::dynamic_buffer(answers),
+                          [&](error_code, std::size_t) { loop.stop(); });
+  loop.run_for(seconds(4));
+  cr_assert_str_eq(handled.c_str(), row.Handled.c_str(), "%s: %s", row.Name,
+                   handled.c_str());
+  const std::string summary = summarise(answers);
+  cr_assert_str_eq(summary.c_str(), row.Answers.c_str(), "%s: %s", row.Name,
+                   summary.c_str());
+}
+
+namespace {
+
+struct LeaveRow {
+  const char *Name;
+  /// Sent with the request that is handled when the client leaves.
+  std::string With;
+  /// Sent while it is handled.
+  std::string Behind;
+  AfterAnswer End;
+};
+
+const LeaveRow LeaveRows[] = {
+    {"closed", "", "", AfterAnswer::Close},
+    {"reset", "", "", AfterAnswer::Reset},
+    {"closed, a request sent with it", safeRequest("/a"), "",
+     AfterAnswer::Close},
+    {"closed, a request behind", "", safeRequest("/a"), AfterAnswer::Close},
+    {"reset, a request behind", "", safeRequest("/a"), AfterAnswer::Reset},
+    {"closed, part of a request behind", "", "GET /a HTT", AfterAnswer::Close},
+    {"not closed, a request behind", "", safeRequest("/a"), AfterAnswer::Keep},
+};
+
+} // namespace
+
+// A request whose client has left is cancelled within half a second.
+ACACIA_TABLE_TEST(HttpServer, TellsThatAClientHasLeft, LeaveRows) {
   boost::asio::io_context loop;
   bool hasLeft = false;
-  std::shared_ptr<Exchange> kept;
+  std::vector<std::shared_ptr<Exchange>> kept;
   const auto server = HttpServer::create(
       loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(2)},
       [&](const std::shared_ptr<Exchange> &exchange) {
-        kept = exchange;
+        kept.push_back(exchange);
         exchange->setOnAbandoned([&] {
           hasLeft = true;
           loop.stop();
         });
       });
-  const auto client =
-      HttpClient::create(loop, {"127.0.0.1", (*server)->port()}, makeOptions());
-  const auto call =
-      client->send({http::verb::get, "/", 11}, [](const CallResult &) {});
-  boost::asio::steady_timer timer(loop, milliseconds(50));
-  timer.async_wait([&](error_code) { call->cancel(); });
-  loop.run_for(seconds(2));
-  cr_assert(hasLeft);
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), (*server)->port()});
+  boost::asio::write(socket,
+                     boost::asio::buffer(safeRequest("/first") + row.With));
+  loop.run_for(milliseconds(50));
+  boost::asio::write(socket, boost::asio::buffer(row.Behind));
+  loop.restart();
+  loop.run_for(milliseconds(50));
+  if (row.End == AfterAnswer::Reset)
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+  if (row.End != AfterAnswer::Keep)
+    socket.close();
+  loop.restart();
+  loop.run_for(milliseconds(500));
+  cr_assert_eq(hasLeft, row.End != AfterAnswer::Keep, "%s", row.Name);
+  cr_assert_eq(kept.size(), 1U, "%s: %zu", row.Name, kept.size());
 }
 
 namespace {
