Tests: shares of a split, weights that change, a part without upstream

Routing: weight 0 in each place, parts of one; new weights after 0 to 19 requests, each service within one request of its share at any time after. Proxy: 200 requests over a split of which one part has no upstream: those are rejected with 503 and a Retry-After, the others served, none moved.

--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -68,6 +68,19 @@
   return *routing::RouteTable::create(out);
 }
 
+/// Returns a route table that divides the requests of "/split/" between
+/// "service" and "other".
+std::shared_ptr<const routing::RouteTable> makeSplitTable(double service,
+                                                          double other) {
+  routing::Configuration out;
+  out.Version = 1;
+  out.Services.emplace_back().Name = "service";
+  out.Services.emplace_back().Name = "other";
+  out.Routes = {makeRoute("split", true)};
+  out.Routes.front().Services = {{"service", service}, {"other", other}};
+  return *routing::RouteTable::create(out);
+}
+
 /// One node whose upstream is provided by the test.
 class Fixture {
 public:
@@ -156,6 +169,9 @@
                                                  true});
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
+    if (view->Routes)
+      for (const routing::Service &it : view->Routes->configuration().Services)
+        view->Services[it.Name];
     // The other node holds all keys.
     view->Services["service"].Holdings = {{{}, "peer", {UpstreamId, 1}, 1, {}}};
     view->Nodes = {NodeName, "peer"};
@@ -295,6 +311,67 @@
 
 namespace {
 
+struct SplitRow {
+  const char *Name;
+  /// Weights of "service", which has an upstream, and "other", which has none.
+  double Service;
+  double Other;
+  /// Requests out of 200 that are answered by the upstream.
+  int Answered;
+};
+
+const SplitRow SplitRows[] = {
+    {"even", 1, 1, 100},
+    {"nine to one", 90, 10, 180},
+    {"weight 0 without an upstream", 1, 0, 200},
+    {"weight 0 with an upstream", 0, 1, 0},
+};
+
+} // namespace
+
+// A request of the part that has no upstream is rejected, not moved to another
+// part.
+ACACIA_TABLE_TEST(EntryService, DividesRequestsByWeight, SplitRows) {
+  int runs = 0;
+  Fixture fixture([&](const std::shared_ptr<net::Exchange> &exchange) {
+    ++runs;
+    answerWith(*exchange, 200, "signed");
+  });
+  fixture.setView(makeSplitTable(row.Service, row.Other));
+  fixture.Entry->configurationConfirmed(core::BootClock::now());
+  int answered = 0;
+  for (int n = 0; n < 200; ++n) {
+    const HttpResponse answer = fixture.ask("/split/x", "");
+    answered += answer.result_int() == 200 ? 1 : 0;
+    cr_assert(answer.result_int() == 200 ||
+                  (answer.result_int() == 503 &&
+                   answer.count(net::http::field::retry_after) > 0),
+              "%s: %u", row.Name, answer.result_int());
+  }
+  cr_assert_eq(answered, row.Answered, "%s: %d", row.Name, answered);
+  cr_assert_eq(runs, row.Answered, "%s: %d", row.Name, runs);
+}
+
+// The weights change after each tenth request.
+Test(EntryService, FollowsNewWeights) {
+  int runs = 0;
+  Fixture fixture([&](const std::shared_ptr<net::Exchange> &exchange) {
+    ++runs;
+    answerWith(*exchange, 200, "signed");
+  });
+  fixture.Entry->configurationConfirmed(core::BootClock::now());
+  for (int n = 0; n < 200; ++n) {
+    if (n % 20 == 0)
+      fixture.setView(makeSplitTable(1, 4));
+    else if (n % 20 == 10)
+      fixture.setView(makeSplitTable(4, 1));
+    fixture.ask("/split/x", "");
+  }
+  cr_assert_eq(runs, 100, "%d", runs);
+}
+
+namespace {
+
 struct MethodRow {
   const char *Name;
   const char *Method;
--- a/Tests/Routing/RouteTableTest.cpp
+++ b/Tests/Routing/RouteTableTest.cpp
@@ -1,5 +1,8 @@
 #include "Routing/RouteTable.h"
 
+#include <cmath>
+#include <numeric>
+
 #include "Routing/TrafficSplit.h"
 #include "Support/Table.h"
 
@@ -79,8 +82,54 @@
   std::vector<double> Weights;
 };
 
-const SplitRow SplitRows[] = {
-    {"even", {1, 1}}, {"nine to one", {90, 10}}, {"three services", {5, 3, 2}}};
+const SplitRow SplitRows[] = {{"even", {1, 1}},
+                              {"nine to one", {90, 10}},
+                              {"three services", {5, 3, 2}},
+                              {"weight 0 first", {0, 3, 1}},
+                              {"weight 0 in the middle", {2, 0, 1}},
+                              {"weight 0 last", {1, 0}},
+                              {"parts of one", {0.1, 0.7, 0.2}}};
+
+struct SplitChangeRow {
+  const char *Name;
+  std::vector<double> Before;
+  std::vector<double> After;
+};
+
+const SplitChangeRow SplitChangeRows[] = {
+    {"reversed", {90, 10}, {10, 90}},
+    {"weight 0 from then on", {1, 1}, {1, 0}},
+    {"weight 0 before", {1, 0}, {1, 1}},
+    {"a service less", {1, 1, 2}, {1, 3}},
+    {"a service more", {1, 3}, {1, 1, 2}},
+    {"a single service before", {1}, {3, 1}},
+    {"the same", {3, 1}, {3, 1}},
+};
+
+Route makeSplitRoute(const std::vector<double> &weights) {
+  Route out = makeRoute("r", "h", "/", "s");
+  out.Services.clear();
+  for (const double it : weights)
+    out.Services.push_back({std::to_string(out.Services.size()), it});
+  return out;
+}
+
+/// Checks after each of \p requests that each service has its share of them,
+/// to less than one request.
+void assertShares(TrafficSplit &split, const std::vector<double> &weights,
+                  int requests, const char *name) {
+  const Route route = makeSplitRoute(weights);
+  const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+  std::vector<double> counts(weights.size());
+  for (int n = 1; n <= requests; ++n) {
+    ++counts[std::stoul(split.next(route).Service)];
+    for (std::size_t it = 0; it < counts.size(); ++it)
+      cr_assert_lt(std::abs(counts[it] - n * weights[it] / total), 1.0,
+                   "%s after %d", name, n);
+  }
+  for (std::size_t it = 0; it < counts.size(); ++it)
+    cr_assert(weights[it] > 0 || counts[it] == 0, "%s", name);
+}
 
 } // namespace
 
@@ -105,20 +154,15 @@
 }
 
 ACACIA_TABLE_TEST(TrafficSplit, KeepsEachShare, SplitRows) {
-  Route route = makeRoute("r", "h", "/", "s");
-  route.Services.clear();
-  double total = 0;
-  for (const double it : row.Weights) {
-    route.Services.push_back({std::to_string(route.Services.size()), it});
-    total += it;
-  }
   TrafficSplit split;
-  std::vector<double> counts(row.Weights.size());
-  constexpr int Requests = 1000;
-  for (int n = 1; n <= Requests; ++n) {
-    ++counts[std::stoul(split.next(route).Service)];
-    for (std::size_t it = 0; it < counts.size(); ++it)
-      cr_assert_lt(std::abs(counts[it] - n * row.Weights[it] / total), 1.0,
-                   "%s after %d", row.Name, n);
+  assertShares(split, row.Weights, 1000, row.Name);
+}
+
+// The configuration changes at any time between two requests.
+ACACIA_TABLE_TEST(TrafficSplit, FollowsNewWeights, SplitChangeRows) {
+  for (int before = 0; before < 20; ++before) {
+    TrafficSplit split;
+    assertShares(split, row.Before, before, row.Name);
+    assertShares(split, row.After, 200, row.Name);
   }
 }
