--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -33,6 +33,11 @@
 /// Lower bound for Retry-After: about two round trips to the caller.
 constexpr core::Duration MinRetryDelay = std::chrono::milliseconds(50);
 
+/// Time before its deadline at which a waiting order is refused at the latest:
+/// round trips between data centres, and the interval at which the queue is
+/// advanced. The entry node tells its caller at the deadline.
+constexpr core::Duration RefusalLead = std::chrono::milliseconds(40);
+
 /// Samples from which on a mean stands for itself. Service times vary several
 /// times over.
 constexpr std::uint32_t EnoughSamples = 16;
@@ -160,6 +165,9 @@
       start(order, now);
       out.push_back(
           {order.Id, AdmissionStatus::Start, core::ErrorKind::Internal});
+    } else if (order.Deadline - now <= RefusalLead) {
+      out.push_back({order.Id, AdmissionStatus::Refused,
+                     core::ErrorKind::DeadlineTooShort});
     } else {
       ++it;
       continue;
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -127,16 +127,55 @@
   cr_assert(order == row.Order, "%s: wrong start order", row.Name);
 }
 
-Test(OrderQueue, RefusesWaitingOrdersThatCannotMeetDeadline) {
-  const TimePoint now{};
-  OrderQueue queue = makeQueue(now);
+namespace {
+
+struct ExpiryRow {
+  const char *Name;
+  /// Mean service time; 0 if it is not known.
+  int ServiceMs;
+  /// Time left before the deadline of an order that waits.
+  int LeftMs;
+  /// Whether a slot becomes free then.
+  bool IsFree;
+  /// One letter: s for started, q for still queued, r for refused.
+  char Status;
+};
+
+const ExpiryRow ExpiryRows[] = {
+    {"too little time for the service", 50, 20, false, 'r'},
+    {"too little time for the service, a slot free", 50, 20, true, 'r'},
+    {"time enough", 50, 100, false, 'q'},
+    {"time enough, a slot free", 50, 100, true, 's'},
+    {"service time unknown, time for the answer alone", 0, 30, false, 'r'},
+    {"service time unknown, a slot free", 0, 30, true, 's'},
+    {"service time unknown, time enough", 0, 100, false, 'q'},
+};
+
+} // namespace
+
+// A refusal at the deadline would come to the entry node after it has told its
+// caller that the outcome is unknown.
+ACACIA_TABLE_TEST(OrderQueue, RefusesWaitingOrdersInTime, ExpiryRows) {
+  const TimePoint start{};
+  OrderQueue queue;
+  if (row.ServiceMs > 0)
+    queue = makeQueue(start);
+  queue.setSlots(2);
   for (const Ticket it : {1U, 2U, 3U})
     queue.offer(
-        {it, "work", 0, now + milliseconds(300), now + milliseconds(300)}, now);
-  const auto out = queue.advance(now + milliseconds(290));
-  cr_assert_eq(out.size(), 1U);
-  cr_assert(out[0].Status == AdmissionStatus::Refused);
-  cr_assert_eq(out[0].Id, 3U);
+        {it, "work", 0, start + milliseconds(300), start + milliseconds(300)},
+        start);
+  const TimePoint now = start + milliseconds(300 - row.LeftMs);
+  if (row.IsFree)
+    queue.finished(1, false, now);
+  const auto out = queue.advance(now);
+  char status = 'q';
+  if (!out.empty())
+    status = out[0].Status == AdmissionStatus::Refused ? 'r' : 's';
+  cr_assert_eq(status, row.Status, "%s: %c", row.Name, status);
+  cr_assert_leq(out.size(), 1U, "%s", row.Name);
+  for (const Dequeued &it : out)
+    cr_assert_eq(it.Id, 3U, "%s", row.Name);
 }
 
 namespace {
