Net, Proxy: nothing is sent whose deadline passed while it was connecting

The request went out with the time left as it was before the pause, to an upstream or to another node, which then ran it up to that much too late.

HttpClient::send takes a SendHook, called when the connection is there. Both callers state the time left in it, and hold the request back if none is left or its sender has given it up; the connection is kept for the next.

UpstreamService SendsNothingThatIsGivenUp: all three rows failed before (199 ms stated after a pause of 100; sent after its deadline; sent though given up). Two rows of PeerClients Sends are new; they were not run with the pause on the code before.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
@@ -88,12 +89,13 @@
 ClientConnection::~ClientConnection() { --Client->Open; }
 
 void ClientConnection::start(HttpRequest request, CallHandler handler,
-                             PartHandler onPart) {
+                             PartHandler onPart, SendHook onSend) {
   Request.emplace(std::move(request));
   Request->keep_alive(true);
   Request->prepare_payload();
   Handler = std::move(handler);
   OnPart = std::move(onPart);
+  OnSend = std::move(onSend);
   Skipped = 0;
   Taken = 0;
   IsFinished = false;
@@ -101,7 +103,7 @@
     Names.push_back(hashOf(Client->Options.RequestName(*Request)));
   IsKept = Connected;
   if (IsKept)
-    write();
+    send();
   else
     connect();
 }
@@ -164,7 +166,7 @@
     return;
   Connected = true;
   setSocketOptions();
-  write();
+  send();
 }
 
 void ClientConnection::setSocketOptions() {
@@ -177,6 +179,34 @@
                sizeof(value));
 }
 
+void ClientConnection::send() {
+  const auto hook = std::exchange(OnSend, nullptr);
+  if (!hook || hook(*Request))
+    write();
+  else
+    holdBack();
+}
+
+void ClientConnection::holdBack() {
+  Request.reset();
+  if (Client->Options.RequestName)
+    Names.pop_back();
+  if (!IsKept)
+    IdleSince = core::BootClock::now();
+  boost::asio::post(Socket.get_executor(), [self = shared_from_this()] {
+    const CallHandler handler = self->takeHandler();
+    self->park();
+    if (handler)
+      handler({CallEnd::NotSent,
+               {},
+               "held back",
+               false,
+               false,
+               true,
+               self->IsKept});
+  });
+}
+
 void ClientConnection::write() {
   IsWriting = true;
   http::async_write(Socket, *Request,
@@ -350,6 +380,7 @@
 
 CallHandler ClientConnection::takeHandler() {
   OnPart = nullptr;
+  OnSend = nullptr;
   return std::exchange(Handler, nullptr);
 }
 
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -31,7 +31,8 @@
   ~ClientConnection() override;
 
   /// Connects first if the connection is new.
-  void start(HttpRequest request, CallHandler handler, PartHandler onPart);
+  void start(HttpRequest request, CallHandler handler, PartHandler onPart,
+             SendHook onSend);
   void cancel() override;
 
   /// Whether it can carry another request: open, young enough, and nothing has
@@ -45,6 +46,10 @@
 private:
   void connect();
   void onConnected(boost::beast::error_code ec);
+  /// Sends the request, unless the hook holds it back.
+  void send();
+  /// Ends a call of which nothing has been sent; the connection is kept.
+  void holdBack();
   void write();
   void onWritten(boost::beast::error_code ec);
   /// Keeps the connection for another request, or closes it.
@@ -75,6 +80,7 @@
   std::optional<AnswerMemory::Share> Share;
   CallHandler Handler;
   PartHandler OnPart;
+  SendHook OnSend;
   core::TimePoint IdleSince{};
   core::Duration IdleLimit{};
   bool Connected = false;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -93,8 +93,10 @@
                        ClientOptions options)
     : Loop(loop), Server(std::move(server)), Options(std::move(options)) {}
 
-std::shared_ptr<ClientCall>
-HttpClient::send(HttpRequest request, CallHandler handler, PartHandler onPart) {
+std::shared_ptr<ClientCall> HttpClient::send(HttpRequest request,
+                                             CallHandler handler,
+                                             PartHandler onPart,
+                                             SendHook onSend) {
   auto connection = takeIdle(request);
   if (!connection)
     dropOldest(); // What can't be used makes room.
@@ -105,7 +107,8 @@
   }
   if (!connection)
     connection = std::make_shared<ClientConnection>(shared_from_this());
-  connection->start(std::move(request), std::move(handler), std::move(onPart));
+  connection->start(std::move(request), std::move(handler), std::move(onPart),
+                    std::move(onSend));
   return connection;
 }
 
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -42,6 +42,8 @@
   bool IsRefused = false;
   /// With CallEnd::Broken: the answer met a bound of this client.
   bool IsTooLarge = false;
+  /// With CallEnd::NotSent: the SendHook held the request back.
+  bool IsHeldBack = false;
   /// Whether the connection had carried another request before, if it is known.
   std::optional<bool> IsKept = std::nullopt;
 };
@@ -81,6 +83,10 @@
 /// Part of the answer has come.
 using PartHandler = std::function<void()>;
 
+/// Called when the connection is there, just before the request is sent. May
+/// set fields; returns false if the request must not be sent any more.
+using SendHook = std::function<bool(HttpFields &)>;
+
 /// When a call without its whole answer is given up.
 struct CallTimeout {
   static CallTimeout ofWholeCall(core::Duration length) {
@@ -111,9 +117,11 @@
                                             ClientOptions options);
 
   /// Sends \p request on a kept connection, or on a new one. \p handler is
-  /// called once, never before this returns; \p onPart up to then.
+  /// called once, never before this returns; \p onPart up to then, \p onSend
+  /// at most once.
   std::shared_ptr<ClientCall> send(HttpRequest request, CallHandler handler,
-                                   PartHandler onPart = nullptr);
+                                   PartHandler onPart = nullptr,
+                                   SendHook onSend = nullptr);
 
   /// Closes the connections that wait for a request.
   void dropIdle();
--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -40,7 +40,8 @@
   switch (call.End) {
   case net::CallEnd::NotSent:
     out.Outcome.Outcome = AttemptOutcome::NotSent;
-    out.Outcome.Reason = core::ErrorKind::PeerUnreachable;
+    out.Outcome.Reason = call.IsHeldBack ? core::ErrorKind::DeadlineTooShort
+                                         : core::ErrorKind::PeerUnreachable;
     break;
   case net::CallEnd::Broken:
     out.Outcome.Outcome = AttemptOutcome::SentNoAnswer;
@@ -58,14 +59,17 @@
 }
 
 /// Writes the metadata of \p order. To be called just before \p to is sent, as
-/// it contains the time left.
-void writeForwardingFields(net::HttpRequest &to, const Order &order,
+/// it contains the time left. Returns false if none is left.
+bool writeForwardingFields(net::HttpFields &to, const Order &order,
                            const HeaderCodec &codec) {
   const auto now = core::BootClock::now();
+  if (now >= order.Deadline)
+    return false;
   writeForward(to,
                {order.WorkClass, order.Rank, order.Kind, order.Target - now});
   codec.WriteOrder(to, {order.Deadline - now, order.ExpectedUpstream,
                         order.Account, order.CallerService});
+  return true;
 }
 
 net::ClientOptions makeOptions(std::shared_ptr<net::AnswerMemory> memory) {
@@ -111,6 +115,7 @@
       return;
     if (core::BootClock::now() >= Data.Deadline) {
       result.End = net::CallEnd::NotSent;
+      result.IsHeldBack = true;
       result.Detail = "no permit for the body before the deadline";
     }
     const std::uint64_t permit =
@@ -123,7 +128,6 @@
       std::exchange(Handler, nullptr)(toOrderResult(std::move(result)));
       return;
     }
-    writeForwardingFields(Data.Request, Data, Codec);
     writePermit(Data.Request, permit);
     CurrentCall = Client->send(
         std::move(Data.Request),
@@ -131,6 +135,10 @@
           self->CurrentCall.reset();
           if (const auto handler = std::exchange(self->Handler, nullptr))
             handler(toOrderResult(std::move(answer)));
+        },
+        nullptr,
+        [self = shared_from_this()](net::HttpFields &fields) {
+          return writeForwardingFields(fields, self->Data, self->Codec);
         });
   }
 
@@ -172,11 +180,16 @@
     call->start();
     return call;
   }
-  writeForwardingFields(order.Request, order, codec);
-  return client->send(std::move(order.Request),
-                      [handler = std::move(handler)](net::CallResult result) {
-                        handler(toOrderResult(std::move(result)));
-                      });
+  auto request = std::move(order.Request);
+  return client->send(
+      std::move(request),
+      [handler = std::move(handler)](net::CallResult result) {
+        handler(toOrderResult(std::move(result)));
+      },
+      nullptr,
+      [order = std::move(order), &codec](net::HttpFields &fields) {
+        return writeForwardingFields(fields, order, codec);
+      });
 }
 
 } // namespace acaciaroad::proxy
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -271,9 +271,6 @@
   run.SentAt = core::BootClock::now();
   if (EndsAt)
     run.Data.Deadline = std::min(run.Data.Deadline, *EndsAt);
-  Codec.WriteOrder(run.Data.Request,
-                   {run.Data.Deadline - run.SentAt, run.Data.ExpectedUpstream,
-                    run.Data.Account, run.Data.CallerService});
   erasePeerFields(run.Data.Request);
   ++Counters.OrdersSent;
   Log->write(logging::Level::Debug, "order_sent",
@@ -281,13 +278,31 @@
               {"upstream", run.Data.ExpectedUpstream},
               {"running", Queue.running()},
               {"waiting", Queue.waiting()}});
-  run.Call = Client->send(std::move(run.Data.Request),
-                          [this, id](net::CallResult result) {
-                            onCallEnded(id, std::move(result));
-                          });
+  run.Call = Client->send(
+      std::move(run.Data.Request),
+      [this, id](net::CallResult result) {
+        onCallEnded(id, std::move(result));
+      },
+      nullptr,
+      [this, id](net::HttpFields &fields) {
+        return writeOrderFields(id, fields);
+      });
   Counters.UpstreamConnects = Client->connectsStarted();
 }
 
+bool UpstreamService::writeOrderFields(upstream::Ticket id,
+                                       net::HttpFields &fields) {
+  const auto it = Orders.find(id);
+  const auto now = core::BootClock::now();
+  if (it == Orders.end() || !it->second.Handler ||
+      now >= it->second.Data.Deadline)
+    return false;
+  const Order &order = it->second.Data;
+  Codec.WriteOrder(fields, {order.Deadline - now, order.ExpectedUpstream,
+                            order.Account, order.CallerService});
+  return true;
+}
+
 ForwardOutcome UpstreamService::classifyResult(const OrderRun &run,
                                                const net::CallResult &result,
                                                core::TimePoint now) {
@@ -298,6 +313,10 @@
     out.Outcome = AttemptOutcome::NotSent;
     out.Reason = ErrorKind::NoUpstream;
     out.ReachedUpstream = false;
+    if (result.IsHeldBack) {
+      out.Reason = ErrorKind::DeadlineTooShort;
+      return out;
+    }
     suspectRestart(now);
     if (result.IsRefused)
       Hooks.OnConnectionRefused();
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -141,6 +141,9 @@
   void resolveHandovers(core::TimePoint now);
   std::span<const holdings::Holding> holdingsOfService() const;
   void send(upstream::Ticket id);
+  /// Writes the metadata of an order that is about to be sent. Returns false if
+  /// nobody waits for it any more.
+  bool writeOrderFields(upstream::Ticket id, net::HttpFields &fields);
   void onCallEnded(upstream::Ticket id, net::CallResult result);
   /// Derives the outcome of a call, and records its latency or that the
   /// upstream could not be reached.
--- a/Tests/Proxy/FieldCodec.h
+++ b/Tests/Proxy/FieldCodec.h
@@ -33,6 +33,8 @@
   out.WriteOrder = [](HttpFields &fields, const proxy::OrderFields &order) {
     fields.erase("account-key");
     fields.set("account", net::toBeast(order.Account));
+    fields.set("time-left-ms",
+               std::to_string(order.TimeLeft / std::chrono::milliseconds(1)));
   };
   out.ReadOrder = [](const HttpFields &) {
     return proxy::OrderFields{std::chrono::seconds(5), UpstreamId, {}, {}};
--- a/Tests/Proxy/PeerClientsTest.cpp
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -33,6 +34,8 @@
   bool ReachedUpstream;
   /// Longest time left that the order may state; it starts with 400 ms.
   int MaxLeftMs;
+  /// For how long the process stands still while it connects.
+  int PauseMs = 0;
 };
 
 const SendRow SendRows[] = {
@@ -46,6 +49,10 @@
      PermitAnswer::GrantedTooLate, 1, AttemptOutcome::NotSent, false, 400},
     {"large body is not sent if the permit is refused", 60'000,
      PermitAnswer::Refused, 1, AttemptOutcome::RefusedNotRun, false, 400},
+    {"time left excludes a pause before the connection is there", 100,
+     PermitAnswer::None, 1, AttemptOutcome::Answered, true, 250, 150},
+    {"not sent if the connection is there after the deadline", 100,
+     PermitAnswer::None, 0, AttemptOutcome::NotSent, false, 400, 450},
 };
 
 ForwardOutcome makeOutcome(AttemptOutcome outcome, bool reached) {
@@ -117,6 +124,7 @@
                      results.push_back(std::move(result));
                      loop.stop();
                    });
+  std::this_thread::sleep_for(milliseconds(row.PauseMs));
   loop.run_for(seconds(3));
   cr_assert_eq(results.size(), 1U, "%s", row.Name);
   cr_assert(results[0].Outcome.Outcome == row.Outcome, "%s", row.Name);
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -1,6 +1,7 @@
 #include "Proxy/UpstreamService.h"
 
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "Net/HttpServer.h"
@@ -75,16 +76,17 @@
     Upstream->setView(std::move(view), &Service);
   }
 
-  void offer(const std::string &id) {
+  upstream::Ticket offer(const std::string &id,
+                         core::Duration timeLeft = seconds(3)) {
     Order order;
     order.Request = {net::http::verb::get, "/", 11};
     order.Request.set("id", id);
     order.RequestId = id;
-    order.Deadline = core::BootClock::now() + seconds(3);
+    order.Deadline = core::BootClock::now() + timeLeft;
     order.Target = order.Deadline;
     order.ExpectedUpstream = tests::UpstreamId;
     order.Key = tests::RequestKey;
-    Upstream->offer(std::move(order), [this](OrderResult result) {
+    return Upstream->offer(std::move(order), [this](OrderResult result) {
       Results.push_back(std::move(result));
     });
   }
@@ -149,3 +151,54 @@
   }
   cr_assert_eq(sent, row.Sent, "%s: %d", row.Name, sent);
 }
+
+namespace {
+
+struct PauseRow {
+  const char *Name;
+  /// For how long the process stands still while it connects; the order has
+  /// 200 ms left.
+  milliseconds Pause;
+  /// Whether the order's sender gives it up during the pause.
+  bool IsAbandoned;
+  bool IsSent;
+};
+
+const PauseRow PauseRows[] = {
+    {"before the deadline", milliseconds(100), false, true},
+    {"beyond the deadline", milliseconds(250), false, false},
+    {"given up by its sender", milliseconds(100), true, false},
+};
+
+} // namespace
+
+// After a pause of the process, a connection that was made meanwhile is due
+// before the timers.
+ACACIA_TABLE_TEST(UpstreamService, SendsNothingThatIsGivenUp, PauseRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  const auto ticket = fixture.offer("1", milliseconds(200));
+  std::this_thread::sleep_for(row.Pause);
+  if (row.IsAbandoned)
+    fixture.Upstream->abandon(ticket);
+  fixture.run();
+  cr_assert_eq(fixture.Open.size(), row.IsSent ? 1U : 0U, "%s", row.Name);
+  if (row.IsSent) {
+    // What its deadline left of it when the connection was there.
+    const int left =
+        std::stoi(std::string(fixture.Open[0]->request()["time-left-ms"]));
+    cr_assert_leq(left, 100, "%s: %d", row.Name, left);
+    return;
+  }
+  cr_assert_eq(fixture.Results.size(), row.IsAbandoned ? 0U : 1U, "%s",
+               row.Name);
+  for (const OrderResult &it : fixture.Results) {
+    cr_assert(it.Outcome.Outcome == requests::AttemptOutcome::NotSent);
+    cr_assert(it.Outcome.Reason == core::ErrorKind::DeadlineTooShort);
+  }
+  // The connection serves the next order.
+  fixture.offer("2");
+  fixture.run();
+  cr_assert_eq(fixture.Open.size(), 1U, "%s", row.Name);
+  cr_assert_eq(fixture.Counters.UpstreamConnects, 1U, "%s", row.Name);
+}
