Feed: a relay keeps the newest record of each key

Ruled out: buffers that were cleared (no gap, no restart), lost relays (7 calls).

Offsets without a record no longer clear the buffer: each entry knows an offset that it lies before. The test ResetsAfterGap gives way to rows of KeepsTheNewestOfEachKey, which ask for all the records that are there; BufferRows now use different keys.

--- a/Source/Feed/RelayBuffer.cpp
+++ b/Source/Feed/RelayBuffer.cpp
@@ -14,7 +14,8 @@
 } // namespace
 
 void RelayBuffer::reset(core::Offset end, core::TimePoint requestedAt) {
-  Records.clear();
+  Entries.clear();
+  Newest.clear();
   Bytes = 0;
   FirstOffset = end;
   End = end;
@@ -22,26 +23,42 @@
   IsInitialized = true;
 }
 
+void RelayBuffer::insert(const KeyedRecord &record, core::Offset end) {
+  const auto [newest, isNew] = Newest.try_emplace(record.Key, NextNumber);
+  if (!isNew) {
+    const auto replaced = Entries.find(newest->second);
+    Bytes -= sizeOf(replaced->second.Record);
+    Entries.erase(replaced);
+    newest->second = NextNumber;
+  }
+  Bytes += sizeOf(record);
+  Entries.emplace_hint(Entries.end(), NextNumber++, Entry{record, end});
+}
+
+void RelayBuffer::dropOldest() {
+  const auto oldest = Entries.begin();
+  FirstOffset = oldest->second.End;
+  Bytes -= sizeOf(oldest->second.Record);
+  Newest.erase(oldest->second.Record.Key);
+  Entries.erase(oldest);
+}
+
 void RelayBuffer::add(std::span<const KeyedRecord> records, core::Offset end,
                       core::TimePoint requestedAt) {
-  if (!IsInitialized || end < End || records.size() != end - End) {
-    // Offsets without a record, such as those that could not be decoded, can't
-    // be represented.
-    if (end != End || !IsInitialized)
-      reset(end, requestedAt);
+  if (!IsInitialized || end < End) {
+    reset(end, requestedAt);
     return;
   }
-  for (const KeyedRecord &it : records) {
-    Bytes += sizeOf(it);
-    Records.push_back(it);
+  if (end > End) {
+    const bool isComplete = records.size() == end - End;
+    core::Offset offset = End;
+    for (const KeyedRecord &it : records)
+      insert(it, isComplete ? ++offset : end);
   }
   End = end;
   RequestedAt = std::max(RequestedAt, requestedAt);
-  while (Bytes > MaxBytes && !Records.empty()) {
-    Bytes -= sizeOf(Records.front());
-    Records.pop_front();
-    ++FirstOffset;
-  }
+  while (Bytes > MaxBytes && !Entries.empty())
+    dropOldest();
 }
 
 std::optional<Tail> RelayBuffer::read(core::Offset from,
@@ -52,11 +69,11 @@
   out.Age = now - RequestedAt;
   out.Next = std::max(from, End);
   out.End = out.Next;
-  if (from >= End)
-    return out;
-  out.Records.assign(Records.begin() +
-                         static_cast<std::ptrdiff_t>(from - FirstOffset),
-                     Records.end());
+  const auto first =
+      std::find_if(Entries.rbegin(), Entries.rend(),
+                   [&](const auto &it) { return it.second.End <= from; });
+  for (auto it = first.base(); it != Entries.end(); ++it)
+    out.Records.push_back(it->second.Record);
   return out;
 }
 
--- a/Source/Feed/RelayBuffer.h
+++ b/Source/Feed/RelayBuffer.h
@@ -5,7 +5,8 @@
 #define ACACIAROAD_FEED_RELAYBUFFER_H
 
 #include <cstddef>
-#include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <span>
 
@@ -13,8 +14,11 @@
 
 namespace acaciaroad::feed {
 
-/// Keeps the newest consecutive records of a log. Evicts the oldest ones when
-/// the size in bytes exceeds the limit.
+/// Keeps the newest record of each key that a log has received since some
+/// offset, so that an answer holds each key once, however often it changed. A
+/// configuration that is changed several times in a row would not fit into one
+/// answer otherwise. Drops the oldest records when the size in bytes exceeds
+/// the limit.
 class RelayBuffer {
 public:
   explicit RelayBuffer(std::size_t maxBytes) : MaxBytes(maxBytes) {}
@@ -22,22 +26,36 @@
   /// Clears the buffer after a snapshot was read of a log that ends at \p end.
   void reset(core::Offset end, core::TimePoint requestedAt);
 
-  /// Adds \p records, which end at \p end. Clears the buffer if they do not
-  /// exactly fill the offsets from its end to \p end; ignores them if \p end is
-  /// its end already.
+  /// Adds the \p records from the buffer's end to \p end. There may be fewer
+  /// than offsets: records that were replaced within the range or that could
+  /// not be decoded. Clears the buffer if \p end is before its end.
   void add(std::span<const KeyedRecord> records, core::Offset end,
            core::TimePoint requestedAt);
 
-  /// Returns the records from \p from on, with the age of the last read of the
-  /// log. Returns nothing if the buffer starts after \p from, or before the
-  /// first read. If \p from is past the end, the tail has no records.
+  /// Returns the newest record of each key that changed from \p from on, with
+  /// the age of the last read of the log. Records just before \p from may be
+  /// among them. Returns nothing if the buffer starts after \p from, or before
+  /// the first read. If \p from is past the end, the tail has no records.
   std::optional<Tail> read(core::Offset from, core::TimePoint now) const;
 
 private:
+  struct Entry {
+    KeyedRecord Record;
+    /// The record's offset is lower.
+    core::Offset End = 0;
+  };
+
+  void insert(const KeyedRecord &record, core::Offset end);
+  void dropOldest();
+
   std::size_t MaxBytes;
   std::size_t Bytes = 0;
-  std::deque<KeyedRecord> Records;
-  /// Offset of the first record in Records.
+  /// By age; the ends don't fall.
+  std::map<std::uint64_t, Entry> Entries;
+  /// Number in Entries of the record of each key.
+  std::map<std::string, std::uint64_t, std::less<>> Newest;
+  std::uint64_t NextNumber = 0;
+  /// Offset from which on changes are known.
   core::Offset FirstOffset = 0;
   core::Offset End = 0;
   core::TimePoint RequestedAt{};
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -138,10 +138,48 @@
     {"before the first record", 9, -1, 0},
 };
 
+/// Returns records of different keys.
 std::vector<KeyedRecord> makeRecords(std::size_t n) {
-  return std::vector<KeyedRecord>(n, KeyedRecord{"k", "v"});
+  std::vector<KeyedRecord> out;
+  for (std::size_t it = 0; it < n; ++it)
+    out.push_back({std::to_string(it), "v"});
+  return out;
 }
 
+struct Added {
+  /// One record for each letter, which is its key. The value is the record's
+  /// number among all that are added, from 0.
+  std::string Keys;
+  core::Offset End;
+};
+
+struct ReplacedRow {
+  const char *Name;
+  /// The buffer starts at offset 10.
+  std::vector<Added> Batches;
+  core::Offset From;
+  /// Key and value of each record that is read.
+  std::string Read;
+};
+
+const ReplacedRow ReplacedRows[] = {
+    {"one key", {{"aaa", 13}}, 10, "a2"},
+    {"several keys", {{"abab", 14}}, 10, "a2b3"},
+    {"replaced by a later read", {{"ab", 12}, {"a", 13}}, 10, "b1a2"},
+    {"from behind what was replaced", {{"ab", 12}, {"a", 13}}, 12, "a2"},
+    {"from between", {{"ab", 12}, {"ca", 14}}, 13, "a3"},
+    {"a record that could not be decoded", {{"a", 12}, {"b", 13}}, 10, "a0b1"},
+    {"fewer records than offsets, from the middle",
+     {{"ab", 15}, {"c", 16}},
+     13,
+     "a0b1c2"},
+    {"fewer records than offsets, from the end",
+     {{"ab", 15}, {"c", 16}},
+     15,
+     "c2"},
+    {"no record that could be decoded", {{"a", 11}, {"", 14}}, 11, ""},
+};
+
 } // namespace
 
 ACACIA_TABLE_TEST(KeyedFeed, FollowsLog, FeedRows) {
@@ -226,10 +264,43 @@
   cr_assert(buffer.read(95, TimePoint()).has_value());
 }
 
-Test(RelayBuffer, ResetsAfterGap) {
+ACACIA_TABLE_TEST(RelayBuffer, KeepsTheNewestOfEachKey, ReplacedRows) {
+  RelayBuffer buffer(1U << 20U);
+  buffer.reset(10, TimePoint());
+  int number = 0;
+  for (const Added &batch : row.Batches) {
+    std::vector<KeyedRecord> records;
+    for (const char it : batch.Keys)
+      records.push_back({std::string(1, it), std::to_string(number++)});
+    buffer.add(records, batch.End, TimePoint());
+  }
+  const auto tail = buffer.read(row.From, TimePoint());
+  cr_assert(tail.has_value(), "%s", row.Name);
+  std::string read;
+  for (const KeyedRecord &it : tail->Records)
+    read += it.Key + *it.Value;
+  cr_assert_str_eq(read.c_str(), row.Read.c_str(), "%s: %s", row.Name,
+                   read.c_str());
+  cr_assert_eq(tail->Next, row.Batches.back().End, "%s", row.Name);
+}
+
+// A key that changes without end takes no more room than its newest record.
+Test(RelayBuffer, HoldsAKeyThatChangesOften) {
   RelayBuffer buffer(2000);
   buffer.reset(0, TimePoint());
-  buffer.add(makeRecords(1), 5, TimePoint());
-  cr_assert_not(buffer.read(0, TimePoint()).has_value());
-  cr_assert(buffer.read(5, TimePoint()).has_value());
+  for (core::Offset end = 1; end <= 1000; ++end) {
+    const KeyedRecord record{"a", std::string(100, 'x')};
+    buffer.add({&record, 1}, end, TimePoint());
+  }
+  const auto tail = buffer.read(0, TimePoint());
+  cr_assert(tail.has_value());
+  cr_assert_eq(tail->Records.size(), 1U);
+}
+
+Test(RelayBuffer, ResetsBeforeItsEnd) {
+  RelayBuffer buffer(2000);
+  buffer.reset(5, TimePoint());
+  buffer.add(makeRecords(1), 3, TimePoint());
+  cr_assert_not(buffer.read(2, TimePoint()).has_value());
+  cr_assert(buffer.read(3, TimePoint())->Records.empty());
 }
