Sidecar: follow the log through others while it can't be read for a proposal

A node that has a change of holdings to propose reads the log itself. Such reads now back off as refused proposals do, and relays are asked meanwhile. Ruled out: a second coordinator (all 58 proposals were of one node). HoldingAgent BacksOffFromRefusedProposals: rows for reads that fail, at most 22 in 5 s. LogRelay ReportsFailedReads is new.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -565,6 +565,10 @@
   NextBatch = now + BatchInterval;
 }
 
+void HoldingAgent::proposalReadFailed(core::TimePoint now) {
+  NextProposal = now + ProposalPauses.next();
+}
+
 core::Duration HoldingAgent::answerDelay(const FleetLedger &ledger) const {
   if (!HasHeartbeat || State != UpstreamState::Ready || !Release.isIdle())
     return {};
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -167,6 +167,11 @@
                                           core::TimePoint now);
   void changeCompleted(ChangeOutcome outcome, core::TimePoint now);
 
+  /// The log could not be read before a change is proposed. Proposals back off
+  /// from the first failure on; meanwhile the node can follow the log through
+  /// others.
+  void proposalReadFailed(core::TimePoint now);
+
   /// To be called after each change of the ledger, and periodically.
   void ledgerChanged(const FleetLedger &ledger, core::TimePoint now);
 
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -410,6 +410,10 @@
             onRelayFailed(host, error);
           },
           [this](StoreCallCause cause) { countStoreCall(cause); },
+          [this](StoreCallCause cause) {
+            if (cause == StoreCallCause::ProposalRead)
+              Agent.proposalReadFailed(core::BootClock::now());
+          },
           [this](const feed::KeyedRecord &record,
                  holdings::RenewalBatch::DoneHook onDone) {
             return Renewals.accept(record, std::move(onDone));
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -171,7 +171,13 @@
 
 void LogRelay::readDirectly(const Read &read, StoreCallCause cause) {
   Hooks.OnStoreRead(cause);
-  read.Direct(read.From, read.Wait, read.Handler);
+  read.Direct(
+      read.From, read.Wait,
+      [this, cause, handler = read.Handler](core::Result<feed::Tail> tail) {
+        if (!tail && tail.error().Kind != ErrorKind::LogTrimmed)
+          Hooks.OnStoreReadFailed(cause);
+        handler(std::move(tail));
+      });
 }
 
 void LogRelay::serve(const std::shared_ptr<net::Exchange> &exchange) {
--- a/Source/Sidecar/LogRelay.h
+++ b/Source/Sidecar/LogRelay.h
@@ -38,6 +38,8 @@
   std::function<void(std::string_view host, const core::Error &)> OnFailed;
   /// The log itself is read.
   std::function<void(StoreCallCause)> OnStoreRead;
+  /// The log itself could not be read.
+  std::function<void(StoreCallCause)> OnStoreReadFailed;
   /// Another node asks this one to append the renewal of its lease. Returns
   /// false if the record is invalid or there is no room; OnDone isn't called
   /// then.
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -75,15 +75,21 @@
 
 struct BackoffRow {
   const char *Name;
-  /// Number of proposals that the log refuses, before it accepts one.
+  /// Number of proposals that the log refuses, or of reads before a proposal
+  /// that fail, before it accepts one.
   int Refusals;
+  bool IsRead;
+  /// Longest pause after the first one.
+  core::Duration FirstPause;
   /// Within five seconds.
   std::size_t MaxProposals;
 };
 
 const BackoffRow BackoffRows[] = {
-    {"refused once", 1, 2},
-    {"always refused", 10'000, 22},
+    {"refused once", 1, false, milliseconds(10), 2},
+    {"always refused", 10'000, false, milliseconds(10), 22},
+    {"unreadable once", 1, true, milliseconds(60), 2},
+    {"always unreadable", 10'000, true, milliseconds(60), 22},
 };
 
 struct GoneRow {
@@ -393,7 +399,7 @@
 }
 
 // Many nodes propose at once if their coordinator is lost. Those that the log
-// refuses back off, not in step with each other.
+// refuses, or that can't read it, back off, not in step with each other.
 ACACIA_TABLE_TEST(HoldingAgent, BacksOffFromRefusedProposals, BackoffRows) {
   std::vector<std::vector<core::Duration>> gaps;
   for (const std::string name : {"a", "b", "c"}) {
@@ -408,10 +414,15 @@
         ledger.applyNode(record, now);
       }
       agent.ledgerChanged(ledger, now);
-      if (!agent.nextChange(ledger, now))
+      if (!agent.hasChangeToPropose(ledger, now))
         continue;
       proposals.push_back(now);
       const bool isRefused = static_cast<int>(proposals.size()) <= row.Refusals;
+      if (isRefused && row.IsRead) {
+        agent.proposalReadFailed(now);
+        continue;
+      }
+      cr_assert(agent.nextChange(ledger, now).has_value(), "%s", row.Name);
       agent.changeCompleted(
           isRefused ? ChangeOutcome::Refused : ChangeOutcome::Appended, now);
       if (!isRefused)
@@ -420,8 +431,8 @@
     cr_assert_gt(proposals.size(), 1U, "%s", row.Name);
     cr_assert_leq(proposals.size(), row.MaxProposals, "%s: %zu", row.Name,
                   proposals.size());
-    cr_assert_leq((proposals[1] - proposals[0]).count(),
-                  core::Duration(milliseconds(10)).count(), "%s", row.Name);
+    cr_assert_leq((proposals[1] - proposals[0]).count(), row.FirstPause.count(),
+                  "%s", row.Name);
     gaps.emplace_back();
     for (std::size_t n = 1; n < proposals.size(); ++n)
       gaps.back().push_back(proposals[n] - proposals[n - 1]);
--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -151,6 +151,55 @@
             cause ? toString(*cause).data() : "not read");
 }
 
+namespace {
+
+struct FailureRow {
+  const char *Name;
+  /// How the read of the log itself ends; nullopt if it succeeds.
+  std::optional<core::ErrorKind> Error;
+  bool IsReported;
+};
+
+const FailureRow FailureRows[] = {
+    {"read", std::nullopt, false},
+    {"log unavailable", core::ErrorKind::LogUnavailable, true},
+    {"records trimmed, read as a snapshot next", core::ErrorKind::LogTrimmed,
+     false},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(LogRelay, ReportsFailedReads, FailureRows) {
+  boost::asio::io_context loop;
+  const auto port =
+      static_cast<std::uint16_t>(FirstPort + std::size(ReadRows) +
+                                 std::size(RenewalRows) + (&row - FailureRows));
+  std::optional<StoreCallCause> cause;
+  std::optional<StoreCallCause> failed;
+  RelayHooks hooks = makeHooks({}, cause);
+  hooks.OnStoreReadFailed = [&](StoreCallCause it) { failed = it; };
+  const auto relay = LogRelay::create(loop, {"127.0.0.1", port}, hooks);
+  cr_assert(relay.has_value());
+  feed::KeyedLog log;
+  log.ReadFrom = [&](core::Offset, core::Duration,
+                     const feed::TailHandler &handler) {
+    if (row.Error)
+      handler(core::fail(*row.Error));
+    else
+      handler(feed::Tail{});
+  };
+  bool isDone = false;
+  (*relay)
+      ->wrap(RelayedLog::Fleet, log)
+      .ReadFrom(0, core::Duration{}, [&](const core::Result<feed::Tail> &tail) {
+        cr_assert_eq(tail.has_value(), !row.Error, "%s", row.Name);
+        isDone = true;
+      });
+  cr_assert(isDone, "%s", row.Name);
+  cr_assert_eq(failed.has_value(), row.IsReported, "%s", row.Name);
+  cr_assert(!failed || failed == cause, "%s", row.Name);
+}
+
 ACACIA_TABLE_TEST(LogRelay, PassesRenewalsOn, RenewalRows) {
   boost::asio::io_context loop;
   const auto port = static_cast<std::uint16_t>(FirstPort + std::size(ReadRows) +
