--- a/Source/Feed/RelayBuffer.h
+++ b/Source/Feed/RelayBuffer.h
@@ -28,7 +28,8 @@
 
   /// Adds the \p records from the buffer's end to \p end. There may be fewer
   /// than offsets: records that were replaced within the range or that could
-  /// not be decoded. Clears the buffer if \p end is before its end.
+  /// not be decoded; or more, if some were added before. Clears the buffer if
+  /// \p end is before its end.
   void add(std::span<const KeyedRecord> records, core::Offset end,
            core::TimePoint requestedAt);
 
@@ -41,7 +42,7 @@
 private:
   struct Entry {
     KeyedRecord Record;
-    /// The record's offset is lower.
+    /// Offset behind the record, or a later one if its own isn't known.
     core::Offset End = 0;
   };
 
