RelayBuffer: a list with its entries by key, one way to take an entry out

The numbers of the entries only stood for their order, which a list has. Replacing a record and dropping the oldest took an entry out each in its own way. Behaviour and tests are the same.

--- a/Source/Feed/RelayBuffer.cpp
+++ b/Source/Feed/RelayBuffer.cpp
@@ -1,6 +1,7 @@
 #include "Feed/RelayBuffer.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace acaciaroad::feed {
 
@@ -14,8 +15,8 @@
 } // namespace
 
 void RelayBuffer::reset(core::Offset end, core::TimePoint requestedAt) {
+  ByKey.clear();
   Entries.clear();
-  Newest.clear();
   Bytes = 0;
   FirstOffset = end;
   End = end;
@@ -24,23 +25,17 @@
 }
 
 void RelayBuffer::insert(const KeyedRecord &record, core::Offset end) {
-  const auto [newest, isNew] = Newest.try_emplace(record.Key, NextNumber);
-  if (!isNew) {
-    const auto replaced = Entries.find(newest->second);
-    Bytes -= sizeOf(replaced->second.Record);
-    Entries.erase(replaced);
-    newest->second = NextNumber;
-  }
+  if (const auto replaced = ByKey.find(record.Key); replaced != ByKey.end())
+    erase(replaced->second);
   Bytes += sizeOf(record);
-  Entries.emplace_hint(Entries.end(), NextNumber++, Entry{record, end});
+  Entries.push_back({record, end});
+  ByKey.emplace(Entries.back().Record.Key, std::prev(Entries.end()));
 }
 
-void RelayBuffer::dropOldest() {
-  const auto oldest = Entries.begin();
-  FirstOffset = oldest->second.End;
-  Bytes -= sizeOf(oldest->second.Record);
-  Newest.erase(oldest->second.Record.Key);
-  Entries.erase(oldest);
+void RelayBuffer::erase(EntryList::iterator entry) {
+  Bytes -= sizeOf(entry->Record);
+  ByKey.erase(entry->Record.Key);
+  Entries.erase(entry);
 }
 
 void RelayBuffer::add(std::span<const KeyedRecord> records, core::Offset end,
@@ -57,8 +52,10 @@
   }
   End = end;
   RequestedAt = std::max(RequestedAt, requestedAt);
-  while (Bytes > MaxBytes && !Entries.empty())
-    dropOldest();
+  while (Bytes > MaxBytes && !Entries.empty()) {
+    FirstOffset = Entries.front().End;
+    erase(Entries.begin());
+  }
 }
 
 std::optional<Tail> RelayBuffer::read(core::Offset from,
@@ -71,9 +68,9 @@
   out.End = out.Next;
   const auto first =
       std::find_if(Entries.rbegin(), Entries.rend(),
-                   [&](const auto &it) { return it.second.End <= from; });
+                   [&](const Entry &it) { return it.End <= from; });
   for (auto it = first.base(); it != Entries.end(); ++it)
-    out.Records.push_back(it->second.Record);
+    out.Records.push_back(it->Record);
   return out;
 }
 
--- a/Source/Feed/RelayBuffer.h
+++ b/Source/Feed/RelayBuffer.h
@@ -5,10 +5,11 @@
 #define ACACIAROAD_FEED_RELAYBUFFER_H
 
 #include <cstddef>
-#include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 
 #include "Feed/FeedTypes.h"
 
@@ -22,6 +23,8 @@
 class RelayBuffer {
 public:
   explicit RelayBuffer(std::size_t maxBytes) : MaxBytes(maxBytes) {}
+  RelayBuffer(const RelayBuffer &) = delete;
+  RelayBuffer &operator=(const RelayBuffer &) = delete;
 
   /// Clears the buffer after a snapshot was read of a log that ends at \p end.
   void reset(core::Offset end, core::TimePoint requestedAt);
@@ -46,16 +49,17 @@
     core::Offset End = 0;
   };
 
+  using EntryList = std::list<Entry>;
+
   void insert(const KeyedRecord &record, core::Offset end);
-  void dropOldest();
+  void erase(EntryList::iterator entry);
 
   std::size_t MaxBytes;
   std::size_t Bytes = 0;
-  /// By age; the ends don't fall.
-  std::map<std::uint64_t, Entry> Entries;
-  /// Number in Entries of the record of each key.
-  std::map<std::string, std::uint64_t, std::less<>> Newest;
-  std::uint64_t NextNumber = 0;
+  /// The oldest first; the ends don't fall.
+  EntryList Entries;
+  /// The entry of each key; the keys are those of the entries' records.
+  std::map<std::string_view, EntryList::iterator> ByKey;
   /// Offset from which on changes are known.
   core::Offset FirstOffset = 0;
   core::Offset End = 0;
