--- a/Source/Administration/ChangeSubmitter.cpp
+++ b/Source/Administration/ChangeSubmitter.cpp
@@ -1,8 +1,7 @@
 #include "Administration/ChangeSubmitter.h"
 
-#include <charconv>
-
 #include "Administration/Representation.h"
+#include "Core/ParseNumber.h"
 
 namespace acaciaroad::administration {
 
@@ -47,12 +46,6 @@
   return std::visit([](const auto &it) { return it.Origin; }, record);
 }
 
-bool readNumber(std::string_view text, std::uint64_t &out) {
-  const char *end = text.data() + text.size();
-  const auto [it, ec] = std::from_chars(text.data(), end, out);
-  return ec == std::errc() && it == end;
-}
-
 ApiResponse accepted(core::Offset offset, std::uint64_t changeId,
                      bool isRepeated) {
   auto response = ApiResponse::json({{"outcome", "accepted"},
@@ -79,12 +72,13 @@
     return fail(ErrorKind::InvalidArgument, "change_id");
   out.Origin.ChangeId = *id;
   constexpr std::uint64_t NoBasis = ~std::uint64_t{0};
-  std::uint64_t basis = NoBasis;
   const std::string_view header = call.Request.IfMatch;
   const std::string_view query = call.Request.parameter("basis");
   const std::string_view outside = header.empty() ? query : header;
-  if (!outside.empty() && !readNumber(outside, basis))
+  const auto stated = core::parseNumber<std::uint64_t>(outside);
+  if (!outside.empty() && !stated)
     return fail(ErrorKind::InvalidArgument, "basis");
+  std::uint64_t basis = stated.value_or(NoBasis);
   reader.number("basis", basis, Presence::Optional);
   if (basis != NoBasis)
     out.Basis = basis;
--- a/Source/Administration/DayTotals.cpp
+++ b/Source/Administration/DayTotals.cpp
@@ -1,11 +1,12 @@
 #include "Administration/DayTotals.h"
 
-#include <charconv>
 #include <chrono>
 #include <numeric>
 
 #include <fmt/format.h>
 
+#include "Core/ParseNumber.h"
+
 namespace acaciaroad::administration {
 
 using core::ErrorKind;
@@ -21,12 +22,6 @@
 constexpr double P50 = 0.5;
 constexpr double P99 = 0.99;
 
-bool readNumber(std::string_view text, int &out) {
-  const char *end = text.data() + text.size();
-  const auto [it, ec] = std::from_chars(text.data(), end, out);
-  return ec == std::errc() && it == end;
-}
-
 double toMilliseconds(core::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -54,16 +49,17 @@
 
 Result<DayRange> parseDay(std::string_view text) {
   using namespace std::chrono;
-  int y = 0;
-  int m = 0;
-  int d = 0;
-  const bool isShaped =
-      text.size() == 10 && text[4] == '-' && text[7] == '-' &&
-      readNumber(text.substr(0, 4), y) && readNumber(text.substr(5, 2), m) &&
-      readNumber(text.substr(8, 2), d) && y >= 1970 && m > 0 && d > 0;
+  const bool isShaped = text.size() == 10 && text[4] == '-' && text[7] == '-';
+  const auto numberAt = [&](std::size_t at, std::size_t n) {
+    return isShaped ? core::parseNumber<int>(text.substr(at, n)).value_or(0)
+                    : 0;
+  };
+  const int y = numberAt(0, 4);
+  const int m = numberAt(5, 2);
+  const int d = numberAt(8, 2);
   const year_month_day date{year(y), month(static_cast<unsigned>(m)),
                             day(static_cast<unsigned>(d))};
-  if (!isShaped || !date.ok())
+  if (y < 1970 || m <= 0 || d <= 0 || !date.ok())
     return fail(ErrorKind::InvalidArgument, "day");
   const milliseconds begin = sys_days(date).time_since_epoch();
   return DayRange{begin.count(), (begin + days(1)).count()};
--- a/Source/Administration/FleetEndpoints.cpp
+++ b/Source/Administration/FleetEndpoints.cpp
@@ -1,10 +1,10 @@
 #include "Administration/FleetEndpoints.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "Administration/Representation.h"
 #include "Configuration/Validation.h"
+#include "Core/ParseNumber.h"
 
 namespace acaciaroad::administration {
 
@@ -27,12 +27,6 @@
   return FieldReader::parse(body.empty() ? "{}" : body);
 }
 
-bool readNumber(std::string_view text, std::uint64_t &out) {
-  const char *end = text.data() + text.size();
-  const auto [it, ec] = std::from_chars(text.data(), end, out);
-  return ec == std::errc() && it == end;
-}
-
 } // namespace
 
 std::vector<Route> FleetEndpoints::routes() {
@@ -189,17 +183,18 @@
 }
 
 ApiResult FleetEndpoints::inForce(const ApiCall &call) const {
-  std::uint64_t offset = 0;
-  std::uint64_t wait = 0;
-  const std::string_view waitText = call.Request.parameter("wait_ms");
-  if (!readNumber(call.Request.parameter("offset"), offset))
+  const auto offset =
+      core::parseNumber<std::uint64_t>(call.Request.parameter("offset"));
+  if (!offset)
     return refuse(ErrorKind::InvalidArgument, "offset");
-  if (!waitText.empty() && !readNumber(waitText, wait))
+  const std::string_view waitText = call.Request.parameter("wait_ms");
+  const auto wait = core::parseNumber<std::uint64_t>(waitText);
+  if (!waitText.empty() && !wait)
     return refuse(ErrorKind::InvalidArgument, "wait_ms");
   const auto bounded =
-      std::min(wait, static_cast<std::uint64_t>(MaxWait.count()));
+      std::min(wait.value_or(0), static_cast<std::uint64_t>(MaxWait.count()));
   return ApiResponse::json(
-      toJson(Hooks->InForce(offset, std::chrono::milliseconds(bounded))));
+      toJson(Hooks->InForce(*offset, std::chrono::milliseconds(bounded))));
 }
 
 } // namespace acaciaroad::administration
--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -1,11 +1,10 @@
 #include "Codec/FleetRecords.h"
 
-#include <charconv>
-
 #include <fmt/format.h>
 #include <google/protobuf/stubs/logging.h>
 
 #include "Codec/Generated/Fleet.pb.h"
+#include "Core/ParseNumber.h"
 
 namespace acaciaroad::codec {
 
@@ -75,12 +74,10 @@
   const std::size_t slash = key.rfind('/');
   if (slash == std::string_view::npos)
     return {};
-  FleetKey out{FleetKey::Kind::Holdings, std::string(key.substr(0, slash)), 0};
-  const char *end = key.data() + key.size();
-  const auto [it, ec] = std::from_chars(key.data() + slash + 1, end, out.Part);
-  if (ec != std::errc() || it != end || out.Part >= holdings::PartCount)
+  const auto part = core::parseNumber<holdings::Key>(key.substr(slash + 1));
+  if (!part || *part >= holdings::PartCount)
     return {};
-  return out;
+  return {FleetKey::Kind::Holdings, std::string(key.substr(0, slash)), *part};
 }
 
 std::string encodeNode(const holdings::NodeRecord &record) {
--- a/Source/Core/Endpoint.cpp
+++ b/Source/Core/Endpoint.cpp
@@ -1,11 +1,12 @@
 #include "Core/Endpoint.h"
 
 #include <array>
-#include <charconv>
 #include <cstring>
 
 #include <arpa/inet.h>
 
+#include "Core/ParseNumber.h"
+
 namespace acaciaroad::core {
 
 namespace {
@@ -16,12 +17,6 @@
          inet_pton(family, host.c_str(), &buf) == 1;
 }
 
-bool parsePort(std::string_view text, std::uint16_t &port) {
-  const char *end = text.data() + text.size();
-  const auto [it, ec] = std::from_chars(text.data(), end, port);
-  return ec == std::errc() && it == end;
-}
-
 } // namespace
 
 Result<Endpoint> parseEndpoint(std::string_view text) {
@@ -41,8 +36,10 @@
   out.Host = host;
   if (!isNumber(isBracketed ? AF_INET6 : AF_INET, out.Host))
     return malformed();
-  if (!parsePort(text.substr(colon + 1), out.Port))
+  const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
+  if (!port)
     return malformed();
+  out.Port = *port;
   return out;
 }
 
--- a/Source/Programs/Ctl/Session.cpp
+++ b/Source/Programs/Ctl/Session.cpp
@@ -1,12 +1,12 @@
 #include "Programs/Ctl/Session.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 
 #include "Administration/Representation.h"
 #include "Core/Identifiers.h"
+#include "Core/ParseNumber.h"
 #include "Core/PercentEncoding.h"
 
 namespace acaciaroad::ctl {
@@ -56,12 +56,6 @@
   return true;
 }
 
-bool readNumber(std::string_view text, std::uint64_t &out) {
-  const char *end = text.data() + text.size();
-  const auto [it, ec] = std::from_chars(text.data(), end, out);
-  return ec == std::errc() && it == end;
-}
-
 } // namespace
 
 std::span<const Command> Command::all() {
@@ -367,12 +361,12 @@
 }
 
 ExitCode Session::wait(Words words) {
-  std::uint64_t offset = 0;
-  if (!readNumber(words[1], offset)) {
+  const auto offset = core::parseNumber<std::uint64_t>(words[1]);
+  if (!offset) {
     Hooks.Tell("not an offset: " + words[1]);
     return ExitCode::Usage;
   }
-  return waitForce(offset);
+  return waitForce(*offset);
 }
 
 } // namespace acaciaroad::ctl
--- a/Source/Programs/StandinUpstream/OrderHeaders.cpp
+++ b/Source/Programs/StandinUpstream/OrderHeaders.cpp
@@ -1,21 +1,16 @@
 #include "Programs/StandinUpstream/OrderHeaders.h"
 
-#include <charconv>
 #include <cstdint>
 
+#include "Core/ParseNumber.h"
+
 namespace acaciaroad::standinupstream {
 
 namespace {
 
 template <typename T>
 std::optional<T> numberOf(const httplib::Request &request, const char *name) {
-  const std::string text = request.get_header_value(name);
-  T out{};
-  const char *end = text.data() + text.size();
-  const auto [it, ec] = std::from_chars(text.data(), end, out);
-  if (text.empty() || ec != std::errc() || it != end)
-    return std::nullopt;
-  return out;
+  return core::parseNumber<T>(request.get_header_value(name));
 }
 
 std::optional<core::TimePoint> timeOf(const httplib::Request &request,
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -1,6 +1,5 @@
 #include "Sidecar/LogRelay.h"
 
-#include <charconv>
 #include <string>
 #include <utility>
 
@@ -9,6 +8,7 @@
 
 #include "Codec/FleetRecords.h"
 #include "Core/Milliseconds.h"
+#include "Core/ParseNumber.h"
 
 namespace acaciaroad::sidecar {
 
@@ -74,13 +74,10 @@
   if (target.size() < 3 || target[1] != '/' ||
       (target[0] != '0' && target[0] != '1'))
     return std::nullopt;
-  RelayTarget out;
-  out.Name = static_cast<RelayedLog>(target[0] - '0');
-  const char *end = target.data() + target.size();
-  const auto [it, ec] = std::from_chars(target.data() + 2, end, out.From);
-  if (ec != std::errc() || it != end)
+  const auto from = core::parseNumber<core::Offset>(target.substr(2));
+  if (!from)
     return std::nullopt;
-  return out;
+  return RelayTarget{static_cast<RelayedLog>(target[0] - '0'), *from};
 }
 
 /// Parses the answer to a renewal: milliseconds until the next regular append.
@@ -88,13 +85,10 @@
   if (result.End != net::CallEnd::Answered ||
       result.Response.result() != net::http::status::ok)
     return std::nullopt;
-  const std::string &body = result.Response.body();
-  std::uint32_t ms = 0;
-  const char *end = body.data() + body.size();
-  const auto [it, ec] = std::from_chars(body.data(), end, ms);
-  if (ec != std::errc() || it != end)
+  const auto ms = core::parseNumber<std::uint32_t>(result.Response.body());
+  if (!ms)
     return std::nullopt;
-  return milliseconds(ms);
+  return milliseconds(*ms);
 }
 
 } // namespace
