--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -194,16 +194,14 @@
   if (!IsKept)
     IdleSince = core::BootClock::now();
   boost::asio::post(Socket.get_executor(), [self = shared_from_this()] {
+    CallResult out;
+    out.Detail = "held back";
+    out.IsHeldBack = true;
+    out.IsKept = self->IsKept;
     const CallHandler handler = self->takeHandler();
     self->park();
     if (handler)
-      handler({CallEnd::NotSent,
-               {},
-               "held back",
-               false,
-               false,
-               true,
-               self->IsKept});
+      handler(std::move(out));
   });
 }
 
