PeerClients: one check of the deadline, in the send hook

A permit that came after the deadline was looked for apart; the hook that states the time left holds the body back for the same reason. The log's detail is 'held back' now, and 'no permit for the body before the deadline' is gone. PeerClients Sends, row 'large body is not sent if the permit comes after the deadline', passes as it was.

--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -113,11 +113,6 @@
   void onPermit(net::CallResult result) {
     if (!Handler)
       return;
-    if (core::BootClock::now() >= Data.Deadline) {
-      result.End = net::CallEnd::NotSent;
-      result.IsHeldBack = true;
-      result.Detail = "no permit for the body before the deadline";
-    }
     const std::uint64_t permit =
         result.End == net::CallEnd::Answered ? readPermit(result.Response) : 0;
     if (permit == 0) {
