Sidecar: no second look at the clock for a view, none at orders without keys

A view took the median cost at a later time than its other facts. Orders of a service without keys can't lose their key; each new view went through all of them.

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -239,6 +239,8 @@
 }
 
 void UpstreamService::readmitWaiting(core::TimePoint now) {
+  if (!IsKeyed)
+    return;
   std::map<upstream::Ticket, upstream::KeyOwnership> lost;
   for (const auto &[id, it] : Orders) {
     if (it.Call)
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -712,9 +712,8 @@
   const auto *self = Ledger.findMember(Options.Agent.Name);
   out.Slots = self == nullptr ? 0 : self->Record.Slots;
   out.ColdUntil = ColdUntil;
-  out.TypicalServiceTime =
-      std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(
-          Agent.typicalCost(core::BootClock::now()) * out.Slots));
+  out.TypicalServiceTime = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(Agent.typicalCost(now) * out.Slots));
   out.HeardAt = HeardAt;
   if (LastGrant)
     out.Granted = LastGrant->Rows;
