--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -5,13 +5,13 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
 import tempfile
 import threading
 import time
-import tomllib
 
 from platform_standin import OPERATORS, CONFIGURATION
 
@@ -90,8 +90,9 @@
 
     def start(self):
         text = lambda name: "%s:%d" % self.address(name)
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        role = deploy["roles"]["sidecar"]
+        role = dict(re.findall(r'^(run|template) = "(.*)"$',
+                               (ROOT / "deploy/system.toml").read_text(),
+                               re.MULTILINE))
         internal = self.address("internal")[1]
         fields = {
             "nodeName": self.name, "zone": self.zone, "service": self.service,
@@ -204,6 +205,9 @@
             if it.process is not None and it.process.poll() is None:
                 it.process.kill()
                 it.process.wait()
+            it.log.close()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder)
 
 
 def route(name, prefix, service, kind="safe", timeout="1500ms", public=True,
