Review: a case that can't run exits with 2

Cause: an exception of a script exited with 1, as a broken rule does. Done: fleet.run() turns it into 2. Result: without the program, the DRAIN script exits with 2.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -9,9 +9,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 from platform_standin import OPERATORS, CONFIGURATION
 
@@ -233,3 +235,15 @@
     record.write("verdict", status=status)
     print("exit", status)
     return status
+
+
+def run(main):
+    """Runs a case and exits with its status; 2 if it couldn't run."""
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    # Threads of clients may still wait for answers.
+    sys.stdout.flush()
+    os._exit(status)
