Orders name their service, and a node refuses those for another one

What callers saw: bookings for a service divided by key got a 200 of another service (ROUTE). A machine of the first was lost and one of the other, also divided by key, had been given its address; entries go on sending there until the lost node's lease has lapsed.

Cause: an order between nodes names the upstream process it is for, but UpstreamService::enqueue replaced that name by its own process for every order with a key, as the entry may not know of a restart. Nothing told the node that the order was for another service. Ruled out: the upstream's own check (it is named by then), and services without keys (their orders keep the name and are refused).

An order now names its service. Orders of an earlier release, without the name, run only if they name the process itself. It works since the service is the one thing that an address can't change.

--- a/Source/Proxy/PeerClients.cpp
+++ b/Source/Proxy/PeerClients.cpp
@@ -65,8 +65,8 @@
   const auto now = core::BootClock::now();
   if (now >= order.Deadline)
     return false;
-  writeForward(to,
-               {order.WorkClass, order.Rank, order.Kind, order.Target - now});
+  writeForward(to, {order.Service, order.WorkClass, order.Rank, order.Kind,
+                    order.Target - now});
   codec.WriteOrder(to, {order.Deadline - now, order.ExpectedUpstream,
                         order.Account, order.CallerService});
   return true;
--- a/Source/Proxy/PeerFields.cpp
+++ b/Source/Proxy/PeerFields.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr std::string_view ServiceField = "Acacia-Service";
 constexpr std::string_view ClassField = "Acacia-Class";
 constexpr std::string_view RankField = "Acacia-Rank";
 constexpr std::string_view KindField = "Acacia-Kind";
@@ -26,9 +27,9 @@
 constexpr std::string_view PermitField = "Acacia-Room";
 /// Size of the body that a permit is requested for.
 constexpr std::string_view PermitBytesField = "Acacia-Room-Bytes";
-constexpr std::array AllFields{ClassField,  RankField,    KindField,
-                               TargetField, OutcomeField, LoadField,
-                               HolderField, PermitField,  PermitBytesField};
+constexpr std::array AllFields{
+    ServiceField, ClassField, RankField,   KindField,   TargetField,
+    OutcomeField, LoadField,  HolderField, PermitField, PermitBytesField};
 
 void set(net::HttpFields &fields, std::string_view name,
          std::string_view value) {
@@ -53,6 +54,7 @@
 } // namespace
 
 void writeForward(net::HttpFields &fields, const ForwardFields &forward) {
+  set(fields, ServiceField, forward.Service);
   set(fields, ClassField, forward.WorkClass);
   set(fields, RankField, fmt::to_string(forward.Rank));
   set(fields, KindField, fmt::to_string(static_cast<int>(forward.Kind)));
@@ -62,6 +64,7 @@
 
 ForwardFields readForward(const net::HttpFields &fields) {
   ForwardFields out;
+  out.Service = net::fieldOf(fields, ServiceField);
   out.WorkClass = net::fieldOf(fields, ClassField);
   out.Rank = static_cast<std::int32_t>(
       parseNumbers<1>(net::fieldOf(fields, RankField))[0]);
--- a/Source/Proxy/PeerFields.h
+++ b/Source/Proxy/PeerFields.h
@@ -19,6 +19,8 @@
 
 /// What the entry node tells the upstream's node about an order.
 struct ForwardFields {
+  /// Service that is to run the order; empty if the entry node doesn't name it.
+  std::string_view Service;
   std::string_view WorkClass;
   std::int32_t Rank = 0;
   routing::WorkKind Kind = routing::WorkKind::AtMostOnce;
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -93,6 +93,7 @@
   order.Account = fields.Account;
   order.CallerService = fields.CallerService;
   order.ExpectedUpstream = fields.ExpectedUpstream;
+  order.Service = forward.Service;
   order.WorkClass = forward.WorkClass;
   order.Rank = forward.Rank;
   order.Kind = forward.Kind;
--- a/Source/Proxy/ProxiedRequest.cpp
+++ b/Source/Proxy/ProxiedRequest.cpp
@@ -83,6 +83,7 @@
   net::eraseConnectionFields(out.Request);
   erasePeerFields(out.Request);
   out.RequestId = RequestId;
+  out.Service = Service;
   out.Account = Account == nullptr ? std::string() : Account->Name;
   out.CallerService = Entry.Identity.Service;
   out.WorkClass = Route.Name;
--- a/Source/Proxy/TrafficView.h
+++ b/Source/Proxy/TrafficView.h
@@ -45,6 +45,8 @@
 struct OwnUpstream {
   /// Name of this node.
   std::string Node;
+  /// Service of the upstream.
+  std::string Service;
   holdings::UpstreamProcess Process;
   /// The upstream accepts new requests.
   bool IsOpen = false;
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -129,7 +129,6 @@
     Client->dropIdle();
   if (RestartSuspectedAt && own.HeardAt > *RestartSuspectedAt)
     RestartSuspectedAt.reset();
-  ServiceName = service == nullptr ? std::string() : service->Name;
   ColdRate = service == nullptr ? 0 : service->ColdRate;
   IsKeyed = service != nullptr && service->IsKeyed;
   Queue.setSlots(own.IsOpen ? own.Slots : 0);
@@ -154,7 +153,7 @@
 }
 
 std::span<const holdings::Holding> UpstreamService::holdingsOfService() const {
-  const auto it = View->Services.find(ServiceName);
+  const auto it = View->Services.find(View->Own.Service);
   if (it == View->Services.end())
     return {};
   return it->second.Holdings;
@@ -191,9 +190,24 @@
   return std::nullopt;
 }
 
+bool UpstreamService::isMisdirected(const Order &order) const {
+  return !order.Service.empty() && order.Service != View->Own.Service;
+}
+
 upstream::Ticket UpstreamService::offer(Order order, OrderHandler handler) {
   const auto now = core::BootClock::now();
   const upstream::Ticket id = NextTicket++;
+  // The address of a lost node may be assigned to a node of another service,
+  // while others still send orders for the lost one there.
+  if (isMisdirected(order)) {
+    Log->write(logging::Level::Info, "order_misdirected",
+               {{"request_id", order.RequestId}, {"service", order.Service}});
+    OrderResult out;
+    out.Outcome.Outcome = AttemptOutcome::RefusedNotRun;
+    out.Outcome.Reason = ErrorKind::OwnerChanged;
+    handler(std::move(out));
+    return id;
+  }
   const auto ownership = ownershipOf(order, now);
   if (IsKeyed && order.Key && ownership != upstream::KeyOwnership::NotOwned)
     Keys.recordRequest(*order.Key);
@@ -223,7 +237,7 @@
 void UpstreamService::enqueue(upstream::Ticket id, core::TimePoint now) {
   Order &order = Orders.at(id).Data;
   // The entry node may not know yet that the key's holder has restarted.
-  if (IsKeyed && order.Key)
+  if (IsKeyed && order.Key && !order.Service.empty())
     order.ExpectedUpstream = View->Own.Process.Id;
   if (const auto reason = refusalReason(order)) {
     refuse(id, *reason);
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -34,6 +34,9 @@
   /// written when it is sent.
   net::HttpRequest Request;
   std::string RequestId;
+  /// Service that is to run the order. Empty if the order comes from a node of
+  /// an earlier release, which doesn't name it.
+  std::string Service;
   std::string Account;
   std::string CallerService;
   std::string WorkClass;
@@ -127,6 +130,8 @@
   /// The same for the key of \p order. Held if the service has no keys.
   upstream::KeyOwnership ownershipOf(const Order &order,
                                      core::TimePoint now) const;
+  /// Whether \p order is for an upstream of another service.
+  bool isMisdirected(const Order &order) const;
   /// Returns why an order cannot be accepted, if so.
   std::optional<core::ErrorKind> refusalReason(const Order &order) const;
   /// Enqueues an order, lets it wait for the handover of its key, or refuses
@@ -179,7 +184,6 @@
   std::unordered_map<upstream::Ticket, OrderRun> Orders;
   upstream::Ticket NextTicket = 1;
   double ColdRate = 0;
-  std::string ServiceName;
   bool IsKeyed = false;
   /// When a connection to the upstream last failed; it may have restarted.
   std::optional<core::TimePoint> RestartSuspectedAt;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -703,6 +703,7 @@
 proxy::OwnUpstream Control::describeOwnUpstream(core::TimePoint now) const {
   proxy::OwnUpstream out;
   out.Node = Options.Agent.Name;
+  out.Service = Options.Agent.Service;
   out.Process = Agent.upstreamProcess();
   const bool isLeaving = LeavingSince && now - *LeavingSince > LeavingGrace;
   const bool isOut =
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -148,6 +148,7 @@
   void setView(std::shared_ptr<const routing::RouteTable> table) {
     auto view = std::make_shared<TrafficView>();
     view->Routes = std::move(table);
+    view->Own.Service = "service";
     view->Own.Process = {UpstreamId, 1};
     view->Own.IsOpen = true;
     view->Own.Slots = Slots;
@@ -749,10 +750,19 @@
 /// Which of the servers behind the entry node sends an endless answer.
 enum class Endless { Upstream, OtherNode, UpstreamOfOtherNode, Both };
 
+/// Service, process and keys of the upstream beside another node.
+struct OtherUpstream {
+  std::string Service = "service";
+  std::string Id = UpstreamId;
+  /// Whether the service is keyed; the upstream then holds all keys.
+  bool IsKeyed = false;
+};
+
 /// A node that runs forwarded orders.
 class OtherNode {
 public:
-  OtherNode(Fixture &fixture, std::uint16_t upstream)
+  OtherNode(Fixture &fixture, std::uint16_t upstream,
+            const OtherUpstream &own = {})
       : Upstream(fixture.Loop, {"127.0.0.1", upstream}, makeHeaderCodec(),
                  fixture.Log, fixture.Counters, {[] {}, [](const auto &) {}}),
         Service(fixture.Loop, makeHeaderCodec(), Upstream, fixture.Log),
@@ -761,10 +771,17 @@
             {4096, 4096, seconds(1), seconds(5)},
             [this](const auto &it) { Service.handle(it); })) {
     auto view = std::make_shared<TrafficView>();
-    view->Own.Process = {UpstreamId, 1};
+    view->Own.Service = own.Service;
+    view->Own.Process = {own.Id, 1};
     view->Own.IsOpen = true;
     view->Own.Slots = 2;
-    Upstream.setView(view, nullptr);
+    view->Own.GrantedUntil = core::BootClock::now() + seconds(10);
+    if (own.IsKeyed)
+      view->Own.Granted = {{{}, "other", view->Own.Process, 1, {}}};
+    routing::Service service;
+    service.Name = own.Service;
+    service.IsKeyed = own.IsKeyed;
+    Upstream.setView(view, &service);
   }
 
   std::uint16_t port() const { return Server->port(); }
@@ -941,3 +958,47 @@
     most += std::min(MaxAnswerBytes, MaxHeldBytes / n);
   cr_assert_leq(server.sent(), most, "%zu", server.sent());
 }
+
+namespace {
+
+struct AddressRow {
+  const char *Name;
+  /// The upstream beside the node at the address of the key's holder.
+  OtherUpstream Own;
+  unsigned Status;
+  int Runs;
+};
+
+const AddressRow AddressRows[] = {
+    {"the holder", {}, 200, 1},
+    {"the holder, whose upstream has restarted",
+     {"service", "v", true},
+     200,
+     1},
+    {"another keyed service", {"other", "v", true}, 503, 0},
+    {"another keyed service, same id", {"other", UpstreamId, true}, 503, 0},
+    {"a service without keys", {"other", "v", false}, 503, 0},
+    {"a service without keys, same id", {"other", UpstreamId, false}, 503, 0},
+};
+
+} // namespace
+
+// The address of a lost node may be assigned to a node of another service. That
+// node must not run the orders that are still sent to the address.
+ACACIA_TABLE_TEST(EntryService, RunsOrdersAtTheirServiceOnly, AddressRows) {
+  int runs = 0;
+  Fixture fixture([](const auto &) {});
+  const auto upstream = *net::HttpServer::create(
+      fixture.Loop, {"127.0.0.1", 0}, Fixture::Limits,
+      [&](const std::shared_ptr<net::Exchange> &exchange) {
+        ++runs;
+        answerWith(*exchange, 200, "signed");
+      });
+  const OtherNode other(fixture, upstream->port(), row.Own);
+  fixture.PeerPort = other.port();
+  fixture.setView(makeRouteTable(seconds(2), true));
+  const HttpResponse answer = fixture.ask("/open/x", "");
+  cr_assert_eq(answer.result_int(), row.Status, "%s: %u", row.Name,
+               answer.result_int());
+  cr_assert_eq(runs, row.Runs, "%s: %d", row.Name, runs);
+}
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -67,6 +67,7 @@
         {}, ownership.Holder, {tests::UpstreamId, 1}, 1, {}};
     view->Services["service"].Holdings = {row};
     view->Own.Node = "here";
+    view->Own.Service = "service";
     view->Own.Process = {tests::UpstreamId, 1};
     view->Own.IsOpen = true;
     view->Own.Slots = 1;
@@ -77,14 +78,17 @@
   }
 
   upstream::Ticket offer(const std::string &id,
-                         core::Duration timeLeft = seconds(3)) {
+                         core::Duration timeLeft = seconds(3),
+                         const char *service = "service",
+                         const char *expectedUpstream = tests::UpstreamId) {
     Order order;
     order.Request = {net::http::verb::get, "/", 11};
     order.Request.set("id", id);
     order.RequestId = id;
+    order.Service = service;
     order.Deadline = core::BootClock::now() + timeLeft;
     order.Target = order.Deadline;
-    order.ExpectedUpstream = tests::UpstreamId;
+    order.ExpectedUpstream = expectedUpstream;
     order.Key = tests::RequestKey;
     return Upstream->offer(std::move(order), [this](OrderResult result) {
       Results.push_back(std::move(result));
@@ -202,3 +206,40 @@
   cr_assert_eq(fixture.Open.size(), 1U, "%s", row.Name);
   cr_assert_eq(fixture.Counters.UpstreamConnects, 1U, "%s", row.Name);
 }
+
+namespace {
+
+struct SenderRow {
+  const char *Name;
+  /// Service that the order names.
+  const char *Service;
+  const char *ExpectedUpstream;
+  bool IsSent;
+};
+
+// The node's upstream belongs to "service", is the process "u" and holds the
+// key.
+const SenderRow SenderRows[] = {
+    {"names the service and the process", "service", tests::UpstreamId, true},
+    {"names the service and a former process", "service", "former", true},
+    {"names another service", "other", tests::UpstreamId, false},
+    {"earlier release", "", tests::UpstreamId, true},
+    {"earlier release, another process", "", "former", false},
+};
+
+} // namespace
+
+// Nodes of an earlier release don't name the service of an order. Without it,
+// an order for another process may be one for another service.
+ACACIA_TABLE_TEST(UpstreamService, ChecksWhatAnOrderIsFor, SenderRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  fixture.offer("1", seconds(3), row.Service, row.ExpectedUpstream);
+  fixture.run();
+  cr_assert_eq(fixture.Open.size(), row.IsSent ? 1U : 0U, "%s", row.Name);
+  cr_assert_eq(fixture.Results.size(), row.IsSent ? 0U : 1U, "%s", row.Name);
+  for (const OrderResult &it : fixture.Results) {
+    cr_assert(it.Outcome.Outcome == requests::AttemptOutcome::RefusedNotRun);
+    cr_assert(it.Outcome.Reason == core::ErrorKind::OwnerChanged);
+  }
+}
