Incarnations of a node are ordered by their records

What callers saw: two upstreams held and served the same keys, and keys moved to and fro (OWNER). It took a rolling restart and a write that was executed seconds after its answer was lost.

Cause: FleetLedger took a record of another incarnation for a later start unless this reader had itself read that incarnation before. Ruled out: the leases and the conditional appends (the renewals are in the log, in order), notices and planned moves (the reason of each takeover is "holder lost").

A record now has a generation, the end of the log at the node's start. It can't be lower than that of an earlier start, and it is the same only if nothing of that start was in the log yet; the node then takes the end of the log again, once the delayed record turns up. So the newest record follows from generation, incarnation and sequence, not from what a reader saw. Records without a generation (earlier releases) are treated as before.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -93,6 +93,7 @@
   out.set_state(static_cast<std::uint32_t>(record.State));
   out.set_slots(record.Slots);
   out.set_stopping(record.IsStopping);
+  out.set_generation(record.Generation);
   return out.SerializeAsString();
 }
 
@@ -120,6 +121,7 @@
   out.State = static_cast<holdings::UpstreamState>(in.state());
   out.Slots = in.slots();
   out.IsStopping = in.stopping();
+  out.Generation = in.generation();
   return out;
 }
 
--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -1,6 +1,7 @@
 #include "Holdings/FleetLedger.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "Holdings/KeyPlacement.h"
@@ -17,6 +18,9 @@
 bool isOutdated(const NodeRecord &record, const Member &known) {
   if (known.Record.Incarnation == record.Incarnation)
     return known.Record.Sequence > record.Sequence;
+  if (known.Record.Generation != 0 && record.Generation != 0)
+    return std::tie(known.Record.Generation, known.Record.Incarnation) >
+           std::tie(record.Generation, record.Incarnation);
   const auto &former = known.FormerIncarnations;
   return std::find(former.begin(), former.end(), record.Incarnation) !=
          former.end();
@@ -29,12 +33,17 @@
   Member &member = it->second;
   if (!isNew && isOutdated(record, member))
     return;
-  if (!isNew && member.Record.Incarnation != record.Incarnation) {
+  // A reader of an earlier release drops the generation from renewals.
+  std::uint64_t generation = record.Generation;
+  if (!isNew && member.Record.Incarnation == record.Incarnation) {
+    generation = std::max(generation, member.Record.Generation);
+  } else if (!isNew) {
     member.FormerIncarnations.push_back(member.Record.Incarnation);
     if (member.FormerIncarnations.size() > MaxFormerIncarnations)
       member.FormerIncarnations.pop_front();
   }
   member.Record = record;
+  member.Record.Generation = generation;
   member.ReadAt = readAt;
 }
 
--- a/Source/Holdings/FleetLedger.h
+++ b/Source/Holdings/FleetLedger.h
@@ -32,7 +32,8 @@
 struct Member {
   NodeRecord Record;
   core::TimePoint ReadAt{};
-  /// Earlier incarnations of the node, the latest ones.
+  /// Earlier incarnations of the node, the latest ones. Only needed for records
+  /// without a generation.
   std::deque<std::uint64_t> FormerIncarnations;
   bool isLapsed(core::TimePoint now) const {
     return now - ReadAt > NodeLapseTimeout;
@@ -47,7 +48,10 @@
   /// Ignores a record that is older than the known one of the same incarnation,
   /// and one of an earlier incarnation: an append may be delayed past a later
   /// one. If such a record counted, released keys that the earlier incarnation
-  /// told of could be reassigned while the later one grants them.
+  /// told of could be reassigned while the later one grants them. If readers
+  /// disagreed on which incarnation is the earlier one, some would take the
+  /// live one for lost; so the order is in the records, not in what was read
+  /// before.
   void applyNode(const NodeRecord &record, core::TimePoint readAt);
   void removeNode(std::string_view name);
   void applyHoldings(std::string_view service, HoldingPart part);
--- a/Source/Holdings/HoldingTypes.h
+++ b/Source/Holdings/HoldingTypes.h
@@ -109,6 +109,9 @@
   std::uint32_t Slots = 0;
   /// The node is shutting down and ends within seconds.
   bool IsStopping = false;
+  /// Orders the incarnations of the node: each start has a higher number than
+  /// all earlier ones. 0 in records of earlier releases.
+  std::uint64_t Generation = 0;
   bool operator==(const NodeRecord &) const = default;
 };
 
--- a/Source/Holdings/LeaseRenewal.cpp
+++ b/Source/Holdings/LeaseRenewal.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "Holdings/RenewalBatch.h"
 
@@ -38,18 +39,22 @@
                                              const FleetLedger &ledger,
                                              bool isKeyless,
                                              core::TimePoint now) {
+  if (Generation == 0)
+    Generation = ledger.end() + 1;
+  NodeRecord record = present;
+  record.Generation = Generation;
   const core::Duration age = now - LastRecordAt;
   Interval = isKeyless ? KeylessRenewInterval : RenewInterval;
   const core::Duration retryInterval =
       IsAcknowledged ? Interval : RecordRetryInterval;
-  const bool isDue = isRenewal(present, ledger)
+  const bool isDue = isRenewal(record, ledger)
                          ? age >= Interval || (Round && now >= *Round)
-                         : !isSame(LastRecord, present) || age >= retryInterval;
+                         : !isSame(LastRecord, record) || age >= retryInterval;
   if (!isDue)
     return std::nullopt;
   Round.reset();
   IsAcknowledged = false;
-  LastRecord = present;
+  LastRecord = std::move(record);
   LastRecord.Sequence = NextSequence++;
   LastRecordAt = now;
   return LastRecord;
@@ -67,8 +72,13 @@
 
 void LeaseRenewal::ledgerChanged(const NodeRecord *read,
                                  std::uint64_t incarnation) {
-  if (read == nullptr || read->Incarnation != incarnation)
+  if (read == nullptr)
     return;
+  if (read->Incarnation != incarnation) {
+    if (read->Generation == Generation)
+      Generation = 0;
+    return;
+  }
   for (const SentRecord &it : Sent)
     if (it.Sequence == read->Sequence)
       AuthorityUntil = std::max(AuthorityUntil, it.Sent + NodeLease);
--- a/Source/Holdings/LeaseRenewal.h
+++ b/Source/Holdings/LeaseRenewal.h
@@ -20,12 +20,18 @@
 
 /// Schedules the records of one incarnation of a node. The lease runs from the
 /// time at which the newest record that was read back from the log was sent.
+///
+/// The generation of the records is the end of the log, as read when the node
+/// started. Earlier incarnations read it before, so that theirs is lower, or
+/// the same if nothing of them was in the log yet. In that case, one of their
+/// appends may still be delayed, and a new generation is chosen if its record
+/// turns up.
 class LeaseRenewal {
 public:
-  /// Returns \p present with a sequence number if it is due to be appended:
-  /// because it differs from the log, or to renew the lease. \p isKeyless
-  /// selects the longer renewal interval of nodes whose service doesn't assign
-  /// keys.
+  /// Returns \p present with a generation and a sequence number if it is due to
+  /// be appended: because it differs from the log, or to renew the lease. \p
+  /// isKeyless selects the longer renewal interval of nodes whose service
+  /// doesn't assign keys.
   std::optional<NodeRecord> next(const NodeRecord &present,
                                  const FleetLedger &ledger, bool isKeyless,
                                  core::TimePoint now);
@@ -66,6 +72,8 @@
   };
 
   std::vector<SentRecord> Sent;
+  /// 0 until it is chosen.
+  std::uint64_t Generation = 0;
   std::uint64_t NextSequence = 1;
   NodeRecord LastRecord;
   core::TimePoint LastRecordAt{};
--- a/Tests/Holdings/FleetLedgerTest.cpp
+++ b/Tests/Holdings/FleetLedgerTest.cpp
@@ -1,10 +1,14 @@
 #include "Holdings/FleetLedger.h"
 
+#include <algorithm>
+#include <map>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "Holdings/KeyPlacement.h"
 #include "Holdings/OrphanWatch.h"
+#include "Support/Random.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -135,3 +139,120 @@
   cr_assert_eq(member->ReadAt == TimePoint() + seconds(12), row.IsApplied, "%s",
                row.Name);
 }
+
+namespace {
+
+struct FoldRow {
+  const char *Name;
+  std::uint64_t FirstSeed;
+  /// Longest time, in steps of the test, by which an append is late.
+  std::uint64_t MaxDelay;
+};
+
+const FoldRow FoldRows[] = {
+    {"appends in order", 1, 1},
+    {"late by less than one incarnation", 1001, 6},
+    {"late by some incarnations", 2001, 20},
+};
+
+/// Records of a node that restarts often, in the order of the log. An append
+/// may be executed after later ones, but the last record is that of the live
+/// incarnation.
+std::vector<NodeRecord> makeLog(std::uint64_t seed, std::uint64_t maxDelay) {
+  constexpr int Steps = 60;
+  tests::Random rng(seed);
+  std::multimap<std::uint64_t, NodeRecord> delayed;
+  std::vector<NodeRecord> out;
+  NodeRecord record;
+  record.Name = "node";
+  record.Generation = 1;
+  for (std::uint64_t step = 0; step < Steps; ++step) {
+    for (; !delayed.empty() && delayed.begin()->first <= step;
+         delayed.erase(delayed.begin()))
+      out.push_back(delayed.begin()->second);
+    if (rng.chance(0.2)) {
+      // Follows the records that the log has by then.
+      record.Generation = std::max(record.Generation, out.size() + 1) + 1;
+      record.Incarnation = rng.next();
+      record.Sequence = 0;
+    }
+    ++record.Sequence;
+    delayed.emplace(step + rng.below(maxDelay + 1), record);
+  }
+  for (const auto &[step, it] : delayed)
+    out.push_back(it);
+  ++record.Sequence;
+  out.push_back(record);
+  return out;
+}
+
+/// Applies the log to a ledger that was started from a snapshot of its first
+/// \p start records.
+FleetLedger readLog(std::span<const NodeRecord> log, std::size_t start) {
+  FleetLedger out;
+  for (std::size_t n = start == 0 ? 0 : start - 1; n < log.size(); ++n)
+    out.applyNode(log[n], TimePoint() + seconds(n));
+  return out;
+}
+
+} // namespace
+
+// Readers that started at different times must agree on which incarnation of a
+// node lives, or some of them ignore its renewals and take over its keys.
+ACACIA_TABLE_TEST(FleetLedger, IsTheSameFromEachStart, FoldRows) {
+  constexpr std::uint64_t Seeds = 500;
+  for (std::uint64_t seed = row.FirstSeed; seed < row.FirstSeed + Seeds;
+       ++seed) {
+    const auto log = makeLog(seed, row.MaxDelay);
+    for (std::size_t start = 0; start <= log.size(); ++start) {
+      const FleetLedger ledger = readLog(log, start);
+      const Member *member = ledger.findMember("node");
+      cr_assert(member->Record == log.back(), "%s, seed %lu, start %zu",
+                row.Name, static_cast<unsigned long>(seed), start);
+      cr_assert(member->ReadAt == TimePoint() + seconds(log.size() - 1));
+    }
+  }
+}
+
+namespace {
+
+struct GenerationRow {
+  const char *Name;
+  std::uint64_t KnownGeneration;
+  std::uint64_t KnownIncarnation;
+  std::uint64_t Generation;
+  std::uint64_t Incarnation;
+  bool IsApplied;
+};
+
+// The reader started after the former incarnation's last record.
+const GenerationRow GenerationRows[] = {
+    {"a later start", 5, 1, 6, 2, true},
+    {"late record of an earlier start", 5, 1, 4, 2, false},
+    {"two starts with one number, the higher incarnation", 5, 1, 5, 2, true},
+    {"two starts with one number, the lower incarnation", 5, 2, 5, 1, false},
+    {"update from an earlier release", 0, 1, 5, 2, true},
+    {"return to an earlier release", 5, 1, 0, 2, true},
+    {"renewal through a reader of an earlier release", 5, 1, 0, 1, true},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(FleetLedger, OrdersIncarnations, GenerationRows) {
+  FleetLedger ledger;
+  NodeRecord record;
+  record.Name = "node";
+  record.Generation = row.KnownGeneration;
+  record.Incarnation = row.KnownIncarnation;
+  ledger.applyNode(record, TimePoint() + seconds(10));
+  record.Generation = row.Generation;
+  record.Incarnation = row.Incarnation;
+  record.Sequence = 1;
+  ledger.applyNode(record, TimePoint() + seconds(11));
+  const Member *member = ledger.findMember("node");
+  cr_assert_eq(member->ReadAt == TimePoint() + seconds(11), row.IsApplied, "%s",
+               row.Name);
+  if (row.KnownIncarnation == row.Incarnation)
+    cr_assert_eq(member->Record.Generation, row.KnownGeneration, "%s",
+                 row.Name);
+}
--- a/Tests/Holdings/FleetModel.cpp
+++ b/Tests/Holdings/FleetModel.cpp
@@ -1,6 +1,7 @@
 #include "Holdings/FleetModel.h"
 
 #include <algorithm>
+#include <set>
 #include <span>
 #include <utility>
 
@@ -371,7 +372,12 @@
     core::TimePoint readAt = Now;
     if (Options.Broken == BrokenRule::EarlyLapse)
       readAt -= NodeLapseTimeout / 2;
+    // A node that starts reads a snapshot, which lacks replaced records.
+    const std::vector<bool> isReplaced =
+        node.HasReadLog ? std::vector<bool>(end, false) : replacedRecords(end);
     for (; node.Position < end; ++node.Position) {
+      if (isReplaced[node.Position])
+        continue;
       const LogRecord &it = Log[node.Position];
       if (it.Node)
         node.Ledger.applyNode(*it.Node, readAt);
@@ -384,6 +390,21 @@
     append(node);
   }
 
+  /// Returns for each record of the log before \p end whether one with the same
+  /// key follows it.
+  std::vector<bool> replacedRecords(std::size_t end) const {
+    std::vector<bool> out(end, false);
+    std::set<std::string> known;
+    for (std::size_t n = end; n-- > 0;) {
+      const LogRecord &it = Log[n];
+      out[n] = !known
+                    .insert(it.Node ? it.Node->Name
+                                    : std::to_string(it.Part->Number))
+                    .second;
+    }
+    return out;
+  }
+
   void append(ModelNode &node) {
     if (node.IsAppending || !node.HasReadLog)
       return;
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -457,3 +457,52 @@
   cr_assert(grant.has_value());
   cr_assert_eq(grant->Rows.at(0).Token, 7U);
 }
+
+namespace {
+
+struct FormerRecordRow {
+  const char *Name;
+  /// Generation of a former incarnation's record that is read after the node's
+  /// own one, whose generation is 8.
+  std::uint64_t Generation;
+  std::uint64_t Incarnation;
+  /// Whether the node appends its record again at once, and the generation.
+  bool IsRepeated;
+  std::uint64_t Next;
+};
+
+const FormerRecordRow FormerRecordRows[] = {
+    {"an earlier generation", 7, 2, false, 8},
+    {"the same generation, counts as older", 8, 0, false, 8},
+    {"the same generation, counts as newer", 8, 2, true, 10},
+};
+
+} // namespace
+
+// An append of a former incarnation may be executed after the node has
+// restarted. The node has to stay the one that other nodes take for live.
+ACACIA_TABLE_TEST(HoldingAgent, FollowsItsFormerIncarnation, FormerRecordRows) {
+  HoldingAgent agent = makeAgent();
+  FleetLedger ledger;
+  ledger.setEnd(7);
+  const auto first = agent.nextRecord(ledger, false, Start);
+  cr_assert(first.has_value());
+  cr_assert_eq(first->Generation, 8U);
+  ledger.applyNode(*first, Start);
+  NodeRecord former = *first;
+  former.Generation = row.Generation;
+  former.Incarnation = row.Incarnation;
+  ledger.applyNode(former, Start);
+  ledger.setEnd(9);
+  agent.ledgerChanged(ledger, Start);
+  const auto next = agent.nextRecord(ledger, false, Start + milliseconds(10));
+  cr_assert_eq(next.has_value(), row.IsRepeated, "%s", row.Name);
+  if (next)
+    cr_assert_eq(next->Generation, row.Next, "%s", row.Name);
+  const auto renewal = agent.nextRecord(ledger, false, Start + seconds(3));
+  cr_assert(renewal.has_value(), "%s", row.Name);
+  ledger.applyNode(*renewal, Start + seconds(3));
+  const Member *member = ledger.findMember("node");
+  cr_assert_eq(member->Record.Incarnation, 1U, "%s", row.Name);
+  cr_assert_eq(member->Record.Generation, row.Next, "%s", row.Name);
+}
--- a/Tests/Holdings/RenewalBatchTest.cpp
+++ b/Tests/Holdings/RenewalBatchTest.cpp
@@ -130,7 +130,9 @@
       if (now < node.NextTick)
         continue;
       node.NextTick = now + Tick;
-      const NodeRecord present = makeRecord("node-" + std::to_string(n));
+      NodeRecord present = makeRecord("node-" + std::to_string(n));
+      // The first generation in an empty log.
+      present.Generation = 1;
       if (node.LastSent == TimePoint{})
         ledger.applyNode(present, now);
       const auto record = node.Lease.next(present, ledger, row.IsKeyless, now);
