The accepted age of relayed configurations follows from the bound

What callers saw: nodes that reach the store themselves ran requests by an old configuration, or gave 404 for a route that was there, up to 2.9 s after a newer one was acknowledged; the bound is 2 s (CONFIG). The node that they read through was cut off from the store.

Cause: a relay that is cut off goes on answering, and only the age of its data tells. 2.4 s were accepted, and the next read came 0.5 s later. So much was needed since a relay's data counted from the start of its long poll of a second: between two polls it was up to two seconds old. Ruled out, by reading: shorter long polls alone would keep the bound, at more than twice the calls of each relay.

Now limits.configuration (new, from the platform's configApply) and the time for which keys are honoured give the age, 1.5 s of 2 s: the bound less the time for two silent relays and a read of the log (feed::RelayTiming). The next read starts before data gets older than that. A long poll that ends without records counts from the end of its wait, as the log answers once there is a record; so a relay's data is about a second old at most, at the same number of calls. The fleet's log keeps its age, as no bound follows from it.

--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -16,6 +16,23 @@
 
 constexpr int MaxBackoffDoublings = 3;
 
+/// Maximum difference of the rates of two clocks, in percent.
+constexpr int ClockDriftPercent = 2;
+
+/// Returns a time, as late as is known, at which the log ended at the end of
+/// \p tail, the answer to a read that was sent at \p requestedAt.
+core::TimePoint confirmedAt(const Tail &tail, core::Offset from,
+                            core::Duration wait, core::TimePoint requestedAt,
+                            core::TimePoint now) {
+  // The log answers a read at its end once there is a record or the wait is
+  // over.
+  const bool hasWaited =
+      !tail.IsRelayed && tail.Next == from && now - requestedAt >= wait;
+  if (hasWaited)
+    return requestedAt + wait - wait * ClockDriftPercent / 100;
+  return requestedAt - tail.Age;
+}
+
 } // namespace
 
 KeyedFeed::KeyedFeed(boost::asio::io_context &loop, KeyedLog log,
@@ -73,13 +90,19 @@
                         ? core::Duration{}
                         : Timing.Wait;
   const auto requestedAt = core::BootClock::now();
-  Log.ReadFrom(Position, wait, [this, requestedAt](core::Result<Tail> tail) {
-    IsReading = false;
-    onTail(std::move(tail), requestedAt);
-  });
+  Log.ReadFrom(
+      Position, wait,
+      [this, from = Position, wait, requestedAt](core::Result<Tail> tail) {
+        IsReading = false;
+        const auto now = core::BootClock::now();
+        const auto confirmed =
+            tail ? confirmedAt(*tail, from, wait, requestedAt, now)
+                 : requestedAt;
+        onTail(std::move(tail), confirmed);
+      });
 }
 
-void KeyedFeed::onTail(core::Result<Tail> tail, core::TimePoint requestedAt) {
+void KeyedFeed::onTail(core::Result<Tail> tail, core::TimePoint confirmed) {
   if (!tail) {
     if (tail.error().Kind == core::ErrorKind::LogTrimmed)
       restart();
@@ -94,7 +117,7 @@
     Hooks.OnDecodeError(it);
   // `appended` may have advanced the position during the read.
   if (tail->Next < Position)
-    *tail = {{}, Position, Position, tail->Age, {}};
+    *tail = {{}, Position, Position, tail->Age, tail->IsRelayed, {}};
   Position = tail->Next;
   std::move(tail->Records.begin(), tail->Records.end(),
             std::back_inserter(PendingRecords));
@@ -105,12 +128,17 @@
     readTail();
     return;
   }
-  Hooks.OnRecords(std::exchange(PendingRecords, {}), Position,
-                  requestedAt - tail->Age);
+  Hooks.OnRecords(std::exchange(PendingRecords, {}), Position, confirmed);
   if (IsImmediateReadRequested)
     readTail();
   else
-    scheduleRead(Timing.Pause);
+    scheduleRead(pauseAfter(confirmed));
+}
+
+core::Duration KeyedFeed::pauseAfter(core::TimePoint confirmed) const {
+  const core::Duration left =
+      Timing.MaxAge - (core::BootClock::now() - confirmed);
+  return std::max(core::Duration{}, std::min(Timing.Pause, left));
 }
 
 void KeyedFeed::appended(const std::vector<KeyedRecord> &records,
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -37,6 +37,9 @@
   core::Duration Wait{};
   /// Time between the end of a read and the start of the next one.
   core::Duration Pause{};
+  /// The next read starts earlier if what is known of the log would get older
+  /// than this.
+  core::Duration MaxAge = core::Duration::max();
 };
 
 /// Reads a snapshot of the newest record of each key and then the records that
@@ -66,7 +69,9 @@
   void readPage();
   void onPage(core::Result<NewestPage> page);
   void readTail();
-  void onTail(core::Result<Tail> tail, core::TimePoint requestedAt);
+  /// \p confirmed is a time at which the log had no records after \p tail.
+  void onTail(core::Result<Tail> tail, core::TimePoint confirmed);
+  core::Duration pauseAfter(core::TimePoint confirmed) const;
   void onFailure(const core::Error &error);
   void scheduleRead(core::Duration pause);
   void continueReading();
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -115,6 +115,14 @@
         },
         "A withdrawn key of a client account is refused after this time, "
         "whatever the node can reach."),
+    textField<SidecarSettings>(
+        "limits", "configuration", TextKind::Duration, "2s",
+        [](SidecarSettings &it, std::string_view s) {
+          it.Limits.Configuration = durationOf(s);
+        },
+        "A configuration is in force on nodes that reach the store within "
+        "this time; less than 1s counts as 1s. A change needs a "
+        "restart."),
     textField<SidecarSettings>(
         "limits", "drain", TextKind::Duration, "5s",
         [](SidecarSettings &it, std::string_view s) {
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -47,6 +47,8 @@
   core::Duration AccountWindow{};
   double RetryRatio = 0;
   double RetryAllowance = 0;
+  /// A configuration is in force within this time after it was accepted.
+  core::Duration Configuration{};
   bool operator==(const SidecarLimits &) const = default;
 };
 
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -14,12 +14,6 @@
 
 namespace {
 
-/// Polling of the operators' log by nodes that read it directly. Keys of client
-/// accounts are accepted only while the configuration was confirmed within the
-/// last few seconds, so long polls must be short.
-constexpr feed::PollTiming OperatorPollTiming{milliseconds(1000),
-                                              milliseconds(0)};
-
 /// Polling of the fleet's log by nodes that read it directly. Nodes renew their
 /// leases all the time, so a long poll would return at once; the pause bounds
 /// the read rate.
@@ -31,8 +25,13 @@
 /// sent elsewhere.
 constexpr core::Duration MemberRetention = std::chrono::seconds(30);
 
-/// Polling by nodes that read through a relay.
-constexpr feed::PollTiming RelayPollTiming{milliseconds(0), milliseconds(500)};
+/// Polling of the fleet's log by nodes that read it through a relay.
+constexpr feed::PollTiming FleetRelayPollTiming{milliseconds(0),
+                                                milliseconds(500)};
+
+/// Maximum age of a relay's records of the fleet's log. No limit depends on it:
+/// a node itself refuses requests that its upstream may not get any more.
+constexpr core::Duration MaxFleetRelayAge = milliseconds(2400);
 
 /// Time after a read in which a change may be proposed. A proposal is refused
 /// if the log's end has moved, for example by the lease renewal of another
@@ -95,7 +94,7 @@
   Relay = std::move(*relay);
   Operators = std::make_unique<feed::KeyedFeed>(
       Loop, Relay->wrap(RelayedLog::Operators, Logs.Operators),
-      OperatorPollTiming, operatorHooks());
+      Options.OperatorReads.Direct, operatorHooks());
   Fleet = std::make_unique<feed::KeyedFeed>(
       Loop, Relay->wrap(RelayedLog::Fleet, Logs.Fleet), FleetPollTiming,
       fleetHooks());
@@ -426,13 +425,16 @@
   if (log == RelayedLog::Fleet && isKeyed() &&
       Agent.hasChangeToPropose(Ledger, now))
     return {{}, StoreCallCause::ProposalRead};
+  const core::Duration maxAge = log == RelayedLog::Operators
+                                    ? Options.OperatorReads.MaxAge
+                                    : MaxFleetRelayAge;
   if (log == RelayedLog::Fleet)
     if (const auto hintSenderHost = std::exchange(HintSenderHost, std::nullopt))
-      return {*hintSenderHost};
+      return {*hintSenderHost, StoreCallCause::Poll, maxAge};
   if (Readers.isReader())
     return {{}, StoreCallCause::Poll};
   if (const auto host = Readers.select(now))
-    return {*host};
+    return {*host, StoreCallCause::Poll, maxAge};
   return {{}, StoreCallCause::NoRelay};
 }
 
@@ -453,8 +455,9 @@
   Log->write(logging::Level::Info, "log_readers",
              {{"reads_itself", isReader},
               {"reader", Readers.select(now).value_or("")}});
-  Operators->setPollTiming(isReader ? OperatorPollTiming : RelayPollTiming);
-  Fleet->setPollTiming(isReader ? FleetPollTiming : RelayPollTiming);
+  Operators->setPollTiming(isReader ? Options.OperatorReads.Direct
+                                    : Options.OperatorReads.Relayed);
+  Fleet->setPollTiming(isReader ? FleetPollTiming : FleetRelayPollTiming);
 }
 
 void Control::onDatagram(std::string_view bytes) {
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -18,6 +18,7 @@
 
 #include "Feed/KeyedFeed.h"
 #include "Feed/RelaySelector.h"
+#include "Feed/RelayTiming.h"
 #include "Holdings/FleetLedger.h"
 #include "Holdings/HoldingAgent.h"
 #include "Logging/Logger.h"
@@ -49,6 +50,8 @@
   core::Endpoint Gossip;
   /// Serves log reads to other nodes; all nodes use the same port.
   core::Endpoint Relay;
+  /// Reads of the operators' log.
+  feed::RelayTiming OperatorReads;
 };
 
 /// Owns all control state. All members must be called on its event loop.
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -9,6 +9,7 @@
 #include "Codec/FleetRecords.h"
 #include "Core/Milliseconds.h"
 #include "Core/ParseNumber.h"
+#include "Feed/RelayTiming.h"
 
 namespace acaciaroad::sidecar {
 
@@ -17,9 +18,6 @@
 
 namespace {
 
-/// Round trips between nodes take milliseconds. After this time the log is read
-/// directly.
-constexpr core::Duration RelayTimeout = milliseconds(150);
 constexpr core::Duration ConnectTimeout = milliseconds(100);
 constexpr core::Duration IdleLimit = std::chrono::seconds(20);
 constexpr std::size_t MaxRelayConnections = 4;
@@ -32,14 +30,6 @@
 /// records.
 constexpr std::size_t MaxRelayHosts = 16;
 
-/// Maximum age of a relay's data. Older data means that the relay may be cut
-/// off from the log, so the log is read directly. Covers two long polls of one
-/// second each and a margin.
-constexpr core::Duration MaxRelayAge = milliseconds(2400);
-
-/// Relays that one read asks before it goes to the log.
-constexpr int MaxRelaysPerRead = 2;
-
 /// Time for a renewal to be collected with others and appended. After it, the
 /// node appends the renewal itself.
 constexpr core::Duration RenewalTimeout = milliseconds(800);
@@ -50,7 +40,7 @@
 net::ClientOptions makeOptions() {
   net::ClientOptions out;
   out.ConnectTimeout = ConnectTimeout;
-  out.SendTimeout = RelayTimeout;
+  out.SendTimeout = feed::RelayTimeout;
   out.IdleLimit = IdleLimit;
   out.BodyBytes = MaxRelayedBytes;
   out.MostConnections = MaxRelayConnections;
@@ -137,7 +127,7 @@
     readDirectly(*read, choice.Cause);
     return;
   }
-  readFrom(read->Name, choice.Host, read->From,
+  readFrom(choice, read->Name, read->From,
            [this, read, host = choice.Host](core::Result<feed::Tail> tail) {
              if (tail)
                read->Handler(std::move(tail));
@@ -155,7 +145,7 @@
     return;
   }
   Hooks.OnFailed(host, error);
-  if (++read->FailedRelays < MaxRelaysPerRead)
+  if (++read->FailedRelays < feed::MaxRelaysPerRead)
     start(read);
   else
     readDirectly(*read, error.Kind == ErrorKind::NodeIsolated
@@ -229,12 +219,14 @@
   return *Clients.clientFor(server);
 }
 
-void LogRelay::readFrom(RelayedLog name, const std::string &host,
+void LogRelay::readFrom(const RelayChoice &relay, RelayedLog name,
                         core::Offset from, feed::TailHandler handler) {
   net::sendWithTimeout(
-      Loop, clientOf(host), {net::http::verb::get, targetOf(name, from), 11},
-      net::CallTimeout::ofWholeCall(RelayTimeout),
-      [handler = std::move(handler)](net::CallResult result) {
+      Loop, clientOf(relay.Host),
+      {net::http::verb::get, targetOf(name, from), 11},
+      net::CallTimeout::ofWholeCall(feed::RelayTimeout),
+      [handler = std::move(handler),
+       maxAge = relay.MaxAge](const net::CallResult &result) {
         if (result.End != net::CallEnd::Answered) {
           handler(core::fail(ErrorKind::PeerUnreachable, result.Detail));
           return;
@@ -246,7 +238,9 @@
           return;
         }
         auto tail = codec::decodeTail(result.Response.body());
-        if (tail && tail->Age > MaxRelayAge)
+        if (tail)
+          tail->IsRelayed = true;
+        if (tail && tail->Age > maxAge)
           tail = core::fail(ErrorKind::NodeIsolated,
                             "the relay's records are out of date");
         handler(std::move(tail));
--- a/Source/Sidecar/LogRelay.h
+++ b/Source/Sidecar/LogRelay.h
@@ -30,6 +30,9 @@
   std::string Host;
   /// Why the log itself is read, if it is.
   StoreCallCause Cause = StoreCallCause::Poll;
+  /// Older data of the node isn't accepted: the node may be cut off from the
+  /// log.
+  core::Duration MaxAge{};
 };
 
 struct RelayHooks {
@@ -91,7 +94,7 @@
   void onRelayFailed(const std::shared_ptr<Read> &read, std::string_view host,
                      const core::Error &error);
   void readDirectly(const Read &read, StoreCallCause cause);
-  void readFrom(RelayedLog name, const std::string &host, core::Offset from,
+  void readFrom(const RelayChoice &relay, RelayedLog name, core::Offset from,
                 feed::TailHandler handler);
 
   /// Holds a few minutes of records of a small fleet.
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -144,7 +144,9 @@
           {Settings.Upstream.Heartbeat, Settings.Upstream.LongestGrant},
           Settings.Control.Listen,
           Settings.Gossip.Listen,
-          Settings.Relay.Listen},
+          Settings.Relay.Listen,
+          feed::RelayTiming::forBound(std::min(Settings.Limits.Configuration,
+                                               Settings.Limits.KeyFreshness))},
       Dependencies.Codec,
       Dependencies.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -1,5 +1,6 @@
 #include "Feed/KeyedFeed.h"
 
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -102,6 +103,7 @@
                 from + 1,
                 from + (*step == ReadStep::PartialTail ? 2U : 1U),
                 {},
+                false,
                 makeDecodeErrors(*step == ReadStep::TailWithDecodeError)});
         },
         {}};
@@ -236,12 +238,157 @@
   boost::asio::steady_timer asked(loop, UrgentPause / 2);
   asked.async_wait([&](boost::system::error_code) { feed.readNow(); });
   cr_assert_eq(pending.size(), 1U, "%s", row.Name);
-  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, {}});
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, false, {}});
   std::this_thread::sleep_for(row.Delay);
   loop.run_for(4 * UrgentPause);
   cr_assert_eq(pending.size(), 1U, "%s: %zu", row.Name, pending.size());
 }
 
+namespace {
+
+struct ConfirmedRow {
+  const char *Name;
+  /// Time until the read is answered, and the longest wait that it asks for.
+  core::Duration Answer;
+  core::Duration Wait;
+  bool HasRecords;
+  /// Age of relayed data; nullopt if the log itself answers.
+  std::optional<core::Duration> Age;
+  /// When the log is known to have ended at the end that was read, from when
+  /// the read was sent.
+  core::Duration Confirmed;
+};
+
+const ConfirmedRow ConfirmedRows[] = {
+    {"no wait", milliseconds(20), {}, false, std::nullopt, {}},
+    {"no record while it waited", milliseconds(110), milliseconds(100), false,
+     std::nullopt, milliseconds(98)},
+    {"answered early without a record",
+     milliseconds(20),
+     milliseconds(100),
+     false,
+     std::nullopt,
+     {}},
+    {"a record before the wait is over",
+     milliseconds(20),
+     milliseconds(100),
+     true,
+     std::nullopt,
+     {}},
+    {"a record, answered late",
+     milliseconds(110),
+     milliseconds(100),
+     true,
+     std::nullopt,
+     {}},
+    {"relayed",
+     milliseconds(20),
+     {},
+     false,
+     milliseconds(300),
+     milliseconds(-300)},
+    {"relayed, answered late", milliseconds(110), milliseconds(100), false,
+     milliseconds(300), milliseconds(-300)},
+};
+
+} // namespace
+
+// Other nodes must not count data of a relay as more recent than it is, nor
+// pass over a relay whose reads of the log wait for records.
+ACACIA_TABLE_TEST(KeyedFeed, TellsWhenTheLogWasRead, ConfirmedRows) {
+  boost::asio::io_context loop;
+  boost::asio::steady_timer timer(loop);
+  TimePoint sent;
+  std::optional<core::Duration> confirmed;
+  KeyedFeed feed(
+      loop,
+      {[](std::string_view, const PageHandler &handler) {
+         handler(NewestPage{{{"a", "1"}}, false, 5, {}});
+       },
+       [&](core::Offset from, core::Duration, const TailHandler &handler) {
+         sent = core::BootClock::now();
+         timer.expires_after(row.Answer);
+         timer.async_wait([&, from, handler](boost::system::error_code) {
+           Tail tail{{},
+                     from,
+                     from,
+                     row.Age.value_or(core::Duration{}),
+                     row.Age.has_value(),
+                     {}};
+           if (row.HasRecords)
+             tail = {{{"a", "2"}}, from + 1,       from + 1,
+                     tail.Age,     tail.IsRelayed, {}};
+           handler(std::move(tail));
+         });
+       },
+       {}},
+      {row.Wait, seconds(9)},
+      {[](const auto &, core::Offset, TimePoint) {},
+       [&](const auto &, core::Offset, TimePoint at) {
+         confirmed = at - sent;
+         loop.stop();
+       },
+       [](bool, std::string_view) {}, [](const core::Error &) {}});
+  feed.start();
+  loop.run_for(seconds(2));
+  cr_assert(confirmed.has_value(), "%s", row.Name);
+  const core::Duration difference = *confirmed - row.Confirmed;
+  cr_assert(difference <= core::Duration{} && difference > -milliseconds(5),
+            "%s: %ld us", row.Name,
+            static_cast<long>(difference / std::chrono::microseconds(1)));
+}
+
+namespace {
+
+struct PauseRow {
+  const char *Name;
+  core::Duration MaxAge;
+  /// Age of the relayed data.
+  core::Duration Age;
+  core::Duration Pause;
+};
+
+const PauseRow PauseRows[] = {
+    {"recent data", milliseconds(400), milliseconds(50), milliseconds(200)},
+    {"older data", milliseconds(400), milliseconds(300), milliseconds(100)},
+    {"data that is too old", milliseconds(400), milliseconds(900), {}},
+    {"no limit", core::Duration::max(), seconds(60), milliseconds(200)},
+};
+
+} // namespace
+
+// The next read must start while there is still time to read the log itself, if
+// the relay turns out to be cut off from it.
+ACACIA_TABLE_TEST(KeyedFeed, ReadsBeforeDataIsTooOld, PauseRows) {
+  boost::asio::io_context loop;
+  std::vector<TimePoint> reads;
+  KeyedFeed feed(
+      loop,
+      {[](std::string_view, const PageHandler &handler) {
+         handler(NewestPage{{{"a", "1"}}, false, 5, {}});
+       },
+       [&](core::Offset from, core::Duration, const TailHandler &handler) {
+         reads.push_back(core::BootClock::now());
+         if (reads.size() == 2)
+           loop.stop();
+         else
+           handler(Tail{{}, from, from, row.Age, true, {}});
+       },
+       {}},
+      {{}, milliseconds(200), row.MaxAge},
+      {[](const auto &, core::Offset, TimePoint) {},
+       [](const auto &, core::Offset, TimePoint) {},
+       [](bool, std::string_view) {}, [](const core::Error &) {}});
+  feed.start();
+  loop.run_for(seconds(2));
+  cr_assert_eq(reads.size(), 2U, "%s", row.Name);
+  const core::Duration pause = reads[1] - reads[0];
+  cr_assert(pause >= row.Pause - milliseconds(5) &&
+                pause < row.Pause + milliseconds(80),
+            "%s: %ld us", row.Name,
+            static_cast<long>(pause / std::chrono::microseconds(1)));
+}
+
 ACACIA_TABLE_TEST(RelayBuffer, Reads, BufferRows) {
   RelayBuffer buffer(1U << 20U);
   const TimePoint start{};
--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -19,6 +19,9 @@
 /// Rows run in parallel; each uses its own port, counted from here.
 constexpr std::uint16_t FirstPort = 23480;
 
+/// Accepted age of a relay's data.
+constexpr core::Duration MaxAge = seconds(1);
+
 /// Chooses \p hosts one after the other, the next one when one has failed, and
 /// then the log itself. Sets \p cause when the log itself is read.
 RelayHooks makeHooks(const std::vector<std::string> &hosts,
@@ -28,7 +31,7 @@
   out.Choose = [left](RelayedLog) -> RelayChoice {
     if (left->empty())
       return {{}, StoreCallCause::NoRelay};
-    return {left->front()};
+    return {left->front(), StoreCallCause::Poll, MaxAge};
   };
   out.OnFailed = [left](std::string_view host, const core::Error &) {
     cr_assert_eq(host, left->front());
@@ -75,7 +78,7 @@
      StoreCallCause::RelayRefused},
     {"one relay with outdated data",
      100,
-     seconds(3),
+     milliseconds(1050),
      {"127.0.0.2"},
      StoreCallCause::NoRelay},
     {"relays with outdated data",
@@ -141,6 +144,7 @@
       ->wrap(RelayedLog::Operators, log)
       .ReadFrom(0, core::Duration{}, [&](const core::Result<feed::Tail> &tail) {
         cr_assert(tail.has_value(), "%s", row.Name);
+        cr_assert_eq(tail->IsRelayed, !row.Cause, "%s", row.Name);
         isDone = true;
         loop.stop();
       });
--- a/Tests/Sidecar/SidecarTest.cpp
+++ b/Tests/Sidecar/SidecarTest.cpp
@@ -36,7 +36,7 @@
   out.Health = {{"127.0.0.1", n++}, "/metrics"};
   out.Upstream = {{"127.0.0.1", n++}, seconds(1), seconds(10)};
   out.Store.Address = {"127.0.0.1", n};
-  out.Limits = {seconds(4), seconds(1), seconds(5), 0.1, 10};
+  out.Limits = {seconds(4), seconds(1), seconds(5), 0.1, 10, seconds(2)};
   return out;
 }
 
