Logs tell why keys were taken from a holder, and what was granted until when

keys_granted has the ranges with their tokens, the heartbeat and the length; keys_renewed (debug) the same grant again; keys_freed one line for each holder and cause, with the last record that was read of the holder's node. No behaviour changes.

Test: holdings_test HoldingAgent TellsWhyKeysAreFree and ReassignsReleasedKeys.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -405,9 +405,11 @@
 }
 
 HoldingChange HoldingAgent::propose(const FleetLedger &ledger, Rows rows,
-                                    std::string_view reason) const {
+                                    std::string_view reason,
+                                    std::vector<ReleasedKeys> freed) const {
   normalize(rows);
-  return {Identity.Service, std::move(rows), {}, ledger.end(), reason};
+  return {Identity.Service, std::move(rows), {},
+          ledger.end(),     reason,          std::move(freed)};
 }
 
 void HoldingAgent::withhold(const FleetLedger &ledger,
@@ -431,14 +433,17 @@
       }))
     return std::nullopt;
   Rows out(rows.begin(), rows.end());
+  std::vector<ReleasedKeys> freed;
   for (Holding &it : out) {
     if (!isHeldByFormerProcess(it))
       continue;
+    freed.push_back({it, Identity.Name, FreeCause::FormerProcess});
     it.Process = Process;
     it.Token = ledger.end() + 1;
     it.Handover.clear();
   }
-  return propose(ledger, std::move(out), "upstream restarted");
+  return propose(ledger, std::move(out), "upstream restarted",
+                 std::move(freed));
 }
 
 std::vector<ReleasedKeys>
@@ -449,16 +454,18 @@
   known.reserve(out.size());
   for (const ReleasedKeys &it : out)
     known.push_back(it.Row.Keys);
-  Rows gone;
   const bool isGone = isProcessGone(now);
   for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
     const bool isDead = row.Node == Identity.Name && isGone;
-    if (isDead || (isHeldByFormerProcess(row) && mustReleaseKeys(ledger)))
-      gone.push_back(row);
-  }
-  for (Holding &it : without(gone, known)) {
-    it.Handover.clear();
-    out.push_back({std::move(it), {}});
+    if (!isDead && !(isHeldByFormerProcess(row) && mustReleaseKeys(ledger)))
+      continue;
+    for (Holding &it : without({{row}}, known)) {
+      it.Handover.clear();
+      out.push_back(
+          {std::move(it),
+           {},
+           isDead ? FreeCause::UpstreamGone : FreeCause::FormerProcess});
+    }
   }
   return out;
 }
@@ -525,7 +532,8 @@
   out.insert(out.end(), given.begin(), given.end());
   for (Holding &it : distributeKeys(open, out, candidates, token))
     out.push_back(std::move(it));
-  return propose(ledger, std::move(out), "released keys reassigned");
+  return propose(ledger, std::move(out), "released keys reassigned",
+                 std::move(free));
 }
 
 std::optional<HoldingChange>
@@ -544,8 +552,12 @@
   const auto candidates = ledger.eligible(Identity.Service, now);
   for (Holding &it : distributeKeys(open, out, candidates, ledger.end() + 1))
     out.push_back(std::move(it));
+  std::vector<ReleasedKeys> freed;
+  for (const Holding &it : open)
+    freed.push_back({it, {}, FreeCause::NoHolder});
   return propose(ledger, std::move(out),
-                 rows.empty() ? "initial assignment" : "holder lost");
+                 rows.empty() ? "initial assignment" : "holder lost",
+                 std::move(freed));
 }
 
 void HoldingAgent::changeCompleted(ChangeOutcome outcome, core::TimePoint now) {
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -52,6 +52,8 @@
   core::Offset At = 0;
   /// Reason for the change, as logged.
   std::string_view Reason;
+  /// The assignments that end, and why each may end.
+  std::vector<ReleasedKeys> Freed;
 };
 
 /// Outcome of appending a change.
@@ -185,6 +187,8 @@
 
   const UpstreamProcess &upstreamProcess() const { return Process; }
   UpstreamState state() const { return State; }
+  /// Number of the last heartbeat that was accepted.
+  std::uint64_t heartbeatSequence() const { return HeartbeatSequence; }
   core::TimePoint authorityUntil() const { return Lease.authorityUntil(); }
 
 private:
@@ -206,7 +210,8 @@
                                              core::TimePoint now) const;
   void withhold(const FleetLedger &ledger, std::span<const Holding> proposed);
   HoldingChange propose(const FleetLedger &ledger, Rows rows,
-                        std::string_view reason) const;
+                        std::string_view reason,
+                        std::vector<ReleasedKeys> freed) const;
   std::optional<HoldingChange> planChange(const FleetLedger &ledger,
                                           core::TimePoint now) const;
   std::optional<HoldingChange>
--- a/Source/Holdings/KeyRelease.cpp
+++ b/Source/Holdings/KeyRelease.cpp
@@ -17,6 +17,22 @@
 
 } // namespace
 
+std::string_view toString(FreeCause cause) {
+  switch (cause) {
+  case FreeCause::Released:
+    return "released";
+  case FreeCause::Notice:
+    return "notice";
+  case FreeCause::UpstreamGone:
+    return "upstream gone";
+  case FreeCause::FormerProcess:
+    return "former process";
+  case FreeCause::NoHolder:
+    return "no holder";
+  }
+  return "unknown";
+}
+
 void KeyRelease::plan(const Holding &row, std::string target) {
   Outgoing.push_back({row.Keys, row.Token, std::move(target), false, false});
 }
@@ -75,7 +91,7 @@
   const auto give = [&](const Holding &row, const KeyRange &keys,
                         const std::string &target) {
     for (const KeyRange &it : subtract(keys, done)) {
-      out.push_back({row, target});
+      out.push_back({row, target, FreeCause::Released});
       out.back().Row.Keys = it;
     }
     done.push_back(keys);
--- a/Source/Holdings/KeyRelease.h
+++ b/Source/Holdings/KeyRelease.h
@@ -4,20 +4,39 @@
 #ifndef ACACIAROAD_HOLDINGS_KEYRELEASE_H
 #define ACACIAROAD_HOLDINGS_KEYRELEASE_H
 
+#include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Holdings/HoldingTypes.h"
 
 namespace acaciaroad::holdings {
 
+/// Why keys may be assigned to another holder.
+enum class FreeCause : std::uint8_t {
+  /// The holder doesn't report them any more since a grant left them out.
+  Released,
+  /// The holder's node told so.
+  Notice,
+  /// The holder sends no heartbeats and its grants have expired.
+  UpstreamGone,
+  /// The holder was an earlier process of the upstream.
+  FormerProcess,
+  /// The lease of the holder's node has expired, or there was no holder.
+  NoHolder,
+};
+
+std::string_view toString(FreeCause cause);
+
 /// Keys that their holder has released and that may be assigned to another one.
 struct ReleasedKeys {
   /// The assignment in the log, with the holder's data for the next holder.
   Holding Row;
   /// Node that should receive the keys; if empty, those with the fewest keys.
   std::string Target;
+  FreeCause Cause = FreeCause::Released;
 };
 
 /// Tracks the keys that one process of an upstream has to release. The next
--- a/Source/Holdings/ReleaseInbox.cpp
+++ b/Source/Holdings/ReleaseInbox.cpp
@@ -40,6 +40,7 @@
           continue;
         out.push_back(released);
         out.back().Row.Keys = row.Keys.intersection(released.Row.Keys);
+        out.back().Cause = FreeCause::Notice;
       }
   }
   return out;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "Codec/FleetRecords.h"
 #include "Core/Identifiers.h"
 #include "Core/Milliseconds.h"
@@ -64,6 +66,20 @@
 constexpr net::ServerLimits ControlLimits{
     16'384, 1U << 20U, std::chrono::seconds(3), std::chrono::seconds(60)};
 
+/// Length of a list of ranges in a log line, in characters.
+constexpr std::size_t MaxRangesLength = 2000;
+
+/// Appends "FROM-TO:TOKEN" to a list for the log, which is cut off if it gets
+/// too long.
+void appendRange(std::string &list, const holdings::Holding &row) {
+  if (list.size() > MaxRangesLength)
+    return;
+  list += fmt::format("{}{}-{}:{}", list.empty() ? "" : " ", row.Keys.From,
+                      row.Keys.To, row.Token);
+  if (list.size() > MaxRangesLength)
+    list += " ...";
+}
+
 } // namespace
 
 Control::Control(boost::asio::io_context &loop, ControlOptions options,
@@ -354,8 +370,7 @@
   if (isKeyed() && IsFleetLoaded)
     grant = Agent.grant(Ledger, now);
   if (grant) {
-    if (!LastGrant || LastGrant->Rows != grant->Rows)
-      logGrant(*grant);
+    logGrant(*grant);
     LastGrant = grant;
     GrantedUntil = now + grant->Length;
     std::sort(
@@ -371,16 +386,47 @@
 }
 
 void Control::logGrant(const holdings::Grant &grant) {
+  const bool isChanged = !LastGrant || LastGrant->Rows != grant.Rows;
+  std::vector<logging::Field> fields{
+      {"upstream", Agent.upstreamProcess().Id},
+      {"heartbeat", Agent.heartbeatSequence()},
+      {"ms", core::toMilliseconds(grant.Length)}};
+  if (!isChanged) {
+    Log->write(logging::Level::Debug, "keys_renewed", fields);
+    return;
+  }
   holdings::Key keys = 0;
-  for (const holdings::Holding &it : grant.Rows)
+  std::string ranges;
+  for (const holdings::Holding &it : grant.Rows) {
     keys += it.Keys.size();
-  Log->write(logging::Level::Info, "keys_granted",
-             {{"upstream", Agent.upstreamProcess().Id},
-              {"rows", grant.Rows.size()},
-              {"keys", keys},
-              {"outgoing", Agent.outgoing().size()},
-              {"log_end", Ledger.end()},
-              {"utilization", OwnLoad.Utilization}});
+    appendRange(ranges, it);
+  }
+  fields.insert(fields.end(), {{"rows", grant.Rows.size()},
+                               {"keys", keys},
+                               {"ranges", ranges},
+                               {"outgoing", Agent.outgoing().size()},
+                               {"log_end", Ledger.end()},
+                               {"utilization", OwnLoad.Utilization}});
+  Log->write(logging::Level::Info, "keys_granted", fields);
+}
+
+void Control::logFreedKeys(const holdings::HoldingChange &change) {
+  // One line for each former holder and cause.
+  std::map<std::pair<std::string, holdings::FreeCause>, std::string> ranges;
+  for (const holdings::ReleasedKeys &it : change.Freed)
+    appendRange(ranges[{it.Row.Node, it.Cause}], it.Row);
+  const auto now = core::BootClock::now();
+  for (const auto &[from, text] : ranges) {
+    const holdings::Member *holder = Ledger.findMember(from.first);
+    const auto age = holder ? now - holder->ReadAt : core::Duration{};
+    Log->write(logging::Level::Info, "keys_freed",
+               {{"holder", from.first},
+                {"cause", toString(from.second)},
+                {"ranges", text},
+                {"at", change.At},
+                {"sequence", holder ? holder->Record.Sequence : 0},
+                {"record_age_ms", core::toMilliseconds(age)}});
+  }
 }
 
 void Control::answerDeferredHeartbeats(core::TimePoint now) {
@@ -660,6 +706,7 @@
               {"parts", change.Parts.size()},
               {"at", change.At},
               {"reason", change.Reason}});
+  logFreedKeys(change);
   std::vector<feed::KeyedRecord> records;
   for (const holdings::HoldingPart &part : change.Parts)
     for (const holdings::Holding &it : part.Rows)
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -96,6 +96,8 @@
                        const std::string &upstreamId);
   void answerHeartbeat(const ExchangePointer &exchange);
   void logGrant(const holdings::Grant &grant);
+  /// Logs which assignments \p change ends, and why.
+  void logFreedKeys(const holdings::HoldingChange &change);
   void answerDeferredHeartbeats(core::TimePoint now);
 
   RelayHooks relayHooks();
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -1,5 +1,7 @@
 #include "Holdings/HoldingAgent.h"
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -187,6 +189,9 @@
     cr_assert_eq(change->Rows.at(0).Handover, "handover");
     cr_assert_eq(change->Rows.at(0).Token, 101U);
     cr_assert_eq(change->Parts.size(), 1U);
+    cr_assert_eq(change->Freed.size(), 1U);
+    cr_assert_eq(change->Freed[0].Row.Node, "node");
+    cr_assert(change->Freed[0].Cause == FreeCause::Notice, "%s", row.Name);
   }
   cr_assert_eq(holder, row.Holder, "%s: %s", row.Name, holder.c_str());
 }
@@ -506,3 +511,56 @@
   cr_assert_eq(member->Record.Incarnation, 1U, "%s", row.Name);
   cr_assert_eq(member->Record.Generation, row.Next, "%s", row.Name);
 }
+
+namespace {
+
+struct CauseRow {
+  const char *Name;
+  /// What happens to "node", which holds keys 0 to 999, before the node "a",
+  /// or "node" itself if \p IsOwn, proposes a change.
+  bool IsOwn;
+  bool HasRestarted;
+  core::Duration Silence;
+  FreeCause Cause;
+};
+
+const CauseRow CauseRows[] = {
+    {"lease of the node has expired", false, false, seconds(8),
+     FreeCause::NoHolder},
+    {"upstream has restarted", true, true, {}, FreeCause::FormerProcess},
+    {"upstream is silent", true, false, milliseconds(5500),
+     FreeCause::UpstreamGone},
+};
+
+} // namespace
+
+// The log must tell later why a node gave the keys of another one away.
+ACACIA_TABLE_TEST(HoldingAgent, TellsWhyKeysAreFree, CauseRows) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent = makeReady(row.IsOwn ? "node" : "a", ledger);
+  if (row.HasRestarted)
+    agent.acceptHeartbeat(makeHeartbeat("u-node", 2, 1), Start);
+  std::optional<HoldingChange> change;
+  const TimePoint end = Start + row.Silence + seconds(2);
+  for (TimePoint now = Start; now < end && !change; now += milliseconds(50)) {
+    if (!row.IsOwn)
+      agent.acceptHeartbeat(
+          makeHeartbeat("u-a", 1,
+                        static_cast<std::uint64_t>((now - Start).count() + 2)),
+          now);
+    if (const auto record = agent.nextRecord(ledger, false, now)) {
+      agent.recordSent(record->Sequence, now);
+      ledger.applyNode(*record, now);
+    }
+    agent.ledgerChanged(ledger, now);
+    change = agent.nextChange(ledger, now);
+  }
+  cr_assert(change.has_value(), "%s", row.Name);
+  const auto freed = std::find_if(
+      change->Freed.begin(), change->Freed.end(),
+      [](const ReleasedKeys &it) { return it.Row.Node == "node"; });
+  cr_assert(freed != change->Freed.end(), "%s", row.Name);
+  cr_assert(freed->Row.Keys == (KeyRange{0, 999}), "%s", row.Name);
+  cr_assert(freed->Cause == row.Cause, "%s: %s", row.Name,
+            toString(freed->Cause).data());
+}
