--- a/Source/Feed/RelayTiming.cpp
+++ b/Source/Feed/RelayTiming.cpp
@@ -19,6 +19,7 @@
 constexpr core::Duration FallbackTime =
     MaxRelaysPerRead * RelayTimeout + DirectReadTime;
 
+/// A smaller age would need too many calls to the log.
 constexpr core::Duration MinMaxAge = milliseconds(500);
 
 /// Keys of client accounts are accepted only while the configuration was
--- a/Source/Holdings/LeaseRenewal.cpp
+++ b/Source/Holdings/LeaseRenewal.cpp
@@ -75,6 +75,8 @@
   if (read == nullptr)
     return;
   if (read->Incarnation != incarnation) {
+    // A delayed record of an earlier incarnation; the next one gets ahead of
+    // it.
     if (read->Generation == Generation)
       Generation = 0;
     return;
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -145,6 +145,7 @@
           Settings.Control.Listen,
           Settings.Gossip.Listen,
           Settings.Relay.Listen,
+          // Keys are honoured only while the configuration is that recent.
           feed::RelayTiming::forBound(std::min(Settings.Limits.Configuration,
                                                Settings.Limits.KeyFreshness))},
       Dependencies.Codec,
