--- a/Source/Feed/FeedTypes.h
+++ b/Source/Feed/FeedTypes.h
@@ -43,11 +43,11 @@
   core::Offset End = 0;
   /// Time from the last read of the log to this read; 0 unless it was relayed.
   core::Duration Age{};
-  /// Whether another node answered the read, which doesn't wait for records.
-  bool IsRelayed = false;
   /// Errors of records that could not be decoded and are not in Records. Next
   /// counts their offsets.
   std::vector<core::Error> Unreadable;
+  /// Whether another node answered the read, which doesn't wait for records.
+  bool IsRelayed = false;
 };
 
 using PageHandler = std::function<void(core::Result<NewestPage>)>;
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -117,7 +117,7 @@
     Hooks.OnDecodeError(it);
   // `appended` may have advanced the position during the read.
   if (tail->Next < Position)
-    *tail = {{}, Position, Position, tail->Age, tail->IsRelayed, {}};
+    *tail = {{}, Position, Position, tail->Age, {}, tail->IsRelayed};
   Position = tail->Next;
   std::move(tail->Records.begin(), tail->Records.end(),
             std::back_inserter(PendingRecords));
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -103,7 +103,6 @@
                 from + 1,
                 from + (*step == ReadStep::PartialTail ? 2U : 1U),
                 {},
-                false,
                 makeDecodeErrors(*step == ReadStep::TailWithDecodeError)});
         },
         {}};
@@ -238,7 +237,7 @@
   boost::asio::steady_timer asked(loop, UrgentPause / 2);
   asked.async_wait([&](boost::system::error_code) { feed.readNow(); });
   cr_assert_eq(pending.size(), 1U, "%s", row.Name);
-  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, false, {}});
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, {}});
   std::this_thread::sleep_for(row.Delay);
   loop.run_for(4 * UrgentPause);
   cr_assert_eq(pending.size(), 1U, "%s: %zu", row.Name, pending.size());
@@ -309,15 +308,12 @@
          sent = core::BootClock::now();
          timer.expires_after(row.Answer);
          timer.async_wait([&, from, handler](boost::system::error_code) {
-           Tail tail{{},
-                     from,
-                     from,
-                     row.Age.value_or(core::Duration{}),
-                     row.Age.has_value(),
-                     {}};
+           Tail tail{{},   from,
+                     from, row.Age.value_or(core::Duration{}),
+                     {},   row.Age.has_value()};
            if (row.HasRecords)
-             tail = {{{"a", "2"}}, from + 1,       from + 1,
-                     tail.Age,     tail.IsRelayed, {}};
+             tail = {{{"a", "2"}}, from + 1, from + 1,
+                     tail.Age,     {},       tail.IsRelayed};
            handler(std::move(tail));
          });
        },
@@ -372,7 +368,7 @@
          if (reads.size() == 2)
            loop.stop();
          else
-           handler(Tail{{}, from, from, row.Age, true, {}});
+           handler(Tail{{}, from, from, row.Age, {}, true});
        },
        {}},
       {{}, milliseconds(200), row.MaxAge},
