Long polls wait less after a record, so that relayed data stays recent

A relay's data was then older than the accepted 1.5 s, and all followers read the store for some seconds after each configuration.

A poll now waits only until what is known of the log gets as old as the longest wait.

Test: feed_test KeyedFeed WaitsLessAfterARecord.

--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -78,6 +78,7 @@
     return;
   }
   Position = SnapshotEnd;
+  ConfirmedAt = SnapshotRequestedAt;
   IsFollowing = true;
   Hooks.OnSnapshot(std::exchange(Snapshot, {}), SnapshotEnd,
                    SnapshotRequestedAt);
@@ -88,7 +89,7 @@
   IsReading = true;
   const auto wait = std::exchange(IsImmediateReadRequested, false)
                         ? core::Duration{}
-                        : Timing.Wait;
+                        : nextWait();
   const auto requestedAt = core::BootClock::now();
   Log.ReadFrom(
       Position, wait,
@@ -128,16 +129,27 @@
     readTail();
     return;
   }
+  ConfirmedAt = confirmed;
   Hooks.OnRecords(std::exchange(PendingRecords, {}), Position, confirmed);
   if (IsImmediateReadRequested)
     readTail();
   else
-    scheduleRead(pauseAfter(confirmed));
+    scheduleRead(nextPause());
 }
 
-core::Duration KeyedFeed::pauseAfter(core::TimePoint confirmed) const {
+core::Duration KeyedFeed::nextWait() const {
+  // A poll that a record ends early doesn't tell when the record came, so what
+  // is known is as old as the poll.
+  const core::Duration age = core::BootClock::now() - ConfirmedAt;
+  // The log counts in whole milliseconds.
+  return std::max<core::Duration>(
+      core::Duration{},
+      std::chrono::floor<std::chrono::milliseconds>(Timing.Wait - age));
+}
+
+core::Duration KeyedFeed::nextPause() const {
   const core::Duration left =
-      Timing.MaxAge - (core::BootClock::now() - confirmed);
+      Timing.MaxAge - (core::BootClock::now() - ConfirmedAt);
   return std::max(core::Duration{}, std::min(Timing.Pause, left));
 }
 
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -33,7 +33,8 @@
 };
 
 struct PollTiming {
-  /// Longest time that a long poll waits for new records.
+  /// Longest time that a long poll waits for new records. A poll waits less if
+  /// what is known of the log would get older than this meanwhile.
   core::Duration Wait{};
   /// Time between the end of a read and the start of the next one.
   core::Duration Pause{};
@@ -71,7 +72,8 @@
   void readTail();
   /// \p confirmed is a time at which the log had no records after \p tail.
   void onTail(core::Result<Tail> tail, core::TimePoint confirmed);
-  core::Duration pauseAfter(core::TimePoint confirmed) const;
+  core::Duration nextWait() const;
+  core::Duration nextPause() const;
   void onFailure(const core::Error &error);
   void scheduleRead(core::Duration pause);
   void continueReading();
@@ -86,6 +88,8 @@
   core::Offset SnapshotEnd = 0;
   core::TimePoint SnapshotRequestedAt{};
   core::Offset Position = 0;
+  /// The log is known to have ended at the position at some time after this.
+  core::TimePoint ConfirmedAt{};
   bool IsFollowing = false;
   bool IsReading = false;
   bool IsImmediateReadRequested = false;
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -385,6 +385,68 @@
             static_cast<long>(pause / std::chrono::microseconds(1)));
 }
 
+namespace {
+
+struct WaitRow {
+  const char *Name;
+  /// When the first poll, which may wait for 200 ms, is answered.
+  core::Duration Answer;
+  bool HasRecords;
+  /// Range of the second poll's wait.
+  core::Duration MinWait;
+  core::Duration MaxWait;
+};
+
+const WaitRow WaitRows[] = {
+    {"no record", milliseconds(205), false, milliseconds(120),
+     milliseconds(200)},
+    {"a record at once", milliseconds(0), true, milliseconds(120),
+     milliseconds(200)},
+    {"a record after half of the wait", milliseconds(100), true,
+     milliseconds(20), milliseconds(100)},
+    {"a record after the wait", milliseconds(250), true, {}, {}},
+};
+
+} // namespace
+
+// What a reader knows of the log must not get older through a record that
+// arrives while it waits: other nodes would read the log themselves.
+ACACIA_TABLE_TEST(KeyedFeed, WaitsLessAfterARecord, WaitRows) {
+  boost::asio::io_context loop;
+  boost::asio::steady_timer timer(loop);
+  std::vector<core::Duration> waits;
+  KeyedFeed feed(
+      loop,
+      {[](std::string_view, const PageHandler &handler) {
+         handler(NewestPage{{{"a", "1"}}, false, 5, {}});
+       },
+       [&](core::Offset from, core::Duration wait, const TailHandler &handler) {
+         waits.push_back(wait);
+         if (waits.size() == 2) {
+           loop.stop();
+           return;
+         }
+         timer.expires_after(row.Answer);
+         timer.async_wait([&, from, handler](boost::system::error_code) {
+           Tail tail{{}, from, from, {}, {}};
+           if (row.HasRecords)
+             tail = {{{"a", "2"}}, from + 1, from + 1, {}, {}};
+           handler(std::move(tail));
+         });
+       },
+       {}},
+      {milliseconds(200), {}},
+      {[](const auto &, core::Offset, TimePoint) {},
+       [](const auto &, core::Offset, TimePoint) {},
+       [](bool, std::string_view) {}, [](const core::Error &) {}});
+  feed.start();
+  loop.run_for(seconds(2));
+  cr_assert_eq(waits.size(), 2U, "%s", row.Name);
+  cr_assert(waits[1] >= row.MinWait && waits[1] <= row.MaxWait, "%s: %ld us",
+            row.Name,
+            static_cast<long>(waits[1] / std::chrono::microseconds(1)));
+}
+
 ACACIA_TABLE_TEST(RelayBuffer, Reads, BufferRows) {
   RelayBuffer buffer(1U << 20U);
   const TimePoint start{};
