The accepted age of relayed data is stated once

RelayTiming had the age twice, as its own member and in the polling of nodes that read through a relay; it is the latter now. HoldingAgent::planOrphans goes through the open keys once for what ends and why. No behaviour changes.

--- a/Source/Feed/RelayTiming.cpp
+++ b/Source/Feed/RelayTiming.cpp
@@ -30,11 +30,10 @@
 
 RelayTiming RelayTiming::forBound(core::Duration bound) {
   RelayTiming out;
-  out.MaxAge = std::max(MinMaxAge, bound - FallbackTime);
-  // A third of the age is left for the call and for the relay's own delays.
-  out.Direct.Wait = std::min(LongestWait, out.MaxAge * 2 / 3);
   out.Relayed.Pause = RelayedPause;
-  out.Relayed.MaxAge = out.MaxAge;
+  out.Relayed.MaxAge = std::max(MinMaxAge, bound - FallbackTime);
+  // A third of the age is left for the call and for the relay's own delays.
+  out.Direct.Wait = std::min(LongestWait, out.Relayed.MaxAge * 2 / 3);
   return out;
 }
 
--- a/Source/Feed/RelayTiming.h
+++ b/Source/Feed/RelayTiming.h
@@ -24,10 +24,9 @@
 struct RelayTiming {
   /// Polling by nodes that read the log itself.
   PollTiming Direct;
-  /// Polling by nodes that read through a relay.
+  /// Polling by nodes that read through a relay. Data of a relay that is older
+  /// than its MaxAge isn't accepted.
   PollTiming Relayed;
-  /// Older data of a relay isn't accepted.
-  core::Duration MaxAge{};
 
   /// Returns the timing with which a node that reaches the log knows of a
   /// record within \p bound, whatever its relays do. Shorter bounds than 1.2 s
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -546,15 +546,15 @@
     return std::nullopt;
   const auto rows = ledger.holdingsOf(Identity.Service);
   std::vector<KeyRange> gone;
-  for (const Holding &it : open)
+  std::vector<ReleasedKeys> freed;
+  for (const Holding &it : open) {
     gone.push_back(it.Keys);
+    freed.push_back({it, {}, FreeCause::NoHolder});
+  }
   Rows out = without(rows, gone);
   const auto candidates = ledger.eligible(Identity.Service, now);
   for (Holding &it : distributeKeys(open, out, candidates, ledger.end() + 1))
     out.push_back(std::move(it));
-  std::vector<ReleasedKeys> freed;
-  for (const Holding &it : open)
-    freed.push_back({it, {}, FreeCause::NoHolder});
   return propose(ledger, std::move(out),
                  rows.empty() ? "initial assignment" : "holder lost",
                  std::move(freed));
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -472,7 +472,7 @@
       Agent.hasChangeToPropose(Ledger, now))
     return {{}, StoreCallCause::ProposalRead};
   const core::Duration maxAge = log == RelayedLog::Operators
-                                    ? Options.OperatorReads.MaxAge
+                                    ? Options.OperatorReads.Relayed.MaxAge
                                     : MaxFleetRelayAge;
   if (log == RelayedLog::Fleet)
     if (const auto hintSenderHost = std::exchange(HintSenderHost, std::nullopt))
--- a/Tests/Feed/RelayTimingTest.cpp
+++ b/Tests/Feed/RelayTimingTest.cpp
@@ -49,7 +49,7 @@
   while (now < cutAt + milliseconds(4000)) {
     const bool isAnswered = now < cutAt || !isSilent;
     now += isAnswered ? CallTime : MaxRelaysPerRead * RelayTimeout;
-    if (isAnswered && now - relayKnows(now) <= timing.MaxAge) {
+    if (isAnswered && now - relayKnows(now) <= timing.Relayed.MaxAge) {
       known = relayKnows(now);
     } else {
       known = now;
@@ -83,6 +83,6 @@
 // A relay that reaches the log must not be passed over for its age.
 ACACIA_TABLE_TEST(RelayTiming, AcceptsDataBetweenPolls, BoundRows) {
   const RelayTiming timing = RelayTiming::forBound(row.Bound);
-  cr_assert(timing.Direct.Wait + milliseconds(100) <= timing.MaxAge, "%s",
-            row.Name);
+  cr_assert(timing.Direct.Wait + milliseconds(100) <= timing.Relayed.MaxAge,
+            "%s", row.Name);
 }
