SidecarTest builds on x86-64

GCC 12.2 in the preset release reported on x86-64 that the copies of a feed::KeyedLog in makeDependencies may be used uninitialized (-Werror=maybe-uninitialized), so no test could run. The log that never answers now comes from a function that returns it by value, called once for each of the two logs; no copies are left. The assertions are unchanged.

--- a/Tests/Sidecar/SidecarTest.cpp
+++ b/Tests/Sidecar/SidecarTest.cpp
@@ -40,6 +40,13 @@
   return out;
 }
 
+/// A log that never answers a read.
+feed::KeyedLog makeUnresponsiveLog() {
+  feed::KeyedLog out;
+  out.ReadNewest = [](std::string_view, const feed::PageHandler &) {};
+  return out;
+}
+
 SidecarDependencies
 makeDependencies(const settings::SidecarSettings &settings) {
   SidecarDependencies out;
@@ -58,10 +65,7 @@
     return UpstreamCall();
   };
   out.MakeLogs = [](boost::asio::io_context &, const core::Endpoint &) {
-    feed::KeyedLog unresponsive;
-    unresponsive.ReadNewest = [](std::string_view, const feed::PageHandler &) {
-    };
-    return ControlLogs{unresponsive, unresponsive};
+    return ControlLogs{makeUnresponsiveLog(), makeUnresponsiveLog()};
   };
   out.ReadSettings = [settings] { return settings; };
   return out;
