--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses for the scripts of this review.
 
 Starts target/bin/acacia-sidecar with deploy/sidecar.toml.in. The store is the
-stand-in of Tests/Processes; targets, clients and a delaying proxy are here.
+stand-in of Tests/Processes; the servers are here.
 """
 import http.client
 import json
@@ -27,9 +27,9 @@
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
 
 # As in the site file and the settings of a small deployment.
-HEARTBEAT_S, DRAIN_S, STABLE_S, GRACE_S = 1.5, 2.0, 3.0, 6.0
-OUTBOUND, INBOUND, READY, CONTROL, APP, INTERNAL, PROXY = 0, 1, 2, 3, 4, 5, 8
-STORE = 9
+HEARTBEAT_S, GRACE_S = 1.5, 6.0
+# Offsets of the ports from the first one.
+OUTBOUND, INBOUND, READY, CONTROL, APP, INTERNAL, STORE = 0, 1, 2, 3, 4, 5, 9
 
 
 class Record:
@@ -93,7 +93,6 @@
         self.settings = fleet.folder / (self.name + ".toml")
         self.log = open(fleet.folder / (self.name + ".log"), "a")
         self.process = None
-        self.started_at = 0.0
 
     def address(self, port):
         return self.host, self.fleet.base + port
@@ -122,7 +121,6 @@
         self.process = subprocess.Popen(
             [str(BINARY), "--settings", str(self.settings)], cwd=ROOT,
             stdout=self.log, stderr=self.log)
-        self.started_at = time.monotonic()
 
     def is_ready(self):
         try:
@@ -174,66 +172,20 @@
         connection.close()
 
 
-class DelayProxy:
-    """Passes connections on to `to`; `delay_s` holds back what a connection
-    sends that begins while it is set."""
-
-    def __init__(self, address, to):
-        self.to, self.delay_s = to, 0.0
-        self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(address)
-        self.socket.listen(64)
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                client, _ = self.socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(client, self.delay_s),
-                             daemon=True).start()
-
-    def serve(self, client, delay_s):
-        time.sleep(delay_s)
-        try:
-            server = socket.create_connection(self.to, 2)
-        except OSError:
-            client.close()
-            return
-        threading.Thread(target=self.copy, args=(server, client),
-                         daemon=True).start()
-        self.copy(client, server)
-
-    @staticmethod
-    def copy(source, sink):
-        try:
-            while data := source.recv(65536):
-                sink.sendall(data)
-        except OSError:
-            pass
-        try:
-            sink.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
-
-
-class Target:
-    """A server of the platform beside one node."""
+class KeyedTarget:
+    """A server of the platform beside one node, whose service is divided by
+    key."""
 
-    def __init__(self, node, control=None, work_s=0.3, slots=18):
-        self.node, self.record = node, node.fleet.record
-        self.control = control or node.address(CONTROL)
-        self.work_s, self.slots = work_s, slots
+    def __init__(self, node, slots=18):
+        self.node, self.record, self.slots = node, node.fleet.record, slots
         self.id = "i-" + os.urandom(4).hex()
         self.born = int(time.time() * 1000)
-        self.seq, self.state = 0, "ready"
-        self.beats, self.is_up = True, True
+        self.seq, self.sent_at, self.is_up = 0, 0.0, True
+        # Rows [from, to, fence], until when they are held, and rows that were
+        # released since the last acknowledged heartbeat.
+        self.held, self.until, self.freed = [], 0.0, []
+        self.fences, self.hurry = {}, False
         self.lock = threading.Lock()
-        # (time, id, "run" or why not), and the times of the ends of runs.
-        self.arrivals, self.ends = [], {}
-        self.acks = []
         target = self
 
         class TargetHandler(Handler):
@@ -245,145 +197,39 @@
         self.server = Server(node.address(APP), TargetHandler)
         threading.Thread(target=self.beat_on, daemon=True).start()
 
-    def serve(self, call):
-        body = call.read_body()
-        now = time.monotonic()
-        name = call.headers.get("Request-Id", "")
-        fields = [("Request-Id", name)]
-        if not self.is_up:
-            call.close_connection = True
-            return
-        if call.headers.get("Expected-Instance") != self.id:
-            call.answer(421, b"", fields + [("Not-Executed", "1")])
-            return
-        self.record.write("%s runs %s", self.id, name)
-        with self.lock:
-            self.arrivals.append((now, name))
-        time.sleep(self.work_s)
-        if not self.is_up:
-            call.close_connection = True  # It ended while at work.
-            return
-        with self.lock:
-            self.ends[name] = time.monotonic()
-        call.answer(200, b"done " + name.encode(),
-                    fields + [("Response-Signature", "s." + name)])
-
-    def beat(self):
-        """Sends one heartbeat; returns whether it was acknowledged in time."""
-        with self.lock:
-            self.seq += 1
-            seq = self.seq
-        body = json.dumps({
-            "address": "%s:%d" % self.node.address(APP), "born": self.born,
-            "info": {"service": self.node.service, "version": "v1",
-                     "zone": self.node.zone, "slots": self.slots},
-            "status": {"state": self.state, "seq": seq,
-                       "coldRemaining": "0ms"}})
-        sent = time.monotonic()
-        status, _ = ask(self.control, "PUT", "/instances/" + self.id,
-                        {"Content-Type": "application/json"}, body, 1)
-        self.record.write("%s heartbeat %d, state %s: %d after %d ms", self.id,
-                          seq, self.state, status,
-                          1000 * (time.monotonic() - sent))
-        return 200 <= status < 300
-
-    def beat_on(self):
-        while self.is_up and self.beats:
-            sent = time.monotonic()
-            self.beat()
-            time.sleep(max(0.0, sent + HEARTBEAT_S - time.monotonic()))
-
-    def end(self):
-        self.is_up = False
-        self.server.close()
-        self.record.write("%s ends", self.id)
-
-
-class Client(threading.Thread):
-    """Sends requests at a fixed rate, each on its own connection."""
-
-    def __init__(self, node, per_s, method, path, fields=(), deadline_s=2.0):
-        super().__init__(daemon=True)
-        self.node, self.per_s, self.method, self.path = node, per_s, method, path
-        self.fields, self.deadline_s = dict(fields), deadline_s
-        self.answers, self.sent_at, self.stopping = {}, {}, False
-        self.open = []
-
-    def run(self):
-        while not self.stopping:
-            it = threading.Thread(target=self.send, daemon=True)
-            it.start()
-            self.open.append(it)
-            time.sleep(1 / self.per_s)
-
-    def send(self):
-        name = os.urandom(8).hex()
-        self.sent_at[name] = time.monotonic()
-        record = self.node.fleet.record
-        record.write("request %s sent to %s", name, self.node.name)
-        status, body = ask(
-            self.node.address(OUTBOUND), self.method, self.path,
-            {"Host": "h", "Request-Id": name,
-             "Deadline-Ms": str(int(self.deadline_s * 1000)), **self.fields},
-            b"body" if self.method == "POST" else b"", self.deadline_s + 1)
-        self.answers[name] = (time.monotonic(), status)
-        record.write("request %s answered %d %s", name, status,
-                     body.decode("ascii", "replace")[:60])
-
-    def finish(self):
-        self.stopping = True
-        self.join()
-        for it in self.open:
-            it.join()
-
-
-def wait_for(condition, seconds):
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if condition():
-            return True
-        time.sleep(0.05)
-    return False
-
-
-class KeyedTarget(Target):
-    """A server whose service is divided by key."""
-
-    def __init__(self, node, **options):
-        # Rows [from, to, fence], and until when they are held.
-        self.held, self.until, self.freed = [], 0.0, []
-        self.fences, self.hurry, self.sent_at = {}, False, 0.0
-        super().__init__(node, **options)
-
     def rows(self):
         """Returns what the server holds now."""
         with self.lock:
             return list(self.held) if time.monotonic() < self.until else []
 
     def serve(self, call):
+        call.read_body()
+        name = call.headers.get("Request-Id", "")
         key = int(call.headers.get("Shard-Key", -1))
-        if any(it[0] <= key <= it[1] for it in self.rows()):
-            super().serve(call)
+        fields = [("Request-Id", name)]
+        if (call.headers.get("Expected-Instance") != self.id
+                or not any(it[0] <= key <= it[1] for it in self.rows())):
+            call.answer(421, b"", fields + [("Not-Executed", "1")])
             return
-        call.read_body()
-        call.answer(421, b"", [("Request-Id", call.headers.get("Request-Id", "")),
-                               ("Not-Executed", "1")])
-
-    def body(self, seq, rows, freed):
-        return {"address": "%s:%d" % self.node.address(APP), "born": self.born,
-                "info": {"service": self.node.service, "version": "v1",
-                         "zone": self.node.zone, "slots": self.slots},
-                "status": {"state": self.state, "seq": seq,
-                           "coldRemaining": "0ms"},
-                "holds": rows, "freed": freed}
+        self.record.write("%s runs %s", self.id, name)
+        call.answer(200, b"done " + name.encode(),
+                    fields + [("Response-Signature", "s." + name)])
 
     def beat(self):
         self.seq += 1
         rows, freed = self.rows(), self.freed
         sent = self.sent_at = time.monotonic()
-        status, data = ask(self.control, "PUT", "/instances/" + self.id,
-                           {"Content-Type": "application/json"},
-                           json.dumps(self.body(self.seq, rows, freed)), 1)
+        status, data = ask(
+            self.node.address(CONTROL), "PUT", "/instances/" + self.id,
+            {"Content-Type": "application/json"},
+            json.dumps({
+                "address": "%s:%d" % self.node.address(APP),
+                "born": self.born,
+                "info": {"service": self.node.service, "version": "v1",
+                         "zone": self.node.zone, "slots": self.slots},
+                "status": {"state": "ready", "seq": self.seq,
+                           "coldRemaining": "0ms"},
+                "holds": rows, "freed": freed}), 1)
         if status != 200:
             self.record.write("%s heartbeat %d: %d", self.id, self.seq, status)
             return
@@ -407,11 +253,10 @@
             self.until = sent + float(answer["hold_time"][:-2]) / 1000
 
     def beat_on(self):
-        while self.is_up and self.beats:
-            sent = time.monotonic()
+        while self.is_up:
             self.beat()
             pause = 0.05 if self.hurry else HEARTBEAT_S
-            time.sleep(max(0.0, sent + pause - time.monotonic()))
+            time.sleep(max(0.0, self.sent_at + pause - time.monotonic()))
 
 
 class OverlapWatch(threading.Thread):
@@ -444,3 +289,12 @@
                     self.longest_s = max(self.longest_s,
                                          now - self.since[pair])
             time.sleep(0.005)
+
+
+def wait_for(condition, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
