Settings: a bound that a deployment doesn't have switches its feature off

Cause: the template asked every deployment for the bounds of keys and of account windows, and one route of an unknown kind made the whole configuration unreadable. On deployments without client accounts no process started, and a route of kind "download" had every request answered 503.

"download" is decoded as idempotent work. A route of an unknown kind is refused with 503, as not run, and logged (route_unsupported); the other routes of its configuration are served.

Weighed: rejecting the version and keeping the one in force leaves a node that has just started without any; treating the kind as at-most-once would serve it by rules that may not hold for it.

Tests: the row "an unknown kind" expected the whole configuration to be refused; it is replaced by rows for each kind (Adapter DecodesKinds) and by a row of EntryService Answers that expects 503 for its route.

--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <string>
 #include <string_view>
 
 #include <fmt/core.h>
@@ -84,8 +85,12 @@
     fmt::print(stderr, "{}\n", settings.error().Detail);
     return ExitSettings;
   }
-  if (FLAGS_check)
+  if (FLAGS_check) {
+    for (const std::string &it :
+         settings::describeAbsentLimits(settings->Limits))
+      fmt::print("{}\n", it);
     return 0;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   const auto node = sidecar::Sidecar::create(*settings, makeParts());
   if (!node) {
--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -59,13 +59,13 @@
       Codec(std::move(codec)), Log(std::move(logger)), Counters(counters),
       Upstream(own), Peers(loop, own.answerMemory()),
       View(std::make_shared<const TrafficView>()),
-      Shares(limits.AccountWindow) {}
+      Shares(limits.AccountWindow.value_or(core::Duration{})) {}
 
 void EntryService::setView(std::shared_ptr<const TrafficView> view) {
   View = std::move(view);
   const auto now = core::BootClock::now();
   Shares.setNodes(View->Nodes, Identity.Node, now);
-  if (View->Routes)
+  if (View->Routes && Limits.AccountWindow)
     for (const routing::ClientAccount &it :
          View->Routes->configuration().Accounts)
       Shares.prepare(it.Name, it.Rate, now);
@@ -109,8 +109,9 @@
   return it == Services.end() ? nullptr : &it->second;
 }
 
-bool EntryService::isFresh(core::TimePoint now) const {
-  return now - ConfirmedAt < Limits.KeyFreshness;
+bool EntryService::isConfirmedWithin(core::Duration age,
+                                     core::TimePoint now) const {
+  return now - ConfirmedAt < age;
 }
 
 core::Result<const routing::ClientAccount *>
@@ -119,7 +120,7 @@
                            core::TimePoint now) const {
   if (route.IsPublic || View->Routes->configuration().Accounts.empty())
     return nullptr;
-  if (!isFresh(now))
+  if (Limits.KeyFreshness && !isConfirmedWithin(*Limits.KeyFreshness, now))
     return core::fail(
         ErrorKind::NodeIsolated,
         "configuration too old to accept keys of client accounts");
@@ -154,19 +155,25 @@
       View->Routes->findRoute(net::toView(request[net::http::field::host]),
                               net::toView(request.target()));
   if (route == nullptr) {
-    const bool isKnown = isFresh(now);
+    const bool isKnown = isConfirmedWithin(Limits.RouteFreshness, now);
     refuse(*exchange,
            isKnown ? ErrorKind::UnknownClass : ErrorKind::NodeIsolated,
            DefaultRetryAfter, "no route for this host and path");
     return;
   }
+  if (route->Kind == routing::WorkKind::Unsupported) {
+    refuse(*exchange, ErrorKind::NoUpstream, DefaultRetryAfter,
+           fmt::format("route {} has the unknown kind {}", route->Name,
+                       route->UnknownKind));
+    return;
+  }
   const auto account = authenticate(*route, caller, now);
   if (!account) {
     refuse(*exchange, account.error().Kind, DefaultRetryAfter,
            account.error().Detail);
     return;
   }
-  if (*account != nullptr &&
+  if (*account != nullptr && Limits.AccountWindow &&
       !Shares.take((*account)->Name, (*account)->Rate, now))
     borrow(exchange, caller, *route, **account);
   else
@@ -249,7 +256,7 @@
 }
 
 void EntryService::refundCredit(const routing::ClientAccount *account) {
-  if (account == nullptr)
+  if (account == nullptr || !Limits.AccountWindow)
     return;
   if (Credit)
     Credit->giveBack(account->Name);
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -34,11 +34,14 @@
 /// Limits that operators set for the fleet.
 struct EntryLimits {
   /// Keys of client accounts are accepted only if the newest configuration was
-  /// requested less than this time ago.
-  core::Duration KeyFreshness{};
-  /// Window over which operators measure the rate of an account. Read only at
-  /// startup.
-  core::Duration AccountWindow{};
+  /// requested less than this time ago. Absent if they are always accepted.
+  std::optional<core::Duration> KeyFreshness;
+  /// A request without a route is answered as such only if the newest
+  /// configuration was requested less than this time ago.
+  core::Duration RouteFreshness{};
+  /// Window over which operators measure the rate of an account; absent if
+  /// rates are not limited. Read only at startup.
+  std::optional<core::Duration> AccountWindow;
   /// Retries that the fleet may make per request.
   double RetryRatio = 0;
   /// Retries that the whole fleet may make independent of its traffic.
@@ -100,8 +103,8 @@
     requests::RetryBudget Budget;
   };
 
-  /// Whether the newest configuration is recent enough to rely on.
-  bool isFresh(core::TimePoint now) const;
+  /// Whether the newest configuration was requested less than \p age ago.
+  bool isConfirmedWithin(core::Duration age, core::TimePoint now) const;
   /// Answers with the error \p reason. \p detail is only logged.
   void refuse(net::Exchange &exchange, core::ErrorKind reason,
               core::Duration retryAfter, std::string_view detail);
--- a/Source/Routing/RoutingTypes.h
+++ b/Source/Routing/RoutingTypes.h
@@ -21,6 +21,8 @@
   AtMostOnce,
   /// Runs at most once, with a large body.
   Upload,
+  /// A kind that this release doesn't know; its requests are refused.
+  Unsupported,
 };
 
 /// A service that gets a share of a route's requests.
@@ -36,6 +38,8 @@
   /// Begins and ends with a slash.
   std::string PathPrefix;
   WorkKind Kind = WorkKind::AtMostOnce;
+  /// What the configuration says, if the kind is Unsupported.
+  std::string UnknownKind;
   core::Duration Timeout{};
   /// Answers within this time have their full value.
   core::Duration LatencyTarget{};
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -109,12 +109,13 @@
         },
         "The platform's store."),
     textField<SidecarSettings>(
-        "limits", "withdrawn_key", TextKind::Duration, "5s",
+        "limits", "withdrawn_key", TextKind::Duration, "",
         [](SidecarSettings &it, std::string_view s) {
           it.Limits.KeyFreshness = durationOf(s) - KeyRequestRoom;
         },
         "A withdrawn key of a client account is refused after this time, "
-        "whatever the node can reach."),
+        "whatever the node can reach. Without it, keys are accepted however "
+        "old the configuration is."),
     textField<SidecarSettings>(
         "limits", "configuration", TextKind::Duration, "2s",
         [](SidecarSettings &it, std::string_view s) {
@@ -130,12 +131,12 @@
         },
         "Time from SIGTERM to the end of the process at the latest."),
     textField<SidecarSettings>(
-        "limits", "account_window", TextKind::Duration, "5s",
+        "limits", "account_window", TextKind::Duration, "",
         [](SidecarSettings &it, std::string_view s) {
           it.Limits.AccountWindow = durationOf(s);
         },
-        "Time over which rate and burst of client accounts are measured; a "
-        "change needs a restart."),
+        "Time over which rate and burst of client accounts are measured; "
+        "without it they are not limited. A change needs a restart."),
     realField<SidecarSettings>(
         "limits", "retry_ratio", {0, 1}, 0.1,
         [](SidecarSettings &it, double x) { it.Limits.RetryRatio = x; },
--- a/Source/Settings/SidecarSettings.cpp
+++ b/Source/Settings/SidecarSettings.cpp
@@ -25,6 +25,17 @@
 
 } // namespace
 
+std::vector<std::string> describeAbsentLimits(const SidecarLimits &limits) {
+  std::vector<std::string> out;
+  if (!limits.KeyFreshness)
+    out.emplace_back("limits.withdrawn_key is not set: keys of client accounts "
+                     "are accepted however old the configuration is");
+  if (!limits.AccountWindow)
+    out.emplace_back("limits.account_window is not set: rates of client "
+                     "accounts are not limited");
+  return out;
+}
+
 core::Result<SidecarSettings> loadSidecarSettings(std::string_view path) {
   return readSettingsFile(path, readRoot);
 }
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -4,8 +4,10 @@
 #ifndef ACACIAROAD_SETTINGS_SIDECARSETTINGS_H
 #define ACACIAROAD_SETTINGS_SIDECARSETTINGS_H
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
@@ -42,9 +44,12 @@
 };
 
 struct SidecarLimits {
-  core::Duration KeyFreshness{};
+  /// Absent where keys of client accounts may be accepted however old the
+  /// configuration is.
+  std::optional<core::Duration> KeyFreshness;
   core::Duration Drain{};
-  core::Duration AccountWindow{};
+  /// Absent where client accounts have no rates.
+  std::optional<core::Duration> AccountWindow;
   double RetryRatio = 0;
   double RetryAllowance = 0;
   /// A configuration is in force within this time after it was accepted.
@@ -68,6 +73,10 @@
   logging::Level LogLevel = logging::Level::Info;
 };
 
+/// Returns what a node with these limits doesn't do because a limit is absent,
+/// one text each.
+std::vector<std::string> describeAbsentLimits(const SidecarLimits &limits);
+
 /// Reads the file at \p path. Fails with InvalidSettings; the detail names
 /// file, line, field and what is allowed.
 core::Result<SidecarSettings> loadSidecarSettings(std::string_view path);
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -236,6 +236,13 @@
                {{"version", version},
                 {"before", before},
                 {"routes", (*table)->configuration().Routes.size()}});
+  if (version > before)
+    for (const routing::Route &it : (*table)->configuration().Routes)
+      if (it.Kind == routing::WorkKind::Unsupported)
+        Log->write(logging::Level::Error, "route_unsupported",
+                   {{"route", it.Name},
+                    {"kind", it.UnknownKind},
+                    {"version", version}});
   Routes = std::move(*table);
 }
 
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -46,8 +46,10 @@
 }
 
 proxy::EntryLimits entryLimitsOf(const settings::SidecarSettings &from) {
-  return {from.Limits.KeyFreshness, from.Limits.AccountWindow,
-          from.Limits.RetryRatio, from.Limits.RetryAllowance};
+  const settings::SidecarLimits &limits = from.Limits;
+  return {limits.KeyFreshness,
+          limits.KeyFreshness.value_or(limits.Configuration),
+          limits.AccountWindow, limits.RetryRatio, limits.RetryAllowance};
 }
 
 void writeLine(std::string_view line) {
@@ -146,8 +148,9 @@
           Settings.Gossip.Listen,
           Settings.Relay.Listen,
           // Keys are honoured only while the configuration is that recent.
-          feed::RelayTiming::forBound(std::min(Settings.Limits.Configuration,
-                                               Settings.Limits.KeyFreshness))},
+          feed::RelayTiming::forBound(std::min(
+              Settings.Limits.Configuration,
+              Settings.Limits.KeyFreshness.value_or(core::Duration::max())))},
       Dependencies.Codec,
       Dependencies.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
--- a/Tests/Adapter/AdapterTest.cpp
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -1,5 +1,7 @@
 #include <string>
 
+#include <fmt/format.h>
+
 #include "Adapter/Headers.h"
 #include "Support/Table.h"
 
@@ -55,8 +57,8 @@
     {"a version that isn't hexadecimal", configuration(RouteText, "\"x\""),
      false},
     {"a version of another type", configuration(RouteText, "12"), false},
-    {"an unknown kind",
-     configuration(replaced(RouteText, "\"safe\"", "\"fast\"")), false},
+    {"an empty kind", configuration(replaced(RouteText, "\"safe\"", "\"\"")),
+     false},
     {"a duration without a unit",
      configuration(replaced(RouteText, "\"500ms\"", "\"500\"")), false},
     {"no timeout",
@@ -213,6 +215,19 @@
      replaced(HeartbeatText, "v1", std::string(1000, '[') + R"(\\\")"), true},
 };
 
+struct KindRow {
+  const char *Text;
+  routing::WorkKind Kind;
+};
+
+const KindRow KindRows[] = {
+    {"safe", routing::WorkKind::Idempotent},
+    {"download", routing::WorkKind::Idempotent},
+    {"unsafe", routing::WorkKind::AtMostOnce},
+    {"upload", routing::WorkKind::Upload},
+    {"fast", routing::WorkKind::Unsupported},
+};
+
 struct CallRow {
   const char *Name;
   net::http::verb Method;
@@ -272,6 +287,16 @@
   cr_assert_float_eq(decoded->Accounts.at(0).Rate.Burst, 50.0, 1e-9);
 }
 
+ACACIA_TABLE_TEST(Adapter, DecodesKinds, KindRows) {
+  const auto decoded = decodeConfiguration(configuration(
+      replaced(RouteText, "\"safe\"", fmt::format("\"{}\"", row.Text))));
+  cr_assert(decoded.has_value(), "%s", row.Text);
+  const routing::Route &route = decoded->Routes.at(0);
+  cr_assert(route.Kind == row.Kind, "%s", row.Text);
+  cr_assert_eq(route.UnknownKind,
+               row.Kind == routing::WorkKind::Unsupported ? row.Text : "");
+}
+
 ACACIA_TABLE_TEST(Adapter, DecodesHeartbeats, HeartbeatRows) {
   const auto decoded = decodeHeartbeat("i-1", row.Text);
   cr_assert_eq(decoded.has_value(), row.IsValid, "%s: %s", row.Name,
--- a/Tests/Processes/sidecar_process.py
+++ b/Tests/Processes/sidecar_process.py
@@ -62,6 +62,8 @@
 address = {text(store)}
 [limits]
 drain = "5s"
+withdrawn_key = "5s"
+account_window = "5s"
 """)
         self.start()
 
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -56,6 +56,8 @@
   out.Routes = {makeRoute("closed", false), makeRoute("open", true)};
   out.Routes.push_back(makeRoute("again", true));
   out.Routes.back().Kind = routing::WorkKind::Idempotent;
+  out.Routes.push_back(makeRoute("odd", true));
+  out.Routes.back().Kind = routing::WorkKind::Unsupported;
   for (routing::Route &it : out.Routes) {
     it.MaxAttempts = 2;
     it.Timeout = timeout;
@@ -141,8 +143,8 @@
         Counters, UpstreamHooks{[] {}, [](const auto &) {}});
     Entry = std::make_unique<EntryService>(
         Loop, EntryIdentity{NodeName, "dc", "service"},
-        EntryLimits{seconds(4), seconds(5), 0.2, 10}, makeHeaderCodec(), Log,
-        Counters, *Upstream);
+        EntryLimits{seconds(4), seconds(4), seconds(5), 0.2, 10},
+        makeHeaderCodec(), Log, Counters, *Upstream);
   }
 
   void setView(std::shared_ptr<const routing::RouteTable> table) {
@@ -282,6 +284,8 @@
      401, false, ""},
     {"account key in an outdated configuration", "/closed/x", "right", true,
      false, 200, "signed", 503, true, ""},
+    {"a route of an unknown kind", "/odd/x", "", true, true, 200, "signed", 503,
+     true, ""},
     {"account without credit", "/closed/x", "right", true, true, 200, "signed",
      429, true, ""},
 };
@@ -310,6 +314,16 @@
     cr_assert_eq(answer.body(), row.Body, "%s", row.Name);
 }
 
+Test(EntryService, AcceptsKeysWithoutBounds) {
+  Fixture fixture([](const std::shared_ptr<net::Exchange> &exchange) {
+    answerWith(*exchange, 200, "signed");
+  });
+  fixture.Entry->setLimits({std::nullopt, seconds(2), std::nullopt, 0.2, 10});
+  fixture.setView(makeRouteTable());
+  cr_assert_eq(fixture.ask("/closed/x", "right").result_int(), 200U);
+  cr_assert_eq(fixture.ask("/closed/x", "wrong").result_int(), 401U);
+}
+
 namespace {
 
 struct SplitRow {
--- a/Tests/Settings/SidecarSettingsTest.cpp
+++ b/Tests/Settings/SidecarSettingsTest.cpp
@@ -59,6 +59,19 @@
     {"no TOML", "[node]", "[node", "sidecar.toml"},
 };
 
+struct AbsentRow {
+  const char *Name;
+  bool HasKeyBound;
+  const char *Limits;
+  std::size_t Absent;
+};
+
+const AbsentRow AbsentRows[] = {
+    {"all", true, "account_window = \"5s\"\n", 0},
+    {"no window", true, "", 1},
+    {"no accounts", false, "", 2},
+};
+
 struct DurationRow {
   const char *Text;
   std::int64_t Nanoseconds;
@@ -91,6 +104,18 @@
                   "%s: %s", row.Name, settings.error().Detail.c_str());
 }
 
+ACACIA_TABLE_TEST(SidecarSettings, TellsWhatIsOff, AbsentRows) {
+  std::string text = Whole + row.Limits;
+  if (!row.HasKeyBound)
+    text.replace(text.find("withdrawn_key"),
+                 std::string("withdrawn_key = \"5000ms\"\n").size(), "");
+  const auto settings = parseSidecarSettings(text, "sidecar.toml");
+  cr_assert(settings.has_value(), "%s", row.Name);
+  cr_assert_eq(settings->Limits.KeyFreshness.has_value(), row.HasKeyBound);
+  cr_assert_eq(describeAbsentLimits(settings->Limits).size(), row.Absent, "%s",
+               row.Name);
+}
+
 ACACIA_TABLE_TEST(Duration, Parses, DurationRows) {
   const auto parsed = parseDuration(row.Text);
   cr_assert_eq(parsed ? parsed->count() : -1, row.Nanoseconds, "%s", row.Text);
