--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -472,7 +472,11 @@
 
 std::optional<AddressedNotice>
 HoldingAgent::nextNotice(const FleetLedger &ledger, core::TimePoint now) {
-  if (!ReassignableSince || Draining || now - LastNoticeAt < NoticeInterval)
+  if (!ReassignableSince || Draining) {
+    NoticeRow = 0;
+    return std::nullopt;
+  }
+  if (NoticeRow == 0 && now - LastNoticeAt < NoticeInterval)
     return std::nullopt;
   const auto candidates = ledger.eligible(Identity.Service, now);
   if (candidates.empty() || candidates.front()->Record.Name == Identity.Name)
@@ -480,8 +484,12 @@
   AddressedNotice out{
       candidates.front()->Record.Name,
       {Identity.Name, Identity.Incarnation, reassignableKeys(ledger, now)}};
-  if (out.Notice.Keys.size() > MaxNoticeRows)
-    out.Notice.Keys.resize(MaxNoticeRows);
+  auto &keys = out.Notice.Keys;
+  keys.erase(keys.begin(), keys.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                              NoticeRow, keys.size())));
+  NoticeRow = keys.size() > MaxNoticeRows ? NoticeRow + MaxNoticeRows : 0;
+  if (keys.size() > MaxNoticeRows)
+    keys.resize(MaxNoticeRows);
   // The coordinator may assign these keys to other nodes from now on.
   for (const ReleasedKeys &it : out.Notice.Keys)
     if (owns(it.Row))
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -148,7 +148,8 @@
   /// Makes the node's record due at \p now.
   void renewAt(core::TimePoint now) { Lease.renewAt(now); }
 
-  /// Returns a notice that is due to be sent to the coordinator.
+  /// Returns a notice that is due to be sent to the coordinator. To be called
+  /// until there is none: what doesn't fit into one notice follows in others.
   std::optional<AddressedNotice> nextNotice(const FleetLedger &ledger,
                                             core::TimePoint now);
 
@@ -266,6 +267,8 @@
   /// Set while `reassignableKeys` isn't empty.
   std::optional<core::TimePoint> ReassignableSince;
   core::TimePoint LastNoticeAt{};
+  /// First of the keys that the next notice tells.
+  std::size_t NoticeRow = 0;
   core::TimePoint NextBatch{};
   core::TimePoint NextMove{};
   KeyedLoad Load;
--- a/Source/Holdings/ReleaseInbox.cpp
+++ b/Source/Holdings/ReleaseInbox.cpp
@@ -21,15 +21,18 @@
   std::erase_if(Notices, [&](const auto &it) {
     return now - it.second.At > NoticeLifetime;
   });
-  std::string node = notice.Node;
-  Notices.insert_or_assign(std::move(node), Entry{std::move(notice), now});
+  if (notice.Keys.empty())
+    return;
+  std::pair key(notice.Node, notice.Keys.front().Row.Keys.From);
+  Notices.insert_or_assign(std::move(key), Entry{std::move(notice), now});
 }
 
 std::vector<ReleasedKeys> ReleaseInbox::valid(const FleetLedger &ledger,
                                               std::string_view service,
                                               core::TimePoint now) const {
   std::vector<ReleasedKeys> out;
-  for (const auto &[node, it] : Notices) {
+  for (const auto &[key, it] : Notices) {
+    const std::string &node = key.first;
     const Member *sender = ledger.findMember(node);
     if (now - it.At > NoticeLifetime || sender == nullptr ||
         sender->Record.Incarnation != it.Notice.Incarnation)
--- a/Source/Holdings/ReleaseInbox.h
+++ b/Source/Holdings/ReleaseInbox.h
@@ -16,7 +16,8 @@
 
 namespace acaciaroad::holdings {
 
-/// Released keys of one node; replaces its earlier notices.
+/// Released keys of one node; replaces its earlier notice that begins with the
+/// same keys.
 struct ReleaseNotice {
   std::string Node;
   /// Incarnation of the node. A later one may have granted the keys again.
@@ -24,7 +25,7 @@
   std::vector<ReleasedKeys> Keys;
 };
 
-/// Keeps the newest notice of each node, for as long as the node repeats it.
+/// Keeps the notices of each node, for as long as the node repeats them.
 class ReleaseInbox {
 public:
   void add(ReleaseNotice notice, core::TimePoint now);
@@ -40,7 +41,8 @@
     ReleaseNotice Notice;
     core::TimePoint At{};
   };
-  std::map<std::string, Entry, std::less<>> Notices;
+  /// By node and first key.
+  std::map<std::pair<std::string, Key>, Entry> Notices;
 };
 
 } // namespace acaciaroad::holdings
--- a/Source/Proxy/HeaderCodec.h
+++ b/Source/Proxy/HeaderCodec.h
@@ -18,6 +18,9 @@
 /// Metadata of a caller's request. The views point into the request.
 struct CallerFields {
   std::string_view RequestId;
+  /// Id of the request for which the caller makes this one, as far as its id
+  /// tells; empty for none.
+  std::string_view ParentId;
   /// How long the caller waits for the answer.
   std::optional<core::Duration> TimeLimit;
   /// Key of the client account; empty if the request carries none.
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -100,6 +100,7 @@
   order.Key = caller.Key;
   order.Deadline = exchange->Received + fields.TimeLeft;
   order.Target = exchange->Received + forward.TargetLeft;
+  order.IsRemote = true;
   net::eraseConnectionFields(request);
   order.Request = std::move(request);
   const auto ticket =
--- a/Source/Proxy/ProxiedRequest.cpp
+++ b/Source/Proxy/ProxiedRequest.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/ProxiedRequest.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -22,8 +23,12 @@
 /// that leaves time for the network.
 constexpr core::Duration LateAnswerTimeout = std::chrono::milliseconds(600);
 
-/// Rank of requests that upstreams make while they run another one; lower ranks
-/// go first. If one fails, the work on the outer request is lost.
+/// Rank of the calls of upstreams, relative to that of the request for which
+/// they are made; lower ranks go first. If a call fails, the work on the outer
+/// request is lost, so all of them go before all other requests.
+constexpr std::int32_t NestedRankOffset = -1'000'000;
+
+/// Rank of the calls on public routes whose outer request isn't known.
 constexpr std::int32_t NestedCallRank = -1;
 
 } // namespace
@@ -43,6 +48,11 @@
   const routing::Service *target = View->Routes->findService(Service);
   if (target != nullptr && target->IsKeyed)
     Key = caller.Key;
+  if (Route.IsPublic)
+    NestedRank = NestedCallRank;
+  if (!caller.ParentId.empty())
+    if (const auto rank = Entry.Upstream.rankOfRunning(caller.ParentId))
+      NestedRank = std::max(*rank, NestedCallRank) + NestedRankOffset;
 }
 
 void ProxiedRequest::start() {
@@ -91,13 +101,12 @@
   out.Deadline = Deadline;
   // A late answer to a nested call is still useful to the outer request.
   out.Target =
-      Route.IsPublic
-          ? Deadline
-          : std::min(Deadline, Exchange->Received + Route.LatencyTarget);
+      NestedRank ? Deadline
+                 : std::min(Deadline, Exchange->Received + Route.LatencyTarget);
   out.ExpectedUpstream = peer.Process.Id;
   out.Key = Key;
-  if (Route.IsPublic)
-    out.Rank = NestedCallRank;
+  if (NestedRank)
+    out.Rank = *NestedRank;
   else if (Account != nullptr && Account->Priority >= 0)
     out.Rank = Account->Priority;
   else
--- a/Source/Proxy/ProxiedRequest.h
+++ b/Source/Proxy/ProxiedRequest.h
@@ -74,6 +74,9 @@
   net::Timeout Timer;
   std::string RequestId;
   std::optional<holdings::Key> Key;
+  /// Rank of a call that an upstream makes for a request that it runs; nothing
+  /// for other requests.
+  std::optional<std::int32_t> NestedRank;
   std::vector<core::InstanceId> Tried;
   /// Number of the latest attempt; 0 before the first.
   std::uint64_t Attempt = 0;
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -58,6 +58,10 @@
 /// unless a heartbeat comes first. Longer than two heartbeats.
 constexpr core::Duration RestartSuspicionTime = std::chrono::seconds(4);
 
+/// Reported for an upstream that answers nothing. Nodes give no keys to one of
+/// such a load.
+constexpr double BrokenUtilization = 2;
+
 /// Whether callers read the status as "not run". That is only true if the
 /// upstream states it; a 421 is such a statement by itself.
 bool impliesNotRun(unsigned status) {
@@ -110,13 +114,20 @@
   holdings::KeyedLoad out;
   out.BucketKeys = upstream::KeyLoad::KeysPerBucket;
   out.Rates.assign(Keys.rates().begin(), Keys.rates().end());
+  const double growth = Keys.growth();
+  if (growth > 1)
+    for (double &it : out.Rates)
+      it *= growth;
   const std::chrono::duration<double> mean = Queue.longTermServiceTime();
   out.Node.Cost = mean.count() / std::max(1U, Queue.slots());
   // Counts granted keys only: rates of keys that were given away take about a
   // second to fade.
   for (const holdings::Holding &it : View->Own.Granted)
     out.Node.Utilization +=
-        out.Node.Cost * Keys.rateOfRange(it.Keys.From, it.Keys.To);
+        out.Node.Cost * growth * Keys.rateOfRange(it.Keys.From, it.Keys.To);
+  // An upstream that answers nothing must not get more keys.
+  if (Breaker.isOpen())
+    out.Node.Utilization = std::max(out.Node.Utilization, BrokenUtilization);
   Hooks.OnLoad(std::move(out));
 }
 
@@ -243,6 +254,10 @@
     refuse(id, *reason);
     return;
   }
+  if (exceedsBandwidth(order, now)) {
+    refuse(id, ErrorKind::QueueFull);
+    return;
+  }
   applyColdRate(now);
   const upstream::Decision decision = Queue.offer(
       {id, order.WorkClass, order.Rank, order.Deadline, order.Target}, now);
@@ -252,6 +267,21 @@
     refuse(id, decision.Reason);
 }
 
+bool UpstreamService::exceedsBandwidth(const Order &order,
+                                       core::TimePoint now) const {
+  return order.IsRemote &&
+         Bandwidth.expectedEnd(order.WorkClass, now + Queue.meanServiceTime(),
+                               now) > order.Target;
+}
+
+core::Duration UpstreamService::retryAfter(const Order &order,
+                                           core::TimePoint now) const {
+  const core::Duration queue = Queue.retryAfter(order.WorkClass);
+  return order.IsRemote
+             ? std::max(queue, Bandwidth.backlog(order.WorkClass, now))
+             : queue;
+}
+
 void UpstreamService::readmitWaiting(core::TimePoint now) {
   if (!IsKeyed)
     return;
@@ -289,6 +319,9 @@
     run.Data.Deadline = std::min(run.Data.Deadline, *EndsAt);
   erasePeerFields(run.Data.Request);
   ++Counters.OrdersSent;
+  RunningIds.insert_or_assign(run.Data.RequestId, id);
+  if (run.Data.IsRemote)
+    Bandwidth.started(run.Data.WorkClass);
   Log->write(logging::Level::Debug, "order_sent",
              {{"request_id", run.Data.RequestId},
               {"upstream", run.Data.ExpectedUpstream},
@@ -373,9 +406,13 @@
     return;
   OrderResult out;
   out.Outcome = classifyResult(it->second, result, now);
+  updateBreaker(it->second, result, now);
   Queue.finished(id, out.Outcome.Outcome == AttemptOutcome::Answered, now);
   out.Outcome.Load = load();
-  out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
+  out.Outcome.RetryAfter = retryAfter(it->second.Data, now);
+  if (it->second.Data.IsRemote)
+    Bandwidth.ended(it->second.Data.WorkClass, result.Response.body().size(),
+                    now);
   if (out.Outcome.Outcome != AttemptOutcome::Answered)
     Log->write(logging::Level::Info, "order_failed",
                {{"request_id", it->second.Data.RequestId},
@@ -390,20 +427,40 @@
   advance();
 }
 
+void UpstreamService::updateBreaker(const OrderRun &run,
+                                    const net::CallResult &result,
+                                    core::TimePoint now) {
+  if (result.End == net::CallEnd::Answered) {
+    if (Breaker.answered())
+      Log->write(logging::Level::Info, "upstream_resumed",
+                 {{"upstream", run.Data.ExpectedUpstream}});
+  } else if (run.Handler && !result.IsHeldBack && !result.IsTooLarge &&
+             Breaker.failed(now)) {
+    Log->write(
+        logging::Level::Warning, "upstream_paused",
+        {{"upstream", run.Data.ExpectedUpstream},
+         {"detail", result.Detail},
+         {"pause_ms", core::toMilliseconds(Breaker.pausedUntil() - now)}});
+  }
+  Queue.pauseUntil(Breaker.pausedUntil());
+  Queue.setProbing(Breaker.isOpen());
+}
+
 void UpstreamService::refuse(upstream::Ticket id, ErrorKind reason) {
   const auto it = Orders.find(id);
   if (it == Orders.end())
     return;
+  const auto now = core::BootClock::now();
   OrderResult out;
   out.Outcome.Outcome = AttemptOutcome::RefusedNotRun;
   out.Outcome.Reason = reason;
   out.Outcome.Load = load();
-  out.Outcome.RetryAfter = Queue.retryAfter(it->second.Data.WorkClass);
+  out.Outcome.RetryAfter = retryAfter(it->second.Data, now);
   if (reason == ErrorKind::NoOwner && it->second.Data.Key)
     if (const auto *row =
             findHolding(holdingsOfService(), *it->second.Data.Key))
       out.Outcome.Holder = row->Node;
-  const auto left = it->second.Data.Deadline - core::BootClock::now();
+  const auto left = it->second.Data.Deadline - now;
   Log->write(logging::Level::Info, "order_refused",
              {{"request_id", it->second.Data.RequestId},
               {"reason", core::answerFor(reason).Name},
@@ -418,6 +475,9 @@
 void UpstreamService::completeOrder(upstream::Ticket id, OrderResult result) {
   const auto it = Orders.find(id);
   const OrderHandler handler = std::move(it->second.Handler);
+  const auto running = RunningIds.find(it->second.Data.RequestId);
+  if (running != RunningIds.end() && running->second == id)
+    RunningIds.erase(running);
   Orders.erase(it);
   if (handler)
     handler(std::move(result));
@@ -452,9 +512,21 @@
     it->second.CancelAt = core::BootClock::now() + AbandonGrace;
 }
 
+std::optional<std::int32_t>
+UpstreamService::rankOfRunning(std::string_view requestId) const {
+  const auto it = RunningIds.find(requestId);
+  if (it == RunningIds.end())
+    return std::nullopt;
+  return Orders.at(it->second).Data.Rank;
+}
+
 requests::ReportedLoad UpstreamService::load() const {
   const bool isOpen = View->Own.IsOpen && !EndsAt && !Draining;
-  return {Queue.running(), Queue.waiting(), isOpen ? Queue.slots() : 0};
+  const std::uint32_t slots = isOpen ? Queue.slots() : 0;
+  // Others choose it only if all are as loaded.
+  if (Breaker.isOpen())
+    return {slots, std::max(slots, Queue.waiting()), slots};
+  return {Queue.running(), Queue.waiting(), slots};
 }
 
 void UpstreamService::advance() {
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -22,9 +23,11 @@
 #include "Proxy/PeerFields.h"
 #include "Proxy/TrafficCounters.h"
 #include "Proxy/TrafficView.h"
+#include "Upstream/AnswerBandwidth.h"
 #include "Upstream/HandoverQueue.h"
 #include "Upstream/KeyLoad.h"
 #include "Upstream/OrderQueue.h"
+#include "Upstream/UpstreamBreaker.h"
 
 namespace acaciaroad::proxy {
 
@@ -48,6 +51,8 @@
   core::TimePoint Target{};
   std::string ExpectedUpstream;
   std::optional<holdings::Key> Key;
+  /// Another node waits for the answer.
+  bool IsRemote = false;
 };
 
 /// How an order ended; Answer is valid only with AttemptOutcome::Answered.
@@ -78,6 +83,12 @@
                   HeaderCodec codec, std::shared_ptr<logging::Logger> logger,
                   TrafficCounters &counters, UpstreamHooks hooks);
 
+  /// Sets the rate of the instance's network in bytes per second; 0 if it is
+  /// unlimited.
+  void setNetworkRate(double bytesPerSecond) {
+    Bandwidth.setRate(bytesPerSecond);
+  }
+
   /// Replaces the view. \p service is the upstream's service, or null if the
   /// configuration does not have it.
   void setView(std::shared_ptr<const TrafficView> view,
@@ -106,6 +117,10 @@
   /// is idempotent.
   void abandon(upstream::Ticket id);
 
+  /// Returns the rank of the order that the upstream runs under the id
+  /// \p requestId; nothing if it runs none.
+  std::optional<std::int32_t> rankOfRunning(std::string_view requestId) const;
+
   /// Returns the load to report to other nodes; no slots while the node stops.
   requests::ReportedLoad load() const;
 
@@ -132,6 +147,10 @@
                                      core::TimePoint now) const;
   /// Whether \p order is for an upstream of another service.
   bool isMisdirected(const Order &order) const;
+  /// Whether the network can't carry the answer to \p order in time.
+  bool exceedsBandwidth(const Order &order, core::TimePoint now) const;
+  /// Returns the delay after which a retry of \p order may succeed.
+  core::Duration retryAfter(const Order &order, core::TimePoint now) const;
   /// Returns why an order cannot be accepted, if so.
   std::optional<core::ErrorKind> refusalReason(const Order &order) const;
   /// Enqueues an order, lets it wait for the handover of its key, or refuses
@@ -150,6 +169,9 @@
   /// nobody waits for it any more.
   bool writeOrderFields(upstream::Ticket id, net::HttpFields &fields);
   void onCallEnded(upstream::Ticket id, net::CallResult result);
+  /// Tells the breaker how a call ended, and the queue what follows.
+  void updateBreaker(const OrderRun &run, const net::CallResult &result,
+                     core::TimePoint now);
   /// Derives the outcome of a call, and records its latency or that the
   /// upstream could not be reached.
   ForwardOutcome classifyResult(const OrderRun &run,
@@ -173,6 +195,8 @@
   std::shared_ptr<net::HttpClient> Client;
   std::shared_ptr<const TrafficView> View;
   upstream::OrderQueue Queue;
+  upstream::UpstreamBreaker Breaker;
+  upstream::AnswerBandwidth Bandwidth;
   upstream::HandoverQueue Handovers;
   upstream::KeyLoad Keys{holdings::KeyCount};
   boost::asio::steady_timer Timer;
@@ -182,6 +206,8 @@
   bool Draining = false;
   std::optional<core::TimePoint> EndsAt;
   std::unordered_map<upstream::Ticket, OrderRun> Orders;
+  /// Tickets of the orders that the upstream runs, by request id.
+  std::map<std::string, upstream::Ticket, std::less<>> RunningIds;
   upstream::Ticket NextTicket = 1;
   double ColdRate = 0;
   bool IsKeyed = false;
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -32,6 +32,11 @@
         "node", "service", TextKind::Name, std::nullopt,
         [](SidecarSettings &it, std::string_view s) { it.Node.Service = s; },
         "Service of the upstream beside the node."),
+    realField<SidecarSettings>(
+        "node", "network_mbit", {0, 1'000'000}, 0,
+        [](SidecarSettings &it, double x) { it.Node.NetworkMegabits = x; },
+        "Rate of the instance's network in megabits per second; large answers "
+        "are admitted up to it. 0 means no limit. A change needs a restart."),
     textField<SidecarSettings>(
         "callers", "listen", TextKind::Endpoint, std::nullopt,
         [](SidecarSettings &it, std::string_view s) {
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -21,6 +21,8 @@
   std::string DataCentre;
   /// Service of the upstream beside the node.
   std::string Service;
+  /// Rate of the instance's network in megabits per second; 0 if unlimited.
+  double NetworkMegabits = 0;
 };
 
 /// An address that the node listens on.
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -571,15 +571,16 @@
 void Control::sendReleaseNotice(core::TimePoint now) {
   if (!isKeyed() || !IsFleetLoaded)
     return;
-  const auto notice = Agent.nextNotice(Ledger, now);
-  const auto *to = notice ? Ledger.findMember(notice->To) : nullptr;
-  if (to == nullptr)
-    return;
-  Log->write(
-      logging::Level::Debug, "release_told",
-      {{"coordinator", notice->To}, {"ranges", notice->Notice.Keys.size()}});
-  Gossip->send({to->Record.Peer.Host, Options.Gossip.Port},
-               codec::encodeDatagram(notice->Notice));
+  while (const auto notice = Agent.nextNotice(Ledger, now)) {
+    const auto *to = Ledger.findMember(notice->To);
+    if (to == nullptr)
+      return;
+    Log->write(
+        logging::Level::Debug, "release_told",
+        {{"coordinator", notice->To}, {"ranges", notice->Notice.Keys.size()}});
+    Gossip->send({to->Record.Peer.Host, Options.Gossip.Port},
+                 codec::encodeDatagram(notice->Notice));
+  }
 }
 
 void Control::tick() {
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -26,6 +26,8 @@
 /// needs a signal.
 constexpr core::Duration SettingsInterval = std::chrono::seconds(1);
 
+constexpr double BytesPerMegabit = 125'000;
+
 net::ServerLimits limitsOf(const routing::ClientLimits &from) {
   return {from.HeaderBytes, from.BodyBytes, from.HeaderTimeout,
           from.IdleTimeout};
@@ -112,6 +114,7 @@
                                    ControlPlane->setLoad(std::move(load));
                                  });
                            }});
+  Upstream->setNetworkRate(Settings.Node.NetworkMegabits * BytesPerMegabit);
   Entry = std::make_unique<proxy::EntryService>(
       TrafficLoop,
       proxy::EntryIdentity{Settings.Node.Name, Settings.Node.DataCentre,
--- a/Source/Upstream/KeyLoad.h
+++ b/Source/Upstream/KeyLoad.h
@@ -13,10 +13,13 @@
 namespace acaciaroad::upstream {
 
 /// Request rate of each bucket of adjacent keys, as an exponential moving
-/// average with a time constant of one second.
+/// average with a time constant of one second. For keys that have become hot
+/// within the last interval, the averages show only a part of the load; growth
+/// tells how much more there is.
 class KeyLoad {
 public:
-  static constexpr std::uint32_t KeysPerBucket = 4;
+  /// One hot key may need a third of an upstream, so buckets are not larger.
+  static constexpr std::uint32_t KeysPerBucket = 1;
 
   /// \p keys is the size of the key space.
   explicit KeyLoad(std::uint32_t keys);
@@ -32,12 +35,19 @@
   /// rounded out to whole buckets.
   double rateOfRange(std::uint32_t from, std::uint32_t to) const;
 
+  /// Returns the ratio of the requests since the previous decay to those that
+  /// the averages predict; 1 unless there were significantly more.
+  double growth() const { return Growth; }
+
   /// Returns the requests per second of each bucket.
   std::span<const double> rates() const { return Rates; }
 
 private:
   std::vector<double> Rates;
   core::TimePoint LastDecay{};
+  /// Requests since LastDecay.
+  std::uint32_t Arrivals = 0;
+  double Growth = 1;
 };
 
 } // namespace acaciaroad::upstream
--- a/Source/Upstream/OrderQueue.cpp
+++ b/Source/Upstream/OrderQueue.cpp
@@ -109,13 +109,12 @@
     reason = refusalReason(order, now);
   if (reason)
     return {AdmissionStatus::Refused, *reason};
-  if (Running.size() < Slots && Waiting.empty() &&
-      ColdStartLimiter.isAllowed(now)) {
+  if (Waiting.empty() && maySend(now)) {
     start(order, now);
     return {AdmissionStatus::Start, core::ErrorKind::Internal};
   }
   core::TimePoint expectedStart =
-      std::max(now, ColdStartLimiter.nextAllowed(now));
+      std::max({now, PausedUntil, ColdStartLimiter.nextAllowed(now)});
   expectedStart += estimatedWait(order);
   const core::TimePoint latestEnd =
       order.Target + (order.Target - now) * TargetTolerancePercent / 100;
@@ -127,6 +126,12 @@
   return {AdmissionStatus::Queued, core::ErrorKind::Internal};
 }
 
+bool OrderQueue::maySend(core::TimePoint now) {
+  const std::uint32_t slots = IsProbing ? std::min(Slots, 1U) : Slots;
+  return Running.size() < slots && now >= PausedUntil &&
+         ColdStartLimiter.isAllowed(now);
+}
+
 void OrderQueue::start(const QueuedOrder &order, core::TimePoint now) {
   Running.emplace(order.Id, RunningOrder{order.WorkClass, now});
   ColdStartLimiter.started(now);
@@ -161,7 +166,7 @@
     const QueuedOrder &order = Orders.at(it->Id);
     if (const auto reason = refusalReason(order, now)) {
       out.push_back({order.Id, AdmissionStatus::Refused, *reason});
-    } else if (Running.size() < Slots && ColdStartLimiter.isAllowed(now)) {
+    } else if (maySend(now)) {
       start(order, now);
       out.push_back(
           {order.Id, AdmissionStatus::Start, core::ErrorKind::Internal});
--- a/Source/Upstream/OrderQueue.h
+++ b/Source/Upstream/OrderQueue.h
@@ -66,6 +66,13 @@
   /// refused.
   void setShutdownTime(core::TimePoint end) { ShutdownTime = end; }
 
+  /// Starts no order before \p time.
+  void pauseUntil(core::TimePoint time) { PausedUntil = time; }
+
+  /// Sets whether at most one order may run, since the upstream has not
+  /// answered any lately.
+  void setProbing(bool isProbing) { IsProbing = isProbing; }
+
   /// Decides whether a new order starts, waits or is refused.
   Decision offer(const QueuedOrder &order, core::TimePoint now);
 
@@ -127,6 +134,8 @@
   };
 
   void start(const QueuedOrder &order, core::TimePoint now);
+  /// Returns whether there is a slot for another order, and it may start now.
+  bool maySend(core::TimePoint now);
   /// Returns the mean with the typical service time in place of the samples
   /// that are missing.
   core::Duration withTypical(const ServiceTimeMean &mean) const;
@@ -142,6 +151,8 @@
                                                core::TimePoint start) const;
 
   std::uint32_t Slots = 0;
+  core::TimePoint PausedUntil{};
+  bool IsProbing = false;
   std::optional<core::TimePoint> ShutdownTime;
   SlidingWindowLimiter ColdStartLimiter;
   std::map<Ticket, RunningOrder> Running;
--- a/Tests/Adapter/AdapterTest.cpp
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -250,6 +250,19 @@
      CallKind::Unknown},
 };
 
+struct ParentRow {
+  const char *Id;
+  const char *Parent;
+};
+
+const ParentRow ParentRows[] = {
+    {"9c41", ""},
+    {"9c41.07be", "9c41"},
+    {"9c41.07be.2a", "9c41.07be"},
+    {".07be", ""},
+    {"", ""},
+};
+
 struct LoadRow {
   const char *Name;
   const char *Text;
@@ -327,6 +340,13 @@
   cr_assert(parseUpstreamCall(request).What == row.What, "%s", row.Name);
 }
 
+ACACIA_TABLE_TEST(Adapter, ReadsParents, ParentRows) {
+  net::HttpFields fields;
+  fields.set("Request-Id", row.Id);
+  cr_assert_eq(makeHeaderCodec().ReadCaller(fields).ParentId, row.Parent, "%s",
+               row.Id);
+}
+
 ACACIA_TABLE_TEST(Adapter, ReadsLoads, LoadRows) {
   net::HttpFields fields;
   if (row.Text[0] != '\0')
--- a/Tests/Proxy/FieldCodec.h
+++ b/Tests/Proxy/FieldCodec.h
@@ -25,6 +25,7 @@
   out.ReadCaller = [](const HttpFields &fields) {
     proxy::CallerFields caller;
     caller.RequestId = net::fieldOf(fields, "id");
+    caller.ParentId = net::fieldOf(fields, "parent");
     caller.AccountKey = net::fieldOf(fields, "account-key");
     caller.TimeLimit = std::chrono::seconds(5);
     caller.Key = RequestKey;
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -123,8 +123,37 @@
   std::vector<OrderResult> Results;
 };
 
+struct RunningRow {
+  const char *Name;
+  const char *Id;
+  bool IsAnswered;
+  bool IsRunning;
+};
+
+const RunningRow RunningRows[] = {
+    {"sent", "1", false, true},
+    {"waiting", "2", false, false},
+    {"unknown", "3", false, false},
+    {"answered", "1", true, false},
+};
+
 } // namespace
 
+// The calls that an upstream makes for an order are told by the order's id.
+ACACIA_TABLE_TEST(UpstreamService, KnowsWhatRuns, RunningRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  fixture.offer("1");
+  fixture.offer("2");
+  fixture.run();
+  if (row.IsAnswered) {
+    fixture.answerAll();
+    fixture.run();
+  }
+  cr_assert_eq(fixture.Upstream->rankOfRunning(row.Id).has_value(),
+               row.IsRunning, "%s", row.Name);
+}
+
 // Keys move away from a node because many requests wait there. Those requests
 // go where the keys go; at the former holder they would wait for a slot and
 // then be rejected.
--- a/Tests/Upstream/OrderQueueTest.cpp
+++ b/Tests/Upstream/OrderQueueTest.cpp
@@ -381,12 +381,54 @@
   cr_assert(limiter.isAllowed(now + milliseconds(1100)));
 }
 
+namespace {
+
+struct GrowthRow {
+  const char *Name;
+  /// Requests a second before, and in the interval that is looked at.
+  int Before;
+  int Now;
+  double From;
+  double To;
+};
+
+const GrowthRow GrowthRows[] = {
+    {"steady", 100, 100, 1, 1},
+    {"a burst of all requests", 40, 64, 1, 1},
+    {"few requests, by chance", 8, 24, 1, 1},
+    {"keys that became hot", 40, 640, 2.5, 5},
+    {"from nothing", 0, 400, 2.5, 8},
+};
+
+} // namespace
+
+// The load of keys that became hot within the last interval is told in full.
+ACACIA_TABLE_TEST(KeyLoad, TellsGrowth, GrowthRows) {
+  KeyLoad load(64);
+  TimePoint now{};
+  load.decay(now);
+  const auto play = [&](int perSecond) {
+    for (int n = 0; n < perSecond / 4; ++n)
+      load.recordRequest(static_cast<std::uint32_t>(n % 64));
+    now += milliseconds(250);
+    load.decay(now);
+  };
+  for (int n = 0; n < 20; ++n)
+    play(row.Before);
+  play(row.Now);
+  cr_assert(row.From <= load.growth() && load.growth() <= row.To, "%s: %f",
+            row.Name, load.growth());
+  const double told = load.rateOfRange(0, 63) * load.growth();
+  if (row.From > 1)
+    cr_assert_geq(told, row.Now * 0.7, "%s: %f", row.Name, told);
+}
+
 Test(KeyLoad, FollowsRates) {
   KeyLoad load(64);
   TimePoint now{};
   load.decay(now);
   for (int n = 0; n < 500; ++n) {
-    load.recordRequest(KeyLoad::KeysPerBucket + 1);
+    load.recordRequest(KeyLoad::KeysPerBucket);
     now += milliseconds(10);
     load.decay(now);
   }
