--- a/Source/Requests/LoadBalancer.cpp
+++ b/Source/Requests/LoadBalancer.cpp
@@ -12,6 +12,10 @@
 /// one. So slow an instance lacks something that its reported load doesn't
 /// show, such as network bandwidth.
 constexpr double MaxLocalSlowdown = 3;
+/// Cost of a remote instance, relative to a saturated local one, below which it
+/// is preferred. A small difference is not worth the bytes between data centres,
+/// and often only the age of the reports.
+constexpr double MaxRemoteCost = 0.75;
 /// At most one in this many instances of a service is ejected at a time.
 constexpr std::size_t InstancesPerEjection = 3;
 
@@ -62,8 +66,10 @@
   Peer *local = bestOfTwo(Local, tried, now);
   Peer *remote = bestOfTwo(Remote, tried, now);
   Peer *chosen = local;
-  if (!local || local->Load.isSaturated(now))
-    chosen = lowerCost(local, remote, now);
+  if (!local || (remote && local->Load.isSaturated(now) &&
+                 remote->Load.cost(now) <
+                     local->Load.cost(now) * MaxRemoteCost))
+    chosen = remote;
   else if (remote && isMuchSlower(*local, *remote))
     chosen = remote;
   if (!chosen)
