Messages are read in few pieces

Cause: Beast reads as much as a buffer has room for, or 512 bytes, and a buffer whose content is parsed at once never grows.

Change: 2 KB of room for a head, up to 16 KB for a body, given back while the connection is idle.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -228,6 +228,9 @@
 }
 
 void ClientConnection::park() {
+  // Gives the memory of a large answer back while the connection is idle.
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
   if (Reusable)
     Client->release(shared_from_this());
   else
@@ -256,6 +259,7 @@
   Share->resize(Parser->get().body().size());
   if (!Handler)
     return;
+  reserveForRead(Buffer, *Parser);
   const std::size_t size = boost::beast::read_size(Buffer, UnparsedBytes);
   if (!ec && !Parser->is_done() && size == 0)
     ec = http::error::buffer_overflow;
--- a/Source/Net/HttpMessage.h
+++ b/Source/Net/HttpMessage.h
@@ -4,6 +4,9 @@
 #ifndef ACACIAROAD_NET_HTTPMESSAGE_H
 #define ACACIAROAD_NET_HTTPMESSAGE_H
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -39,6 +42,25 @@
   MessageBuffer() : basic_flat_buffer(MostBytes) {}
 };
 
+/// Room for a head, of which requests and answers of some hundred bytes take
+/// one read each. Beast reads as much as a buffer has room for, or 512 bytes.
+inline constexpr std::size_t HeadReadBytes = 2U << 10U;
+
+/// Most that is read of a body at a time.
+inline constexpr std::size_t BodyReadBytes = 16U << 10U;
+
+/// Makes room in \p buffer for what one read should take in of the message of
+/// \p parser.
+template <typename Buffer, typename Parser>
+void reserveForRead(Buffer &buffer, const Parser &parser) {
+  std::size_t wanted = HeadReadBytes;
+  if (parser.is_header_done())
+    wanted = static_cast<std::size_t>(std::min<std::uint64_t>(
+        BodyReadBytes,
+        parser.content_length_remaining().value_or(BodyReadBytes)));
+  buffer.reserve(std::min(buffer.max_size(), buffer.size() + wanted));
+}
+
 /// Returns the value of the field \p name, or nothing at all.
 inline std::string_view fieldOf(const HttpFields &fields,
                                 std::string_view name) {
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -159,6 +159,7 @@
       MessageBuffer::MostBytes,
       Buffer.size() + std::max(UnparsedBytes, Server->Limits.HeaderBytes)));
   Parser->body_limit(Server->Limits.BodyBytes);
+  reserveForRead(Buffer, *Parser);
   http::async_read_header(
       Socket, Buffer, *Parser,
       [self = shared_from_this()](error_code ec, std::size_t) {
@@ -199,6 +200,7 @@
 }
 
 void ServerSession::readBody() {
+  reserveForRead(Buffer, *Parser);
   http::async_read(Socket, Buffer, *Parser,
                    [self = shared_from_this()](error_code ec, std::size_t) {
                      self->onRead(ec);
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -248,6 +248,12 @@
          std::string(70'000, 'a') + "\r\n\r\n"},
 };
 
+struct ReadCountRow {
+  std::size_t Length;
+  std::size_t MostReads;
+};
+const ReadCountRow ReadCountRows[] = {{100, 1}, {1500, 1}, {60'000, 8}};
+
 } // namespace
 
 // The library throws for them, which ended the process.
@@ -880,6 +886,34 @@
             static_cast<long long>(length / milliseconds(1)));
 }
 
+// An answer of some kilobytes took a read for each 512 bytes of it.
+ACACIA_TABLE_TEST(HttpClient, TakesAnswersInFewReads, ReadCountRows) {
+  boost::asio::io_context loop;
+  tests::ByteServer server(
+      loop, [&row](const HttpRequest &, std::size_t) -> tests::ByteAnswer {
+        return {{{{},
+                  "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(row.Length) + "\r\n\r\n" +
+                      std::string(row.Length, 'x')}}};
+      });
+  const auto client = HttpClient::create(
+      loop, {"127.0.0.1", server.port()},
+      {seconds(1), seconds(1), seconds(5), 1U << 20U, 4, {}, {}});
+  std::size_t length = 0;
+  std::size_t reads = 0;
+  const auto call = client->send(
+      {http::verb::get, "/", 11},
+      [&](const CallResult &it) {
+        length = it.Response.body().size();
+        loop.stop();
+      },
+      [&] { ++reads; });
+  loop.run_for(seconds(3));
+  client->dropIdle();
+  cr_assert_eq(length, row.Length, "%zu", row.Length);
+  cr_assert_leq(reads, row.MostReads, "%zu: %zu", row.Length, reads);
+}
+
 // A server closes connections that are idle for long; the client gives their
 // descriptors back although it needs no connection.
 Test(HttpClient, ClosesWhatTheServerHasClosed) {
