Log lines are collected and written together

Cause: each request's line woke the writer thread (a futex call of the traffic thread, two of the writer, a turn) and was written by a call of its own.

Change: the writer pauses for 200 ms after it has written, and passes lines of up to PIPE_BUF bytes to the sink at once; lines of level warning and above end the pause. Other programs that log keep their ways (the options default to off).

--- a/Source/Logging/Logger.cpp
+++ b/Source/Logging/Logger.cpp
@@ -68,8 +68,9 @@
       return;
     }
     Queue.push_back(std::move(line));
-    // Only the first line finds the writer asleep.
-    if (Queue.size() > 1)
+    const bool isUrgent = level >= Level::Warning;
+    IsUrgent = IsUrgent || isUrgent;
+    if (!std::exchange(IsIdle, false) && !isUrgent)
       return;
   }
   Wakeup.notify_one();
@@ -80,7 +81,10 @@
   std::uint64_t reported = 0;
   std::unique_lock lock(Mutex);
   for (;;) {
+    IsIdle = Queue.empty();
     Wakeup.wait(lock, [this] { return Stopping || !Queue.empty(); });
+    IsIdle = false;
+    IsUrgent = false;
     lines.swap(Queue);
     const std::uint64_t dropped = Dropped - std::exchange(reported, Dropped);
     const bool isLast = Stopping;
@@ -90,12 +94,20 @@
     if (isLast)
       return;
     lock.lock();
+    Wakeup.wait_for(lock, Options.Pause,
+                    [this] { return Stopping || IsUrgent; });
   }
 }
 
 void Logger::emit(std::span<const std::string> lines, std::uint64_t dropped) {
-  for (const std::string &it : lines)
-    Options.Sink(it);
+  std::string joined;
+  for (const std::string &it : lines) {
+    if (!joined.empty() && joined.size() + it.size() > Options.JoinedBytes)
+      Options.Sink(std::exchange(joined, {}));
+    joined += it;
+  }
+  if (!joined.empty())
+    Options.Sink(joined);
   if (dropped == 0)
     return;
   const Field fields[] = {{"count", dropped}};
--- a/Source/Logging/Logger.h
+++ b/Source/Logging/Logger.h
@@ -35,6 +35,11 @@
   /// Lines below it are not formatted.
   Level Threshold = Level::Info;
   std::size_t QueueLines = DefaultQueueLines;
+  /// After lines were written, others are collected for this long; those of
+  /// Level::Warning and above are written at once, with what was collected.
+  std::chrono::milliseconds Pause{0};
+  /// Lines of up to this many bytes together are passed to Sink at once.
+  std::size_t JoinedBytes = 0;
   /// Takes each line with its line feed, on the writer thread; standard error
   /// if empty.
   std::function<void(std::string_view)> Sink;
@@ -97,6 +102,10 @@
   std::vector<std::string> Queue;
   std::uint64_t Dropped = 0;
   bool Stopping = false;
+  /// The writer waits for the first line.
+  bool IsIdle = false;
+  /// A line has come that ends the writer's pause.
+  bool IsUrgent = false;
   std::thread Writer;
 };
 
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -1,6 +1,7 @@
 #include "Sidecar/Sidecar.h"
 
 #include <algorithm>
+#include <climits>
 #include <csignal>
 #include <thread>
 #include <utility>
@@ -52,9 +53,13 @@
           limits.AccountWindow, limits.RetryRatio, limits.RetryAllowance};
 }
 
-void writeLine(std::string_view line) {
+/// Time for which log lines are collected. What a process that is killed wrote
+/// last within it is lost.
+constexpr milliseconds LogPause{200};
+
+void writeLines(std::string_view lines) {
   // Errors are ignored: a closed standard output must not end the process.
-  static_cast<void>(::write(STDOUT_FILENO, line.data(), line.size()));
+  static_cast<void>(::write(STDOUT_FILENO, lines.data(), lines.size()));
 }
 
 } // namespace
@@ -65,7 +70,9 @@
   logging::LoggerOptions options;
   options.Instance = settings.Node.Name;
   options.Threshold = settings.LogLevel;
-  options.Sink = writeLine;
+  options.Pause = LogPause;
+  options.JoinedBytes = PIPE_BUF;
+  options.Sink = writeLines;
   auto logger = logging::Logger::create(std::move(options));
   if (!logger)
     return tl::unexpected(logger.error());
--- a/Tests/Logging/LoggerTest.cpp
+++ b/Tests/Logging/LoggerTest.cpp
@@ -1,7 +1,11 @@
 #include "Logging/Logger.h"
 
+#include <algorithm>
+#include <chrono>
 #include <future>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -57,8 +61,72 @@
     {Level::Off, Level::Error, false},
 };
 
+struct PauseRow {
+  std::chrono::milliseconds Pause;
+  std::size_t JoinedBytes;
+  Level Last;
+  std::size_t Calls;
+};
+
+constexpr std::chrono::milliseconds Long = std::chrono::hours(1);
+
+// The first line is written at once; three follow while it is, the last of them
+// of the row's level.
+const PauseRow PauseRows[] = {
+    {std::chrono::milliseconds(0), 0, Level::Info, 4},
+    {std::chrono::milliseconds(0), 4096, Level::Info, 2},
+    {std::chrono::milliseconds(0), 190, Level::Info, 3},
+    {Long, 4096, Level::Warning, 2},
+    {Long, 4096, Level::Error, 2},
+    {Long, 4096, Level::Info, 1},
+};
+
 } // namespace
 
+ACACIA_TABLE_TEST(LoggerTest, linesAreCollected, PauseRows) {
+  std::promise<void> reached;
+  std::promise<void> release;
+  std::vector<std::string> texts;
+  std::mutex mutex;
+  LoggerOptions options = collectInto(texts);
+  options.Pause = row.Pause;
+  options.JoinedBytes = row.JoinedBytes;
+  options.Sink = [&](std::string_view it) {
+    const bool isFirst = texts.empty();
+    {
+      const std::lock_guard lock(mutex);
+      texts.emplace_back(it);
+    }
+    if (!isFirst)
+      return;
+    reached.set_value();
+    release.get_future().wait();
+  };
+  std::size_t calls = 0;
+  {
+    auto logger = Logger::create(std::move(options)).value();
+    logger->write(Level::Info, "first");
+    reached.get_future().wait();
+    for (const Level it : {Level::Info, Level::Info, row.Last})
+      logger->write(it, "more");
+    release.set_value();
+    // What isn't urgent stays until the logger ends.
+    for (int n = 0; n < 100 && calls < row.Calls; ++n) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      const std::lock_guard lock(mutex);
+      calls = texts.size();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const std::lock_guard lock(mutex);
+    calls = texts.size();
+  }
+  cr_assert_eq(calls, row.Calls, "%zu", calls);
+  std::string all;
+  for (const std::string &it : texts)
+    all += it;
+  cr_assert_eq(std::count(all.begin(), all.end(), '\n'), 4);
+}
+
 ACACIA_TABLE_TEST(LoggerTest, fieldBecomesJson, FieldRows) {
   std::vector<std::string> lines;
   {
