--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -3,11 +3,11 @@
 and size of body: processor time, waits, system calls and instructions.
 
 Usage: node_cost.py BIN_FOLDER PORT [--requests N] [--rate N] [--row NAME]
-       [--strace] [--callgrind FOLDER]
+       [--nodes N] [--idle] [--strace] [--callgrind FOLDER]
 
 PORT is the first of 40 consecutive free ports. Processor time and waits come
 from /proc, without the callers and the upstreams; what the processes spend
-while idle is taken off. With --strace the system calls are counted instead,
+while idle is taken off. More nodes than two only add to what is idle. With --strace the system calls are counted instead,
 with --callgrind the instructions; both slow the processes down, so that their
 times aren't comparable."""
 import argparse
@@ -136,7 +136,7 @@
         self.store.put("keyed.op", "config", configuration(
             1, ACCOUNT_KEY, {"safe": "/s/"}, "%dms" % REQUEST_TIMEOUT_MS))
         self.nodes = []
-        for n in range(2):
+        for n in range(options.nodes):
             tool = []
             if options.callgrind:
                 tool = ["valgrind", "--tool=callgrind", "--instr-atstart=no",
@@ -148,7 +148,7 @@
         end = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < end:
             time.sleep(0.5)
-            if all(it.upstream.held for it in self.nodes) and all(
+            if all(it.upstream.held for it in self.nodes[:2]) and all(
                     self.send(n, row, 8, 0.05) == 0
                     for n in range(2) for row in ROWS[:2]):
                 return
@@ -175,7 +175,7 @@
         return [sum(it) for it in zip(*(node.usage() for node in self.nodes))]
 
     def idle(self):
-        """Returns [processor seconds, turns] a second of both nodes."""
+        """Returns [processor seconds, turns] a second of all nodes."""
         before = self.usage()
         time.sleep(IDLE_S)
         return [(b - a) / IDLE_S for a, b in zip(before, self.usage())]
@@ -230,8 +230,11 @@
     def run(self):
         self.await_ready()
         idle = self.idle()
-        print("idle: %.2f%% of a core and %.0f turns a second, each node" % (
-            50 * idle[0], idle[1] / 2), flush=True)
+        n = len(self.nodes)
+        print("idle: %.2f%% of a core and %.0f turns a second, each of %d "
+              "nodes" % (100 * idle[0] / n, idle[1] / n, n), flush=True)
+        if self.options.idle:
+            return
         for it in ROWS:
             if self.options.row in (None, it[0]):
                 self.measure(it, idle)
@@ -250,6 +253,9 @@
     parser.add_argument("--requests", type=int, default=800)
     parser.add_argument("--rate", type=float, default=200)
     parser.add_argument("--row", choices=[it[0] for it in ROWS])
+    parser.add_argument("--nodes", type=int, default=2)
+    parser.add_argument("--idle", action="store_true",
+                        help="measure no requests")
     parser.add_argument("--strace", action="store_true")
     parser.add_argument("--callgrind")
     options = parser.parse_args()
