--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -31,30 +31,36 @@
 # Connections of callers, each with one request at a time.
 CALLER_COUNT = 4
 IDLE_S = 4
+# Nodes have the addresses 127.0.0.101 and on; outgoing connections of other
+# programs on the machine leave 127.0.0.1 with ports in use.
+STORE_HOST = "127.0.0.100"
+FIRST_NODE = 100
 READY_TIMEOUT_S = 90
 ACCOUNT_KEY = "secret-key"
 REQUEST_TIMEOUT_MS = 5000
 
 # Name, whether another node than the entry holds the key, size of the
 # request's and of the answer's body in bytes, whether each request comes on a
-# new connection, and the status of the answer.
+# new connection, the status of the answer, and the time of work in ms.
 ROWS = (
-    ("local", False, 0, 1000, False, 200),
-    ("forwarded", True, 0, 1000, False, 200),
-    ("forwarded, new connections", True, 0, 1000, True, 200),
-    ("forwarded, body 4 KB", True, 4 << 10, 1000, False, 200),
-    ("forwarded, body 64 KB", True, 64 << 10, 1000, False, 200),
-    ("forwarded, answer 90 KB", True, 0, 90000, False, 200),
-    ("refused, no route", False, 0, 0, False, 404),
+    ("local", False, 0, 1000, False, 200, 0),
+    ("forwarded", True, 0, 1000, False, 200, 0),
+    ("forwarded, new connections", True, 0, 1000, True, 200, 0),
+    ("forwarded, body 4 KB", True, 4 << 10, 1000, False, 200, 0),
+    ("forwarded, body 64 KB", True, 64 << 10, 1000, False, 200, 0),
+    ("forwarded, answer 90 KB", True, 0, 90000, False, 200, 0),
+    ("forwarded, 60 ms of work", True, 0, 1000, False, 200, 60),
+    ("refused, no route", False, 0, 0, False, 404, 0),
 )
 
 
 class QuickUpstream(Upstream):
-    """Answers at once, head and body in one write."""
+    """Answers after the time of work, head and body in one write."""
 
     def serve(self, call):
         call.read_body()
-        size = int(call.path.rsplit("/", 1)[1])
+        work, size = (int(it) for it in call.path.split("/")[2:])
+        time.sleep(work / 1000)
         head = ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n"
                 "Server-Load: 1,0,8,100\r\nContent-Type: text/plain\r\n"
                 "Content-Length: %d\r\n\r\n" %
@@ -69,7 +75,7 @@
         self.upstream = QuickUpstream("u-%d" % index, SERVICE,
                                       self.address_of(UPSTREAM),
                                       self.address_of(CONTROL))
-        self.launch(("127.0.0.1", first_port + 10))
+        self.launch((STORE_HOST, first_port + 10))
 
     def start(self):
         self.process = subprocess.Popen(
@@ -107,11 +113,11 @@
                 self.failed += 1
 
     def send(self):
-        _, _, body, answer, is_new, status = self.row
+        _, _, body, answer, is_new, status, work = self.row
         if self.connection is None:
             self.connection = http.client.HTTPConnection(
                 *self.address, timeout=REQUEST_TIMEOUT_MS / 1000)
-        path = "/s/%d" % answer if status == 200 else "/none/0"
+        path = ("/s/%d/%d" % (work, answer) if status == 200 else "/none/0")
         self.connection.request("POST", path, b"x" * body, headers={
             "Host": "h", "Request-Id": os.urandom(16).hex(),
             "Deadline-Ms": str(REQUEST_TIMEOUT_MS), "User-Agent": "caller/1.0",
@@ -132,7 +138,7 @@
         self.options = options
         port, binary = options.port, pathlib.Path(
             options.binaries) / "acacia-sidecar"
-        self.store = Store(("127.0.0.1", port + 10))
+        self.store = Store((STORE_HOST, port + 10))
         self.store.put("keyed.op", "config", configuration(
             1, ACCOUNT_KEY, {"safe": "/s/"}, "%dms" % REQUEST_TIMEOUT_MS))
         self.nodes = []
@@ -142,7 +148,8 @@
                 tool = ["valgrind", "--tool=callgrind", "--instr-atstart=no",
                         "--callgrind-out-file=%s/node-%d.out" %
                         (options.callgrind, n)]
-            self.nodes.append(Node(binary, folder, n, port, tool))
+            self.nodes.append(Node(binary, folder, FIRST_NODE + n, port,
+                                   tool))
 
     def await_ready(self):
         end = time.monotonic() + READY_TIMEOUT_S
