Messages are written, and requests read, without a turn of the loop

Cause: an asynchronous operation that is done at once still goes through the loop's queue, which polls in between: per node and request once for the head that a readable connection holds, once for the request to the next server and once for the answer.

Change: sockets don't block; a session reads the head of a readable connection, and both sides write, at once as far as that goes, and wait for the rest as before. Errors of writes come from the loop as before. Requests in a row on one connection still go through the loop, so that they don't nest.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -172,6 +172,7 @@
 void ClientConnection::setSocketOptions() {
   error_code ignored; // Without it, requests only go out later.
   Socket.set_option(tcp::no_delay(true), ignored);
+  Socket.non_blocking(true, ignored);
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       Client->Options.SendTimeout);
   const auto value = static_cast<unsigned>(ms.count());
@@ -206,11 +207,19 @@
 }
 
 void ClientConnection::write() {
-  IsWriting = true;
-  http::async_write(Socket, *Request,
-                    [self = shared_from_this()](error_code ec, std::size_t) {
-                      self->onWritten(ec);
-                    });
+  Serializer.emplace(*Request);
+  error_code ec;
+  if (!Socket.non_blocking())
+    ec = boost::asio::error::would_block;
+  while (!ec && !Serializer->is_done())
+    http::write_some(Socket, *Serializer, ec);
+  IsWriting = ec.failed();
+  // Tells of an error too.
+  if (IsWriting)
+    http::async_write(Socket, *Serializer,
+                      [self = shared_from_this()](error_code end, std::size_t) {
+                        self->onWritten(end);
+                      });
   read();
 }
 
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 
 #include "Net/HttpClient.h"
 #include "Net/Timeout.h"
@@ -76,6 +77,7 @@
   Timeout ConnectTimer;
   boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
+  std::optional<http::request_serializer<http::string_body>> Serializer;
   std::optional<http::response_parser<http::string_body>> Parser;
   std::optional<AnswerMemory::Share> Share;
   CallHandler Handler;
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -69,7 +69,14 @@
   close();
 }
 
-void ServerSession::start() { waitReadable(); }
+void ServerSession::start() {
+  error_code ec;
+  Socket.non_blocking(true, ec);
+  if (ec)
+    close();
+  else
+    waitReadable();
+}
 
 bool ServerSession::hasRequest() const {
   return State == Phase::Reading || State == Phase::Handling ||
@@ -118,7 +125,7 @@
 
 void ServerSession::onReadable() {
   if (State == Phase::Idle)
-    read();
+    read(Wanted::Now);
   else if (State == Phase::Handling)
     checkAbandoned();
 }
@@ -148,7 +155,7 @@
   abandon();
 }
 
-void ServerSession::read() {
+void ServerSession::read(Wanted when) {
   if (!Server)
     return;
   enter(Phase::Reading);
@@ -160,10 +167,17 @@
       Buffer.size() + std::max(UnparsedBytes, Server->Limits.HeaderBytes)));
   Parser->body_limit(Server->Limits.BodyBytes);
   reserveForRead(Buffer, *Parser);
+  error_code ec = boost::asio::error::would_block;
+  if (when == Wanted::Now)
+    http::read_header(Socket, Buffer, *Parser, ec);
+  if (ec != boost::asio::error::would_block) {
+    onHeader(ec);
+    return;
+  }
   http::async_read_header(
       Socket, Buffer, *Parser,
-      [self = shared_from_this()](error_code ec, std::size_t) {
-        self->onHeader(ec);
+      [self = shared_from_this()](error_code end, std::size_t) {
+        self->onHeader(end);
       });
 }
 
@@ -200,10 +214,20 @@
 }
 
 void ServerSession::readBody() {
+  error_code ec;
+  Parser->eager(true);
+  if (Buffer.size() > 0)
+    Buffer.consume(Parser->put(Buffer.data(), ec));
+  if (ec == http::error::need_more)
+    ec = {};
+  if (ec || Parser->is_done()) {
+    onRead(ec);
+    return;
+  }
   reserveForRead(Buffer, *Parser);
   http::async_read(Socket, Buffer, *Parser,
-                   [self = shared_from_this()](error_code ec, std::size_t) {
-                     self->onRead(ec);
+                   [self = shared_from_this()](error_code end, std::size_t) {
+                     self->onRead(end);
                    });
 }
 
@@ -269,12 +293,20 @@
 }
 
 void ServerSession::write(bool close) {
+  error_code ec;
+  while (!ec && !Serializer->is_done())
+    http::write_some(Socket, *Serializer, ec);
+  if (!ec) {
+    onWritten(ec, close);
+    return;
+  }
+  // Tells of an error too, but not from within respond().
   http::async_write_some(
       Socket, *Serializer,
-      [self = shared_from_this(), close](error_code ec, std::size_t) {
+      [self = shared_from_this(), close](error_code end, std::size_t) {
         self->Since = core::BootClock::now();
-        if (ec || self->Serializer->is_done())
-          self->onWritten(ec, close);
+        if (end || self->Serializer->is_done())
+          self->onWritten(end, close);
         else
           self->write(close);
       });
@@ -292,7 +324,7 @@
   if (close)
     linger();
   else if (Buffer.size() > 0)
-    read();
+    read(Wanted::Later); // Requests in a row would nest.
   else {
     // Gives the memory of a large request back while the client is idle.
     Buffer = {};
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -38,6 +38,8 @@
 
 private:
   enum class Phase { Idle, Reading, Handling, Writing, Lingering, Closed };
+  /// Whether a request may be handled before the call returns.
+  enum class Wanted { Now, Later };
 
   void enter(Phase phase);
   /// Whether a request has no whole answer yet.
@@ -54,7 +56,7 @@
   bool hasClientClosed();
   /// Closes the connection and cancels the request that is handled.
   void abandon();
-  void read();
+  void read(Wanted when);
   void onHeader(boost::beast::error_code ec);
   void readBody();
   /// Reserves room for the body; returns false if there is none.
