--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -49,6 +49,20 @@
     {"the key is released", {{false, "here"}}, 0, 0},
 };
 
+struct WaitRow {
+  const char *Name;
+  core::Duration OfferedAfter;
+  core::Duration TimeLeft;
+  /// Orders that have ended 90 ms after the first was sent.
+  std::size_t Refused;
+};
+
+const WaitRow WaitRows[] = {
+    {"at once", milliseconds(0), milliseconds(40), 1},
+    {"later", milliseconds(10), milliseconds(40), 1},
+    {"with time left", milliseconds(10), milliseconds(2000), 0},
+};
+
 /// A node with one slot whose upstream answers only when told.
 class Fixture {
 public:
@@ -126,20 +140,6 @@
   std::vector<OrderResult> Results;
 };
 
-struct WaitRow {
-  const char *Name;
-  core::Duration OfferedAfter;
-  core::Duration TimeLeft;
-  /// Orders that have ended 90 ms after the first was sent.
-  std::size_t Refused;
-};
-
-const WaitRow WaitRows[] = {
-    {"at once", milliseconds(0), milliseconds(40), 1},
-    {"later", milliseconds(10), milliseconds(40), 1},
-    {"with time left", milliseconds(10), milliseconds(2000), 0},
-};
-
 } // namespace
 
 // Keys move away from a node because many requests wait there. Those requests
@@ -224,6 +224,21 @@
   cr_assert_eq(fixture.Counters.UpstreamConnects, 1U, "%s", row.Name);
 }
 
+// While nothing waits, the service looks at its orders less often; an order
+// that comes to wait then mustn't wait for that.
+ACACIA_TABLE_TEST(UpstreamService, RefusesWhatWaitsInTime, WaitRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  fixture.offer("runs");
+  boost::asio::steady_timer check(fixture.Loop, milliseconds(90));
+  boost::asio::steady_timer offer(fixture.Loop, row.OfferedAfter);
+  offer.async_wait([&](error_code) { fixture.offer("waits", row.TimeLeft); });
+  std::size_t refused = 0;
+  check.async_wait([&](error_code) { refused = fixture.Results.size(); });
+  fixture.run();
+  cr_assert_eq(refused, row.Refused, "%s: %zu", row.Name, refused);
+}
+
 namespace {
 
 struct SenderRow {
@@ -260,18 +275,3 @@
     cr_assert(it.Outcome.Reason == core::ErrorKind::OwnerChanged);
   }
 }
-
-// While nothing waits, the service looks at its orders less often; an order
-// that comes to wait then mustn't wait for that.
-ACACIA_TABLE_TEST(UpstreamService, RefusesWhatWaitsInTime, WaitRows) {
-  Fixture fixture;
-  fixture.setView({true, "here"});
-  fixture.offer("runs");
-  boost::asio::steady_timer check(fixture.Loop, milliseconds(90));
-  boost::asio::steady_timer offer(fixture.Loop, row.OfferedAfter);
-  offer.async_wait([&](error_code) { fixture.offer("waits", row.TimeLeft); });
-  std::size_t refused = 0;
-  check.async_wait([&](error_code) { refused = fixture.Results.size(); });
-  fixture.run();
-  cr_assert_eq(refused, row.Refused, "%s: %zu", row.Name, refused);
-}
