--- a/Tests/Support/ByteServer.h
+++ b/Tests/Support/ByteServer.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_TESTS_SUPPORT_BYTESERVER_H
 #define ACACIAROAD_TESTS_SUPPORT_BYTESERVER_H
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -26,7 +27,18 @@
 namespace acaciaroad::tests {
 
 /// How a connection ends.
-enum class ConnectionEnd { None, Close, Reset };
+enum class ConnectionEnd {
+  None,
+  Close,
+  Reset,
+  /// Nothing more is sent, but the rest of the request is read.
+  HalfClose,
+  /// Nothing more is sent, and the connection is reset ResetDelay later.
+  HalfCloseReset,
+};
+
+/// Long enough for the client to see the end that comes before a reset.
+inline constexpr core::Duration ResetDelay = std::chrono::milliseconds(30);
 
 /// What is written for a request, piece by piece.
 struct ByteAnswer {
@@ -101,13 +113,41 @@
     }
 
     void end() {
-      if (Answer.End == ConnectionEnd::None) {
-        read();
-        return;
+      Error ignored; // The client may have gone.
+      switch (Answer.End) {
+      case ConnectionEnd::None:
+        readRest();
+        break;
+      case ConnectionEnd::Close:
+        Socket.close(ignored);
+        break;
+      case ConnectionEnd::Reset:
+        reset();
+        break;
+      case ConnectionEnd::HalfClose:
+        Socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        readRest();
+        break;
+      case ConnectionEnd::HalfCloseReset:
+        Socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        Timer.expires_after(ResetDelay);
+        Timer.async_wait([self = shared_from_this()](Error) { self->reset(); });
+        break;
       }
+    }
+
+    /// Reads what is left of the request, then the next one.
+    void readRest() {
+      net::http::async_read(Socket, Buffer, *Parser,
+                            [self = shared_from_this()](Error ec, std::size_t) {
+                              if (!ec)
+                                self->read();
+                            });
+    }
+
+    void reset() {
       Error ignored; // The client may have gone.
-      if (Answer.End == ConnectionEnd::Reset)
-        Socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      Socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
       Socket.close(ignored);
     }
 
