Net: an answer with a status outside 100 to 599 ends its call

Cause: a status below 200 was taken for an interim answer: an answer of 000, 099 or 101 was passed over, and the call waited for another one. One of 600 or 999 was given on as the answer.

Change: the status is checked once the head is there; such an answer breaks the call at once and closes the connection, and the request counts as one that may have run. 101 is among them, since no request asks for another protocol.

Tests: 7 new rows of ClientConnection TakesWholeAnswersOnly ("status 000", "status 000 without its body", "status 000 while the request is sent", "status 099", "status 101", "status 600", "status 999").

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -78,6 +79,19 @@
          });
 }
 
+/// Returns why an answer with the head of \p response can't be taken, or
+/// nothing.
+std::string headFault(const HttpResponse &response) {
+  constexpr unsigned First = 100;
+  constexpr unsigned Last = 599;
+  const unsigned status = response.result_int();
+  // No request asks for another protocol.
+  if (status < First || status > Last ||
+      response.result() == http::status::switching_protocols)
+    return fmt::format("answer with status {:03}", status);
+  return {};
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<HttpClient> client)
@@ -249,10 +263,18 @@
 // that their caller can't bound what they take in.
 void ClientConnection::parse() {
   error_code ec;
+  const bool hadHead = Parser->is_header_done();
   if (Buffer.size() > 0)
     Buffer.consume(Parser->put(Buffer.data(), ec));
   if (ec == http::error::need_more)
     ec = {};
+  if (!hadHead && Parser->is_header_done()) {
+    std::string fault = headFault(Parser->get());
+    if (!fault.empty()) {
+      breakOff({CallEnd::Broken, {}, std::move(fault)});
+      return;
+    }
+  }
   Share->resize(Parser->get().body().size());
   if (!Handler)
     return;
