Net: an answer in a transfer coding other than chunks is not taken

Cause: the parser passes over codings that it does not undo. The field was erased before the answer went to the client, so that coded bytes were given as the body.

Change: such an answer breaks its call, as one with an invalid status does.

Tests: 3 new rows of ClientConnection TakesWholeAnswersOnly ("coded, closed", "coded, in chunks", "coded, with a length"), which were answered before.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
@@ -89,6 +90,10 @@
   if (status < First || status > Last ||
       response.result() == http::status::switching_protocols)
     return fmt::format("answer with status {:03}", status);
+  // The parser undoes "chunked", and passes other codings over.
+  const auto codings = response[http::field::transfer_encoding];
+  if (!codings.empty() && !boost::beast::iequals(codings, "chunked"))
+    return "answer with transfer coding " + std::string(toView(codings));
   return {};
 }
 
--- a/Tests/Support/EndingAnswers.h
+++ b/Tests/Support/EndingAnswers.h
@@ -17,6 +17,10 @@
   None,
   Length,
   Chunks,
+  /// Transfer codings that clients don't ask for.
+  Coded,
+  CodedChunks,
+  CodedLength,
 };
 
 /// What is written of a body.
@@ -112,6 +116,13 @@
     {"buffered upload, length, reset behind the body", OkLine, Framing::Length,
      Extent::Whole, AnswerAfter::Head, ConnectionEnd::Reset, BufferedUpload,
      true},
+    // Transfer codings.
+    {"coded, closed", OkLine, Framing::Coded, Extent::Whole, AnswerAfter::Body,
+     ConnectionEnd::Close, SmallUpload, false},
+    {"coded, in chunks", OkLine, Framing::CodedChunks, Extent::Whole,
+     AnswerAfter::Body, ConnectionEnd::None, SmallUpload, false},
+    {"coded, with a length", OkLine, Framing::CodedLength, Extent::Whole,
+     AnswerAfter::Body, ConnectionEnd::None, SmallUpload, false},
     // Statuses and versions.
     {"status 000", "HTTP/1.1 000 Unknown", Framing::Length, Extent::Whole,
      AnswerAfter::Body, ConnectionEnd::None, SmallUpload, false},
@@ -183,6 +194,16 @@
     out += chunks;
     isChunked = true;
     break;
+  case Framing::Coded:
+    out += "Transfer-Encoding: gzip\r\n";
+    break;
+  case Framing::CodedChunks:
+    out += "Transfer-Encoding: gzip, chunked\r\n";
+    isChunked = true;
+    break;
+  case Framing::CodedLength:
+    out += "Transfer-Encoding: gzip\r\n" + length;
+    break;
   }
   out += "\r\n";
   if (row.Body == Extent::Half)
