Net: an end before the request was taken may be that of a failing server

Cause: an answer without a length counted as whole if the end of its connection was read before a write had failed. A process that fails while it reads an upload ends its connection in order if it has read all that has come; the reset follows once more of the upload arrives. The part of the answer was given as whole.

Change: such an answer counts once the server has acknowledged the whole request and has not reset the connection; until then the connection is checked every 5 ms. A server that ends its side and reads on is answered from as before.

Weighed: refusing all answers without a length that end before the upload was sent would lose whole ones.

--- a/Source/Net/ClientConnection.cpp
+++ b/Source/Net/ClientConnection.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace acaciaroad::net {
@@ -34,6 +35,10 @@
 /// some bytes each take up as much as their content.
 constexpr std::uint64_t MostTaken = 2;
 
+/// Interval at which a connection that the server has ended is checked until
+/// the server has acknowledged the request.
+constexpr core::Duration EndCheckInterval = std::chrono::milliseconds(5);
+
 /// Share of the server's stated keep-alive time that is used, in percent; the
 /// rest is room for the way.
 constexpr int KeepAliveShare = 70;
@@ -97,11 +102,29 @@
   return {};
 }
 
+/// Whether the peer has reset \p socket, also if an operation on it has
+/// already taken the error. It must not have been closed on this side.
+bool isReset(tcp::socket &socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) != 0 ||
+         info.tcpi_state == TCP_CLOSE;
+}
+
+/// Whether the peer has acknowledged all that was sent on \p socket.
+bool isAcknowledged(tcp::socket &socket) {
+  int unacknowledged = 0;
+  return ::ioctl(socket.native_handle(), TIOCOUTQ, &unacknowledged) == 0 &&
+         unacknowledged == 0;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<HttpClient> client)
     : Client(std::move(client)), Socket(Client->Loop),
-      ConnectTimer(Client->Loop), IdleLimit(Client->Options.IdleLimit) {
+      ConnectTimer(Client->Loop), EndTimer(Client->Loop),
+      IdleLimit(Client->Options.IdleLimit) {
   ++Client->Open;
 }
 
@@ -138,6 +161,7 @@
   Parser.reset();
   Share.reset();
   ConnectTimer.cancel();
+  EndTimer.cancel();
   error_code ignored; // Nothing is left to do on a failed close.
   Socket.close(ignored);
 }
@@ -325,11 +349,31 @@
     fail(CallEnd::Broken, ec);
     return;
   }
-  // The write has taken the error of the reset; the read sees an orderly end.
-  if (HasWriteFailed && Parser->need_eof()) {
+  if (Parser->need_eof())
+    onEnded();
+  else
+    onAnswer();
+}
+
+// A write may have taken the error of a reset, and the read then sees an
+// orderly end. A server that fails while it reads ends the connection, too, and
+// resets it only once more of the request comes.
+void ClientConnection::onEnded() {
+  if (HasWriteFailed || isReset(Socket)) {
     fail(CallEnd::Broken, boost::asio::error::connection_reset);
     return;
   }
+  if (!IsWriting && isAcknowledged(Socket)) {
+    onAnswer();
+    return;
+  }
+  EndTimer.start(EndCheckInterval, [self = shared_from_this()] {
+    if (self->Handler)
+      self->onEnded();
+  });
+}
+
+void ClientConnection::onAnswer() {
   const auto &response = Parser->get();
   if (isJoined(response)) {
     fail(CallEnd::Broken, boost::asio::error::invalid_argument);
--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -60,6 +60,9 @@
   void parse();
   void onReceived(boost::beast::error_code ec, std::size_t n);
   void onRead(boost::beast::error_code ec);
+  /// Takes an answer without a length, whose connection the server has ended.
+  void onEnded();
+  void onAnswer();
   bool isOwn(const HttpResponse &response) const;
   void finish();
   void fail(CallEnd end, boost::beast::error_code ec);
@@ -74,6 +77,7 @@
   std::shared_ptr<HttpClient> Client;
   boost::asio::ip::tcp::socket Socket;
   Timeout ConnectTimer;
+  Timeout EndTimer;
   boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
   std::optional<http::response_parser<http::string_body>> Parser;
