Proxy: the table of ending answers over one and two nodes

Change: EntryService GivesWholeAnswersOnly plays the table at the upstream beside the entry and at one beside another node, with uploads of both kinds; PeerClients TakesWholeAnswersOnly plays it at a node whose answer states that its upstream has answered. OtherNode takes in bodies as the entry does.

--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -7,11 +7,13 @@
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "Proxy/FieldCodec.h"
 #include "Proxy/PeerService.h"
 #include "Support/ByteServer.h"
+#include "Support/EndingAnswers.h"
 #include "Support/EndlessServer.h"
 #include "Support/Table.h"
 
@@ -781,8 +783,7 @@
                  fixture.Log, fixture.Counters, {[] {}, [](const auto &) {}}),
         Service(fixture.Loop, makeHeaderCodec(), Upstream, fixture.Log),
         Server(*net::HttpServer::create(
-            fixture.Loop, {"127.0.0.1", 0},
-            {4096, 4096, seconds(1), seconds(5)},
+            fixture.Loop, {"127.0.0.1", 0}, Fixture::Limits,
             [this](const auto &it) { Service.handle(it); })) {
     auto view = std::make_shared<TrafficView>();
     view->Own.Service = own.Service;
@@ -1016,3 +1017,81 @@
                answer.result_int());
   cr_assert_eq(runs, row.Runs, "%s: %d", row.Name, runs);
 }
+
+namespace {
+
+/// Returns an upload to "/open/x", which runs at most once.
+std::string uploadOf(std::size_t bytes, bool isChunked) {
+  std::string out = "POST /open/x HTTP/1.1\r\nHost: h\r\nid: 1\r\n";
+  if (!isChunked)
+    return out + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+           std::string(bytes, 'x');
+  constexpr std::size_t ChunkBytes = 64U << 10U;
+  out += "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t n = 0; n < bytes; n += ChunkBytes)
+    out += tests::chunkOf(std::string(std::min(ChunkBytes, bytes - n), 'x'));
+  return out + "0\r\n\r\n";
+}
+
+/// Returns the answer that the caller gets, or one with status 500.
+HttpResponse sendBytes(Fixture &fixture, const std::string &request) {
+  tcp::socket socket(fixture.Loop);
+  socket.connect(
+      {boost::asio::ip::address_v4::loopback(), fixture.Server->port()});
+  boost::asio::async_write(socket, boost::asio::buffer(request),
+                           [](error_code, std::size_t) {});
+  boost::beast::flat_buffer buf;
+  HttpResponse out(net::http::status::internal_server_error, 11);
+  net::http::async_read(socket, buf, out, [&](error_code ec, std::size_t) {
+    if (ec)
+      out.result(net::http::status::internal_server_error);
+    fixture.Loop.stop();
+  });
+  fixture.Loop.restart();
+  fixture.Loop.run_for(seconds(4));
+  return out;
+}
+
+} // namespace
+
+// What an upstream answers, beside this node or beside another one, reaches the
+// caller whole or as a failure that doesn't claim that nothing has run.
+ACACIA_TABLE_TEST(EntryService, GivesWholeAnswersOnly, tests::EndingAnswers) {
+  const std::string body = "the whole body";
+  for (const bool isForwarded : {false, true})
+    for (const bool isChunked : {false, true}) {
+      int runs = 0;
+      Fixture fixture(
+          [&](const HttpRequest &, std::size_t) {
+            ++runs;
+            return ByteAnswer{
+                {{{}, bytesOf(row, "id: 1\r\nsigned: 1\r\n", body)}}, row.End};
+          },
+          row.When);
+      std::unique_ptr<OtherNode> other;
+      if (isForwarded) {
+        other =
+            std::make_unique<OtherNode>(fixture, fixture.ByteUpstream->port());
+        fixture.PeerPort = other->port();
+        fixture.IsOpen = false;
+      }
+      fixture.setView(makeRouteTable(milliseconds(2500)));
+      const HttpResponse answer =
+          sendBytes(fixture, uploadOf(row.UploadBytes, isChunked));
+      const unsigned status = answer.result_int();
+      cr_assert_eq(runs, 1, "%s: %d", row.Name, runs);
+      if (row.IsWhole) {
+        cr_assert(std::string(row.StatusLine).find(std::to_string(status)) !=
+                      std::string::npos,
+                  "%s: %u", row.Name, status);
+        cr_assert_eq(answer.body(), body, "%s: %s", row.Name,
+                     answer.body().c_str());
+        continue;
+      }
+      cr_assert_eq(status, 502U, "%s, forwarded %d, chunked %d: %u", row.Name,
+                   isForwarded, isChunked, status);
+      cr_assert(answer.body().find(Incomplete) != std::string::npos, "%s: %s",
+                row.Name, answer.body().c_str());
+      cr_assert_eq(net::fieldOf(answer, "signed"), "", "%s", row.Name);
+    }
+}
--- a/Tests/Proxy/PeerClientsTest.cpp
+++ b/Tests/Proxy/PeerClientsTest.cpp
@@ -10,6 +10,7 @@
 
 #include "Net/HttpServer.h"
 #include "Support/ByteServer.h"
+#include "Support/EndingAnswers.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -198,3 +199,55 @@
                  "%s %zu", row.Name, n);
   }
 }
+
+namespace {
+
+const char *const EndingBody = "the whole body";
+
+/// A node that grants each permit, and answers an order with \p row.
+tests::ByteAnswer answerOrder(const net::HttpRequest &request,
+                              const tests::EndingAnswer &row) {
+  if (readPermitRequest(request))
+    return {{{{}, "HTTP/1.1 204 No Content\r\nAcacia-Room: 1\r\n\r\n"}},
+            tests::ConnectionEnd::None};
+  net::HttpFields fields;
+  writeOutcome(fields, makeOutcome(AttemptOutcome::Answered, true));
+  std::string lines;
+  for (const auto &it : fields)
+    lines +=
+        std::string(it.name_string()) + ": " + std::string(it.value()) + "\r\n";
+  return {{{{}, bytesOf(row, lines, EndingBody)}}, row.End};
+}
+
+} // namespace
+
+// The other node states that its upstream has answered; that counts only in an
+// answer that is whole.
+ACACIA_TABLE_TEST(PeerClients, TakesWholeAnswersOnly, tests::EndingAnswers) {
+  boost::asio::io_context loop;
+  const tests::ByteServer server(
+      loop,
+      [&](const net::HttpRequest &request, std::size_t) {
+        return answerOrder(request, row);
+      },
+      row.When);
+  int leftMs = 0;
+  const HeaderCodec codec = makeHeaderCodec(leftMs);
+  PeerClients clients(loop, nullptr);
+  std::vector<OrderResult> results;
+  const auto call =
+      clients.send({"127.0.0.1", server.port()}, makeOrder(row.UploadBytes),
+                   codec, [&](OrderResult result) {
+                     results.push_back(std::move(result));
+                     loop.stop();
+                   });
+  loop.run_for(seconds(2));
+  cr_assert_eq(results.size(), 1U, "%s", row.Name);
+  const ForwardOutcome &outcome = results[0].Outcome;
+  cr_assert(outcome.Outcome == (row.IsWhole ? AttemptOutcome::Answered
+                                            : AttemptOutcome::SentNoAnswer),
+            "%s: %d", row.Name, static_cast<int>(outcome.Outcome));
+  cr_assert(outcome.ReachedUpstream, "%s", row.Name);
+  if (row.IsWhole)
+    cr_assert_eq(results[0].Answer.body(), EndingBody, "%s", row.Name);
+}
