Net: rows for requests behind an answer that closes

The rows had a safe request behind one, and none behind an unsafe one, an answer to version 1.0 or a refused body.

--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -634,6 +634,22 @@
      safeRequest("/slow") + safeRequest("/a", "Connection: close\r\n") +
          safeRequest("/b"),
      "/slow/a", "200/slow 200/a "},
+    {"the last answer closes, an unsafe one behind it",
+     safeRequest("/slow", "Connection: close\r\n") + unsafeRequest("/a"),
+     "/slow", "200/slow "},
+    {"an unsafe one closes, two behind it",
+     "POST /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+     "Content-Length: 4\r\n\r\nbody" +
+         unsafeRequest("/a") + safeRequest("/b"),
+     "/slow", "200/slow "},
+    {"version 1.0, an unsafe one behind it",
+     "GET /a HTTP/1.0\r\nHost: h\r\n\r\n" + unsafeRequest("/b"), "/a",
+     "200/a "},
+    {"a body above the limit, an unsafe one behind it",
+     safeRequest("/slow") +
+         "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" +
+         unsafeRequest("/b"),
+     "/slow", "200/slow 413 "},
     {"no HTTP in the middle",
      safeRequest("/slow") + "garbage\r\n\r\n" + safeRequest("/b"), "/slow",
      "200/slow 400 "},
