Proxy: order_failed tells the status of whole answers only

Change: the status is 0 without a whole answer.

Tests: UpstreamService LogsTheStatusOfWholeAnswers; on the code before, its rows "nothing", "a part of a success" and "status 000" failed with 200.

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -384,7 +384,9 @@
                 {"detail", result.Detail},
                 {"connection", net::connectionName(result.IsKept)},
                 {"ms", core::toMilliseconds(now - it->second.SentAt)},
-                {"status", result.Response.result_int()}});
+                {"status", result.End == net::CallEnd::Answered
+                               ? result.Response.result_int()
+                               : 0}});
   out.Answer = std::move(result.Response);
   completeOrder(id, std::move(out));
   advance();
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -6,6 +6,7 @@
 
 #include "Net/HttpServer.h"
 #include "Proxy/FieldCodec.h"
+#include "Support/ByteServer.h"
 #include "Support/Table.h"
 
 using namespace acaciaroad;
@@ -53,12 +54,16 @@
     UpstreamServer = *net::HttpServer::create(
         Loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
         [this](const auto &exchange) { Open.push_back(exchange); });
+    useUpstream(UpstreamServer->port());
+  }
+
+  void useUpstream(std::uint16_t port) {
     logging::LoggerOptions options;
-    options.Sink = [](std::string_view) {};
+    options.Sink = [this](std::string_view line) { Lines += line; };
     Upstream = std::make_unique<UpstreamService>(
-        Loop, core::Endpoint{"127.0.0.1", UpstreamServer->port()},
-        tests::makeHeaderCodec(), *logging::Logger::create(std::move(options)),
-        Counters, UpstreamHooks{[] {}, [](const auto &) {}});
+        Loop, core::Endpoint{"127.0.0.1", port}, tests::makeHeaderCodec(),
+        *logging::Logger::create(std::move(options)), Counters,
+        UpstreamHooks{[] {}, [](const auto &) {}});
   }
 
   void setView(const Ownership &ownership) {
@@ -110,6 +115,8 @@
   }
 
   boost::asio::io_context Loop;
+  /// To be read once Upstream has gone, and the writer of the log with it.
+  std::string Lines;
   TrafficCounters Counters;
   routing::Service Service = [] {
     routing::Service out;
@@ -243,3 +250,51 @@
     cr_assert(it.Outcome.Reason == core::ErrorKind::OwnerChanged);
   }
 }
+
+namespace {
+
+struct FailureRow {
+  const char *Name;
+  /// What the upstream answers before it closes the connection.
+  const char *Bytes;
+  /// In the log.
+  const char *Detail;
+  const char *Status;
+};
+
+const FailureRow FailureRows[] = {
+    {"nothing", "", "end of stream", R"("status":0})"},
+    {"a part of a success",
+     "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 9\r\n\r\npart",
+     "partial message", R"("status":0})"},
+    {"status 000", "HTTP/1.1 000 Unknown\r\nid: 1\r\nContent-Length: 0\r\n\r\n",
+     "answer with status 000", R"("status":0})"},
+    {"a success that isn't signed",
+     "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n", R"("detail":"")",
+     R"("status":200})"},
+    {"a refusal",
+     "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n",
+     R"("detail":"")", R"("status":503})"},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(UpstreamService, LogsTheStatusOfWholeAnswers, FailureRows) {
+  Fixture fixture;
+  const tests::ByteServer server(fixture.Loop, [&](const net::HttpRequest &,
+                                                   std::size_t) {
+    return tests::ByteAnswer{{{{}, row.Bytes}}, tests::ConnectionEnd::Close};
+  });
+  fixture.useUpstream(server.port());
+  fixture.setView({true, "here"});
+  fixture.offer("1");
+  fixture.run();
+  cr_assert_eq(fixture.Results.size(), 1U, "%s", row.Name);
+  fixture.Upstream.reset();
+  cr_assert(fixture.Lines.find("order_failed") != std::string::npos, "%s",
+            row.Name);
+  cr_assert(fixture.Lines.find(row.Detail) != std::string::npos, "%s: %s",
+            row.Name, fixture.Lines.c_str());
+  cr_assert(fixture.Lines.find(row.Status) != std::string::npos, "%s: %s",
+            row.Name, fixture.Lines.c_str());
+}
