Tests: answers that end early, seen from outside the process

Change: the row answers_that_end_early of sidecar_test.py uploads 1 MB to upstreams that answer before they read, at the node of the upstream and through another one: a part of a success without a length, reset or ended and then reset, one with a length, one in a coding, and statuses 000 and 600. Each has to reach the caller as 502 with answer_incomplete, and the upstream once. The stand-in upstream can hand a request to the row before it reads the body.

--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -12,6 +12,7 @@
 import pathlib
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import threading
@@ -26,6 +27,8 @@
 # requests that queue at the node.
 UPSTREAM_SLOTS = 8
 QUEUED_REQUESTS = 4
+# Larger than the buffers of an upstream that doesn't read.
+UPLOAD_BYTES = 1 << 20
 # Consecutive graceful stops of one node.
 STOP_COUNT = 4
 # Times after SIGTERM, for a drain of 5 s: the node refuses requests from 2.3 s
@@ -47,12 +50,12 @@
         self.launch(("127.0.0.1", first_port + 10))
 
     def send_request(self, key, account_key="secret-key", path="/s/x",
-                     request_id=None, deadline_s=0.8):
+                     request_id=None, deadline_s=0.8, body=None):
         """Returns (status, body); status 0 means that no response arrived."""
         connection = http.client.HTTPConnection(*self.address_of(CALLERS),
                                                 timeout=deadline_s + 1.2)
         try:
-            connection.request("GET", path, headers={
+            connection.request("POST" if body else "GET", path, body, headers={
                 "Host": "h", "Request-Id": request_id or os.urandom(8).hex(),
                 "Deadline-Ms": str(int(deadline_s * 1000)),
                 "Shard-Key": str(key),
@@ -531,6 +534,70 @@
         connection.close()
 
 
+def reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+    os.close(connection.detach())
+
+
+def half_close_and_reset(connection):
+    connection.shutdown(socket.SHUT_WR)
+    time.sleep(0.05)
+    reset(connection)
+
+
+def keep_open(connection):
+    time.sleep(1)
+
+
+# First line and framing of an answer to an upload that is still being sent, and
+# what becomes of its connection.
+ENDING_ANSWERS = (
+    ("200 OK", "", reset),
+    ("200 OK", "", half_close_and_reset),
+    ("200 OK", "Content-Length: 9\r\n", reset),
+    ("200 OK", "Transfer-Encoding: gzip\r\n", half_close_and_reset),
+    ("000 Unknown", "Content-Length: 4\r\n", keep_open),
+    ("000 Unknown", "", reset),
+    ("600 High", "Content-Length: 4\r\n", keep_open),
+)
+
+
+def answers_that_end_early(fleet):
+    """An answer that is cut short or malformed reaches the caller as a failure,
+    at the upstream's node and through another one, and isn't sent again."""
+    allow_long_requests(fleet)
+    holder, other = fleet.nodes[:2]
+    key = holder.upstream.held[0][0]
+    taken = []
+
+    def take_over(call):
+        if not call.path.startswith("/u/"):
+            return False
+        line, framing, end = ENDING_ANSWERS[int(call.path.rpartition("/")[2])]
+        taken.append(call.headers["Request-Id"])
+        call.close_connection = True
+        call.connection.sendall((
+            "HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n%s\r\n"
+            "part" % (line, taken[-1], framing)).encode())
+        end(call.connection)
+        return True
+    for node in fleet.nodes:
+        node.upstream.take_over = take_over
+    for entry in (holder, other):
+        for n, row in enumerate(ENDING_ANSWERS):
+            request_id = os.urandom(8).hex()
+            status, body = entry.send_request(
+                key, path="/u/%d" % n, request_id=request_id, deadline_s=5,
+                body=b"x" * UPLOAD_BYTES)
+            assert status == 502, (row, entry.name, status, body)
+            assert b"answer_incomplete" in body, (row, entry.name, body)
+            assert taken.count(request_id) == 1, (row, entry.name)
+            assert request_id not in holder.upstream.runs
+    for node in fleet.nodes:
+        node.upstream.take_over = None
+
+
 def odd_entries(fleet):
     """Nodes survive malformed records and heartbeats and apply the valid
     records that follow."""
@@ -573,7 +640,7 @@
                                       late_long_requests_at_stop,
                                       stop_beside_a_silent_node,
                                       open_requests_at_short_stop,
-                                      odd_entries)}
+                                      answers_that_end_early, odd_entries)}
 
 
 def main():
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -174,6 +174,9 @@
         # path ends in QUICK.
         self.may_complete = threading.Event()
         self.may_complete.set()
+        # If set, gets each request before its body is read, and answers those
+        # for which it returns true.
+        self.take_over = None
         self.start()
 
     def start(self):
@@ -199,6 +202,8 @@
         self.server.close()
 
     def serve(self, call):
+        if self.take_over and self.take_over(call):
+            return
         call.read_body()
         self.seen_headers.append(dict(call.headers))
         key = int(call.headers.get("Shard-Key", -1))
