--- a/Source/Net/ClientConnection.h
+++ b/Source/Net/ClientConnection.h
@@ -61,6 +61,9 @@
   void parse();
   void onReceived(boost::beast::error_code ec, std::size_t n);
   void onRead(boost::beast::error_code ec);
+  /// Takes an answer without a length, whose connection the server has ended.
+  void onEnded();
+  void onAnswer();
   bool isOwn(const HttpResponse &response) const;
   void finish();
   void fail(CallEnd end, boost::beast::error_code ec);
@@ -75,6 +78,7 @@
   std::shared_ptr<HttpClient> Client;
   boost::asio::ip::tcp::socket Socket;
   Timeout ConnectTimer;
+  Timeout EndTimer;
   boost::beast::flat_buffer Buffer{UnparsedBytes};
   std::optional<HttpRequest> Request;
   std::optional<http::request_serializer<http::string_body>> Serializer;
