Keys that were granted wait for the end of the grant when a process is replaced

Cause: when a newer process of an upstream was heard, reassignableKeys and planProcessRestart gave the former one's keys away at once. HeldUntil, the end of the last grant, was set to the time of the replacement.

Change: HoldingAgent::isHoldOver is the one rule; isProcessGone, reassignableKeys and planProcessRestart went around it or had one of their own. A later life of the same upstream gets the keys of the earlier one at once: its own heartbeat says that the earlier one has ended. They go to no other process.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -124,8 +124,9 @@
       Release.clear();
     IsProcessLeaving =
         Process.Id == LeftUpstreamId && now - LeftAt < LeavingRetention;
-    // The previous process has ended and holds no keys. The new one doesn't
-    // hold any either, unless a previous incarnation of the node granted them.
+    // The new process holds no keys, unless a previous incarnation of the node
+    // granted them.
+    FormerHeldUntil = std::max(FormerHeldUntil, HeldUntil);
     if (HasHeartbeat)
       HeldUntil = now;
   }
@@ -161,8 +162,12 @@
   return true;
 }
 
-bool HoldingAgent::isProcessGone(core::TimePoint now) const {
-  return State == UpstreamState::Absent && now >= HeldUntil;
+bool HoldingAgent::isHoldOver(const Holding &row, core::TimePoint now) const {
+  return now >= (owns(row) ? HeldUntil : FormerHeldUntil);
+}
+
+bool HoldingAgent::isHeldByEarlierLife(const Holding &row) const {
+  return isHeldByFormerProcess(row) && row.Process.Id == Process.Id;
 }
 
 bool HoldingAgent::owns(const Holding &row) const {
@@ -386,7 +391,7 @@
   if (isPending || Draining || now >= Lease.authorityUntil() ||
       now < NextProposal)
     return std::nullopt;
-  if (auto out = planProcessRestart(ledger))
+  if (auto out = planProcessRestart(ledger, now))
     return out;
   if (auto out = planReleased(ledger, now))
     return out;
@@ -425,23 +430,24 @@
 }
 
 std::optional<HoldingChange>
-HoldingAgent::planProcessRestart(const FleetLedger &ledger) const {
+HoldingAgent::planProcessRestart(const FleetLedger &ledger,
+                                 core::TimePoint now) const {
   const auto rows = ledger.holdingsOf(Identity.Service);
-  if (mustReleaseKeys(ledger) ||
-      std::none_of(rows.begin(), rows.end(), [&](const Holding &it) {
-        return isHeldByFormerProcess(it);
-      }))
+  if (mustReleaseKeys(ledger))
     return std::nullopt;
   Rows out(rows.begin(), rows.end());
   std::vector<ReleasedKeys> freed;
   for (Holding &it : out) {
-    if (!isHeldByFormerProcess(it))
+    if (!isHeldByFormerProcess(it) ||
+        !(isHeldByEarlierLife(it) || isHoldOver(it, now)))
       continue;
     freed.push_back({it, Identity.Name, FreeCause::FormerProcess});
     it.Process = Process;
     it.Token = ledger.end() + 1;
     it.Handover.clear();
   }
+  if (freed.empty())
+    return std::nullopt;
   return propose(ledger, std::move(out), "upstream restarted",
                  std::move(freed));
 }
@@ -454,17 +460,18 @@
   known.reserve(out.size());
   for (const ReleasedKeys &it : out)
     known.push_back(it.Row.Keys);
-  const bool isGone = isProcessGone(now);
   for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
-    const bool isDead = row.Node == Identity.Name && isGone;
-    if (!isDead && !(isHeldByFormerProcess(row) && mustReleaseKeys(ledger)))
+    const bool isGone =
+        row.Node == Identity.Name && State == UpstreamState::Absent;
+    const bool isFormer = isHeldByFormerProcess(row) && mustReleaseKeys(ledger);
+    if (!(isGone || isFormer) || !isHoldOver(row, now))
       continue;
     for (Holding &it : without({{row}}, known)) {
       it.Handover.clear();
       out.push_back(
           {std::move(it),
            {},
-           isDead ? FreeCause::UpstreamGone : FreeCause::FormerProcess});
+           isGone ? FreeCause::UpstreamGone : FreeCause::FormerProcess});
     }
   }
   return out;
@@ -587,7 +594,7 @@
   const auto rows = ledger.holdingsOf(Identity.Service);
   const bool isRestart =
       std::any_of(rows.begin(), rows.end(),
-                  [&](const Holding &it) { return isHeldByFormerProcess(it); });
+                  [&](const Holding &it) { return isHeldByEarlierLife(it); });
   if (isRestart)
     return RestartAnswerDelay;
   return ownHoldings(ledger) == GrantedRows
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -199,7 +199,12 @@
   std::vector<Holding> ownHoldings(const FleetLedger &ledger) const;
   bool isHeldByFormerProcess(const Holding &row) const;
   bool mustReleaseKeys(const FleetLedger &ledger) const;
-  bool isProcessGone(core::TimePoint now) const;
+  /// Returns whether the last grant of \p row, an assignment to this node, has
+  /// run out. Keys that the upstream hasn't released aren't given to another
+  /// process before, whatever the reason. Only a later life of the same upstream
+  /// may have them at once: it says itself that the earlier one has ended.
+  bool isHoldOver(const Holding &row, core::TimePoint now) const;
+  bool isHeldByEarlierLife(const Holding &row) const;
   void planOutgoing(const FleetLedger &ledger, core::TimePoint now);
   void planForNewNodes(const FleetLedger &ledger, core::TimePoint now);
   void planForLoad(const FleetLedger &ledger, core::TimePoint now);
@@ -214,8 +219,8 @@
                         std::vector<ReleasedKeys> freed) const;
   std::optional<HoldingChange> planChange(const FleetLedger &ledger,
                                           core::TimePoint now) const;
-  std::optional<HoldingChange>
-  planProcessRestart(const FleetLedger &ledger) const;
+  std::optional<HoldingChange> planProcessRestart(const FleetLedger &ledger,
+                                                  core::TimePoint now) const;
   std::optional<HoldingChange> planReleased(const FleetLedger &ledger,
                                             core::TimePoint now) const;
   std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
@@ -257,6 +262,8 @@
   std::vector<Holding> GrantedRows;
   /// The upstream may hold keys until its last grant ends, at this time.
   core::TimePoint HeldUntil{};
+  /// Former processes of the upstream may hold keys until then.
+  core::TimePoint FormerHeldUntil{};
   std::optional<PendingChange> Pending;
   /// The last change was refused.
   bool WasRefused = false;
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -564,3 +564,104 @@
   cr_assert(freed->Cause == row.Cause, "%s: %s", row.Name,
             toString(freed->Cause).data());
 }
+
+namespace {
+
+/// A grant to the process of "node", and what replaces the process 100 ms
+/// later. The grant lasts 2550 ms, with the drift of the upstream's clock.
+struct ReplacedRow {
+  const char *Name;
+  /// Whether the node granted the keys itself; if not, a former incarnation of
+  /// the node may have done so until it started.
+  bool IsKnown;
+  const char *NewId;
+  std::int64_t NewBorn;
+  UpstreamState NewState;
+  /// Data centre that is taken out at the same time; may be empty.
+  const char *Out;
+  /// Whether the replacement is silent afterwards.
+  bool IsSilent;
+  /// Whether the keys may go to the new process at once.
+  bool IsOwnAtOnce;
+};
+
+using State = UpstreamState;
+const ReplacedRow ReplacedRows[] = {
+    {"by the same upstream, started again", true, "u-node", 2, State::Ready,
+     "", false, true},
+    {"by the same upstream, leaving", true, "u-node", 2, State::Leaving, "",
+     false, false},
+    {"by another upstream", true, "u-new", 2, State::Ready, "", false, false},
+    {"by another upstream, of the same start time", true, "u-new", 1,
+     State::Ready, "", false, false},
+    {"by another upstream, leaving", true, "u-new", 2, State::Leaving, "",
+     false, false},
+    {"by another upstream, silent", true, "u-new", 2, State::Ready, "", true,
+     false},
+    {"by another upstream, data centre out", true, "u-new", 2, State::Ready,
+     "dc", false, false},
+    {"node restarted, by the same upstream", false, "u-node", 2, State::Ready,
+     "", false, true},
+    {"node restarted, by another upstream", false, "u-new", 2, State::Ready,
+     "", false, false},
+    {"node restarted, by another upstream, leaving", false, "u-new", 2,
+     State::Leaving, "", false, false},
+};
+
+} // namespace
+
+// Whatever replaces a process, the keys that it was granted aren't given to
+// another upstream before its grant has run out.
+ACACIA_TABLE_TEST(HoldingAgent, WaitsForTheEndOfAGrant, ReplacedRows) {
+  FleetLedger ledger = makeLedger();
+  NodeRecord elsewhere = ledger.findMember("a")->Record;
+  elsewhere.DataCentre = "other";
+  const auto keepOthers = [&](TimePoint now) {
+    elsewhere.Sequence += 1;
+    ledger.applyNode(elsewhere, now);
+  };
+  HoldingAgent agent({"node", "dc", "service", {"127.0.0.1", 1}, 1},
+                     {HeartbeatInterval, seconds(10)}, Start);
+  if (row.IsKnown)
+    agent.acceptHeartbeat(makeHeartbeat("u-node", 1, 1), Start);
+  TimePoint now = Start;
+  const auto renew = [&] {
+    if (const auto record = agent.nextRecord(ledger, false, now)) {
+      agent.recordSent(record->Sequence, now);
+      ledger.applyNode(*record, now);
+    }
+    keepOthers(now);
+    agent.ledgerChanged(ledger, now);
+  };
+  renew();
+  if (row.IsKnown)
+    cr_assert_eq(agent.grant(ledger, now)->Rows.size(), 1U, "%s", row.Name);
+  const TimePoint heldUntil = Start + milliseconds(2550);
+  now += milliseconds(100);
+  if (*row.Out != '\0')
+    ledger.setDataCentresOut({row.Out});
+  std::uint64_t sequence = 0;
+  const auto beat = [&] {
+    agent.acceptHeartbeat(
+        makeHeartbeat(row.NewId, row.NewBorn, ++sequence, row.NewState), now);
+    renew();
+    agent.grant(ledger, now);
+  };
+  beat();
+  std::optional<TimePoint> given;
+  for (; now < Start + seconds(9) && !given; now += milliseconds(10)) {
+    if (!row.IsSilent && (now - Start) % milliseconds(500) == milliseconds(100))
+      beat();
+    renew();
+    const auto notice = agent.nextNotice(ledger, now);
+    const auto change = agent.nextChange(ledger, now);
+    if (notice && !notice->Notice.Keys.empty())
+      given = now;
+    if (change && !change->Freed.empty())
+      given = now;
+  }
+  cr_assert(given.has_value(), "%s: never given", row.Name);
+  const bool isAtOnce = *given < heldUntil;
+  cr_assert_eq(isAtOnce, row.IsOwnAtOnce, "%s: given after %lld ms", row.Name,
+               static_cast<long long>((*given - Start) / milliseconds(1)));
+}
