Heartbeats and records that lack a field change nothing

Cause: decodeHeartbeat didn't look at version, and coldRemaining, holds and freed had defaults, so a heartbeat of another writer counted as that of a new process of the upstream. Records of the fleet's log and datagrams between nodes were read with defaults in place of absent fields as well.

Codec/FleetRecords lists those of the nodes' records and datagrams. What falls short is answered 400 or dropped, and logged with the field's name. An answer that waits for the log grants nothing if the process of its heartbeat has been replaced meanwhile (HoldingAgent::grantTo; found by reading).

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -1,5 +1,7 @@
 #include "Codec/FleetRecords.h"
 
+#include <initializer_list>
+
 #include <fmt/format.h>
 #include <google/protobuf/stubs/logging.h>
 
@@ -40,6 +42,41 @@
   return load.Utilization >= 0 && load.Utilization <= Largest && isCost;
 }
 
+/// A field that a message must have. An absent one has its default value.
+struct RequiredField {
+  std::string_view Name;
+  bool IsPresent = false;
+};
+
+/// Fails with the name of the first field that \p message lacks.
+core::Result<void> checkFields(std::string_view message,
+                               std::initializer_list<RequiredField> fields) {
+  for (const RequiredField &it : fields)
+    if (!it.IsPresent)
+      return corrupt(fmt::format("{}: {}: missing", message, it.Name));
+  return {};
+}
+
+core::Result<void> checkNode(const pb::FleetNode &in) {
+  const bool isPresent = in.state() != 0;
+  return checkFields(
+      "a node's record",
+      {{"name", !in.name().empty()},
+       {"data_centre", !in.data_centre().empty()},
+       {"service", !in.service().empty()},
+       {"peer", !in.peer().empty()},
+       {"incarnation", in.incarnation() != 0},
+       {"sequence", in.sequence() != 0},
+       {"upstream_id", !isPresent || !in.upstream_id().empty()}});
+}
+
+core::Result<void> checkRow(std::string_view message,
+                            const pb::FleetHolding &in) {
+  return checkFields(message, {{"node", !in.node().empty()},
+                               {"upstream_id", !in.upstream_id().empty()},
+                               {"token", in.token() != 0}});
+}
+
 bool isRange(const pb::FleetHolding &row) {
   return row.from() <= row.to() && row.to() < holdings::KeyCount;
 }
@@ -101,9 +138,11 @@
   pb::FleetNode in;
   if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
     return corrupt("a node's record can't be parsed");
+  if (auto done = checkNode(in); !done)
+    return tl::unexpected(done.error());
   const auto peer = core::parseEndpoint(in.peer());
-  if (!peer || !core::namesHost(*peer) || in.name().empty())
-    return corrupt("a node's record lacks its name or address");
+  if (!peer || !core::namesHost(*peer))
+    return corrupt("a node's record: peer: not the address of a host");
   if (in.slots() > holdings::MaxSlots || !isBirth(in.upstream_born()))
     return corrupt("a node's record has a number out of range");
   constexpr auto LastState =
@@ -156,6 +195,8 @@
   for (const pb::FleetHolding &it : in.rows()) {
     if (!isRange(it) || it.from() < from || it.to() >= end)
       return corrupt("a record of holdings has rows out of order");
+    if (auto done = checkRow("a record of holdings", it); !done)
+      return tl::unexpected(done.error());
     if (it.token() > logEnd || !isBirth(it.upstream_born()))
       return corrupt("a record of holdings has a number out of range");
     out.Rows.push_back(readRow(it));
@@ -193,6 +234,9 @@
   if (in.has_hint()) {
     const pb::FleetHint &hint = in.hint();
     const holdings::NodeLoad load{hint.utilization(), hint.cost()};
+    if (auto done = checkFields("a hint", {{"node", !hint.node().empty()}});
+        !done)
+      return tl::unexpected(done.error());
     if (!isLoad(load))
       return corrupt("a hint has a load out of range");
     return FleetHint{hint.node(), hint.fleet_end(), load};
@@ -201,9 +245,16 @@
     return corrupt("a datagram is empty");
   holdings::ReleaseNotice out{
       in.release().node(), in.release().incarnation(), {}};
+  if (auto done =
+          checkFields("a notice", {{"node", !out.Node.empty()},
+                                   {"incarnation", out.Incarnation != 0}});
+      !done)
+    return tl::unexpected(done.error());
   for (const pb::FleetReleasedKeys &it : in.release().keys()) {
-    if (!isRange(it.row()))
-      return corrupt("a notice names no range of keys");
+    if (auto done = checkRow("a notice", it.row()); !done)
+      return tl::unexpected(done.error());
+    if (!isRange(it.row()) || !isBirth(it.row().upstream_born()))
+      return corrupt("a notice has a number out of range");
     out.Keys.push_back({readRow(it.row()), it.target()});
   }
   return out;
@@ -223,6 +274,10 @@
   pb::CreditDatagram in;
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     return corrupt("a message about credit can't be parsed");
+  if (auto done = checkFields("a message about credit",
+                              {{"account", !in.account().empty()}});
+      !done)
+    return tl::unexpected(done.error());
   CreditDatagram out{in.account(), std::nullopt, in.ask(), in.amount()};
   if (!in.reply_to().empty()) {
     const auto address = core::parseEndpoint(in.reply_to());
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -211,6 +211,14 @@
   return out;
 }
 
+std::optional<Grant> HoldingAgent::grantTo(const UpstreamProcess &process,
+                                           const FleetLedger &ledger,
+                                           core::TimePoint now) {
+  if (!(process == Process))
+    return std::nullopt;
+  return grant(ledger, now);
+}
+
 NodeRecord HoldingAgent::describe() const {
   NodeRecord out;
   out.Name = Identity.Name;
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -122,6 +122,12 @@
   /// `acceptHeartbeat` has accepted.
   std::optional<Grant> grant(const FleetLedger &ledger, core::TimePoint now);
 
+  /// Returns the answer to a heartbeat of \p process: the same, but nullopt for
+  /// a process that has been replaced since, which would hold the keys of the
+  /// newer one.
+  std::optional<Grant> grantTo(const UpstreamProcess &process,
+                               const FleetLedger &ledger, core::TimePoint now);
+
   /// Returns the node's record if it is due to be appended. \p isKeyless tells
   /// that the node's service doesn't assign keys. Also marks the upstream as
   /// absent once it has missed too many heartbeats.
@@ -201,8 +207,9 @@
   bool mustReleaseKeys(const FleetLedger &ledger) const;
   /// Returns whether the last grant of \p row, an assignment to this node, has
   /// run out. Keys that the upstream hasn't released aren't given to another
-  /// process before, whatever the reason. Only a later life of the same upstream
-  /// may have them at once: it says itself that the earlier one has ended.
+  /// process before, whatever the reason. Only a later life of the same
+  /// upstream may have them at once: it says itself that the earlier one has
+  /// ended.
   bool isHoldOver(const Holding &row, core::TimePoint now) const;
   bool isHeldByEarlierLife(const Holding &row) const;
   void planOutgoing(const FleetLedger &ledger, core::TimePoint now);
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -328,7 +328,7 @@
                               const std::string &upstreamId) {
   const auto now = core::BootClock::now();
   const auto heartbeat =
-      Codec.DecodeHeartbeat(upstreamId, exchange->request().body());
+      Codec.DecodeHeartbeat(upstreamId, exchange->request().body(), keyLists());
   if (!heartbeat) {
     Log->write(
         logging::Level::Warning, "heartbeat_unreadable",
@@ -366,16 +366,16 @@
   sendReleaseNotice(now);
   appendPending(now);
   if (isKeyed() && IsFleetLoaded && Agent.answerDelay(Ledger).count() > 0)
-    DeferredHeartbeats.push_back(exchange);
+    DeferredHeartbeats.push_back({exchange, heartbeat->Process});
   else
-    answerHeartbeat(exchange);
+    answerHeartbeat({exchange, heartbeat->Process});
 }
 
-void Control::answerHeartbeat(const ExchangePointer &exchange) {
+void Control::answerHeartbeat(const PendingHeartbeat &heartbeat) {
   const auto now = core::BootClock::now();
   std::optional<holdings::Grant> grant;
   if (isKeyed() && IsFleetLoaded)
-    grant = Agent.grant(Ledger, now);
+    grant = Agent.grantTo(heartbeat.Process, Ledger, now);
   if (grant) {
     logGrant(*grant);
     LastGrant = grant;
@@ -387,7 +387,7 @@
   net::HttpResponse out(net::http::status::ok, 11);
   out.set(net::http::field::content_type, "application/json");
   out.body() = Codec.EncodeGrant(grant);
-  exchange->respond(std::move(out));
+  heartbeat.Exchange->respond(std::move(out));
   IsViewStale = true;
   publish(now);
 }
@@ -440,14 +440,14 @@
   if (DeferredHeartbeats.empty())
     return;
   const core::Duration delay = Agent.answerDelay(Ledger);
-  std::vector<ExchangePointer> due;
-  std::erase_if(DeferredHeartbeats, [&](const ExchangePointer &it) {
-    const bool isDue = now - it->Received >= delay;
+  std::vector<PendingHeartbeat> due;
+  std::erase_if(DeferredHeartbeats, [&](const PendingHeartbeat &it) {
+    const bool isDue = now - it.Exchange->Received >= delay;
     if (isDue)
       due.push_back(it);
     return isDue;
   });
-  for (const ExchangePointer &it : due)
+  for (const PendingHeartbeat &it : due)
     answerHeartbeat(it);
 }
 
@@ -757,6 +757,12 @@
   return service != nullptr && service->IsKeyed;
 }
 
+KeyLists Control::keyLists() const {
+  // The log may have keys of the service before the configuration is read.
+  const bool hasKeys = !Ledger.holdingsOf(Options.Agent.Service).empty();
+  return isKeyed() || hasKeys ? KeyLists::Required : KeyLists::Optional;
+}
+
 proxy::OwnUpstream Control::describeOwnUpstream(core::TimePoint now) const {
   proxy::OwnUpstream out;
   out.Node = Options.Agent.Name;
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -77,6 +77,12 @@
 private:
   using ExchangePointer = std::shared_ptr<net::Exchange>;
 
+  /// A heartbeat that is still to be answered, and the process that sent it.
+  struct PendingHeartbeat {
+    ExchangePointer Exchange;
+    holdings::UpstreamProcess Process;
+  };
+
   feed::FeedHooks operatorHooks();
   feed::FeedHooks fleetHooks();
   void applyOperators(const std::vector<feed::KeyedRecord> &records,
@@ -94,7 +100,7 @@
   void handle(const ExchangePointer &exchange);
   void handleHeartbeat(const ExchangePointer &exchange,
                        const std::string &upstreamId);
-  void answerHeartbeat(const ExchangePointer &exchange);
+  void answerHeartbeat(const PendingHeartbeat &heartbeat);
   void logGrant(const holdings::Grant &grant);
   /// Logs which assignments \p change ends, and why.
   void logFreedKeys(const holdings::HoldingChange &change);
@@ -131,6 +137,8 @@
   void publish(core::TimePoint now);
   proxy::OwnUpstream describeOwnUpstream(core::TimePoint now) const;
   bool isKeyed() const;
+  /// Whether a heartbeat of the own upstream must list its keys.
+  KeyLists keyLists() const;
 
   boost::asio::io_context &Loop;
   ControlOptions Options;
@@ -169,7 +177,7 @@
   /// Nodes that receive keys from a proposed change; they get hints first.
   std::set<std::string, std::less<>> NewHolders;
   /// Heartbeats whose responses wait for a change of holdings.
-  std::vector<ExchangePointer> DeferredHeartbeats;
+  std::vector<PendingHeartbeat> DeferredHeartbeats;
   std::optional<holdings::Grant> LastGrant;
   core::TimePoint GrantedUntil{};
   core::TimePoint HeardAt{};
--- a/Source/Sidecar/SidecarTypes.h
+++ b/Source/Sidecar/SidecarTypes.h
@@ -32,11 +32,15 @@
   std::string DataCentre;
 };
 
+/// Whether a heartbeat must list the keys that the upstream holds and has
+/// released: those of a keyed service must.
+enum class KeyLists : std::uint8_t { Optional, Required };
+
 /// Encodes and decodes the platform's message formats.
 struct ControlCodec {
   std::function<UpstreamCall(const net::HttpRequest &)> ParseCall;
-  std::function<core::Result<holdings::Heartbeat>(std::string_view upstreamId,
-                                                  std::string_view body)>
+  std::function<core::Result<holdings::Heartbeat>(
+      std::string_view upstreamId, std::string_view body, KeyLists lists)>
       DecodeHeartbeat;
   std::function<std::string(const std::optional<holdings::Grant> &)>
       EncodeGrant;
--- a/Tests/Adapter/AdapterTest.cpp
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -215,6 +215,101 @@
      replaced(HeartbeatText, "v1", std::string(1000, '[') + R"(\\\")"), true},
 };
 
+struct FieldFaultRow {
+  /// Path of the field.
+  const char *Field;
+  /// JSON text in its place; Missing drops it.
+  const char *Value;
+};
+
+const char *const Missing = "";
+
+const FieldFaultRow FieldFaultRows[] = {
+    {"address", Missing},
+    {"address", R"(null)"},
+    {"address", R"(7)"},
+    {"address", R"("10.1.0.9")"},
+    {"born", Missing},
+    {"born", R"(null)"},
+    {"born", R"("17")"},
+    {"born", R"(-1)"},
+    {"born", R"(32503680000001)"},
+    {"born", R"(17.5)"},
+    {"info", Missing},
+    {"info", R"(null)"},
+    {"info", R"([1])"},
+    {"info.service", Missing},
+    {"info.service", R"(null)"},
+    {"info.service", R"(7)"},
+    {"info.service", R"("")"},
+    {"info.version", Missing},
+    {"info.version", R"(null)"},
+    {"info.version", R"(7)"},
+    {"info.version", R"("")"},
+    {"info.version", R"({})"},
+    {"info.zone", Missing},
+    {"info.zone", R"(null)"},
+    {"info.zone", R"(["here"])"},
+    {"info.zone", R"("")"},
+    {"info.slots", Missing},
+    {"info.slots", R"(null)"},
+    {"info.slots", R"("12")"},
+    {"info.slots", R"(-1)"},
+    {"info.slots", R"(65536)"},
+    {"info.slots", R"(12.5)"},
+    {"status", Missing},
+    {"status", R"(null)"},
+    {"status", R"("ready")"},
+    {"status.state", Missing},
+    {"status.state", R"(null)"},
+    {"status.state", R"(1)"},
+    {"status.state", R"("asleep")"},
+    {"status.state", R"("READY")"},
+    {"status.seq", Missing},
+    {"status.seq", R"(null)"},
+    {"status.seq", R"("4")"},
+    {"status.seq", R"(-1)"},
+    {"status.seq", R"(1000000000001)"},
+    {"status.seq", R"(4.5)"},
+    {"status.coldRemaining", Missing},
+    {"status.coldRemaining", R"(null)"},
+    {"status.coldRemaining", R"(0)"},
+    {"status.coldRemaining", R"("soon")"},
+    {"status.coldRemaining", R"("-1s")"},
+    {"status.coldRemaining", R"("1e300s")"},
+    {"holds", Missing},
+    {"holds", R"(null)"},
+    {"holds", R"({})"},
+    {"holds", R"([[0,70000,7]])"},
+    {"holds", R"([[9,0,7]])"},
+    {"holds", R"([[0,9]])"},
+    {"holds", R"([[0,9,"7"]])"},
+    {"freed", Missing},
+    {"freed", R"(null)"},
+    {"freed", R"("none")"},
+    {"freed", R"([[0,70000,"a"]])"},
+    {"freed", R"([[0,9,7]])"},
+};
+
+/// Returns the heartbeat with the fault of \p row.
+std::string withFault(const FieldFaultRow &row) {
+  const std::string path = row.Field;
+  const auto dot = path.find('.');
+  const std::string name = "\"" + path.substr(dot + 1) + "\":";
+  std::string out = HeartbeatText;
+  const auto at = out.find(name);
+  // The value ends at the next comma or brace outside of brackets.
+  int depth = 0;
+  auto end = at + name.size();
+  for (; depth > 0 || (out[end] != ',' && out[end] != '}'); ++end)
+    depth += out[end] == '[' || out[end] == '{'
+                 ? 1
+                 : (out[end] == ']' || out[end] == '}' ? -1 : 0);
+  if (*row.Value != '\0')
+    return out.replace(at, end - at, name + row.Value);
+  return out.replace(at, name.size(), "\"other\":");
+}
+
 struct KindRow {
   const char *Text;
   routing::WorkKind Kind;
@@ -298,13 +393,35 @@
 }
 
 ACACIA_TABLE_TEST(Adapter, DecodesHeartbeats, HeartbeatRows) {
-  const auto decoded = decodeHeartbeat("i-1", row.Text);
+  const auto decoded =
+      decodeHeartbeat("i-1", row.Text, sidecar::KeyLists::Optional);
   cr_assert_eq(decoded.has_value(), row.IsValid, "%s: %s", row.Name,
                decoded ? "" : decoded.error().Detail.c_str());
 }
 
+// A heartbeat of another writer names no upstream, and the log tells the field
+// that it falls short of.
+ACACIA_TABLE_TEST(Adapter, RequiresTheFieldsOfAHeartbeat, FieldFaultRows) {
+  const auto decoded =
+      decodeHeartbeat("i-1", withFault(row), sidecar::KeyLists::Required);
+  cr_assert_not(decoded.has_value(), "%s: %s", row.Field, row.Value);
+  const std::string path = row.Field;
+  cr_assert_neq(decoded.error().Detail.find(path.substr(path.find('.') + 1)),
+                std::string::npos, "%s: %s: %s", row.Field, row.Value,
+                decoded.error().Detail.c_str());
+}
+
+Test(Adapter, DecodesNoCutHeartbeat) {
+  for (std::size_t n = 0; n < HeartbeatText.size(); ++n)
+    cr_assert_not(decodeHeartbeat("i-1", HeartbeatText.substr(0, n),
+                                  sidecar::KeyLists::Optional)
+                      .has_value(),
+                  "%zu bytes", n);
+}
+
 Test(Adapter, KeepsTheFieldsOfAHeartbeat) {
-  const auto decoded = decodeHeartbeat("i-1", HeartbeatText);
+  const auto decoded =
+      decodeHeartbeat("i-1", HeartbeatText, sidecar::KeyLists::Required);
   cr_assert(decoded.has_value());
   cr_assert_eq(decoded->Process.StartUnixMs, 17);
   cr_assert_eq(decoded->ColdRemaining.count(),
--- a/Tests/Adapter/MutationTest.cpp
+++ b/Tests/Adapter/MutationTest.cpp
@@ -60,7 +60,8 @@
     {"heartbeat",
      {HeartbeatBody},
      [](std::string_view text) {
-       const auto heartbeat = decodeHeartbeat("u", text);
+       const auto heartbeat =
+           decodeHeartbeat("u", text, sidecar::KeyLists::Required);
        for (const auto &it :
             heartbeat ? heartbeat->Holds : std::vector<holdings::HeldKeys>())
          cr_assert(it.Keys.From <= it.Keys.To &&
--- a/Tests/Codec/FleetRecordsTest.cpp
+++ b/Tests/Codec/FleetRecordsTest.cpp
@@ -26,7 +26,12 @@
 using Node = holdings::NodeRecord;
 const NodeRow NodeRows[] = {
     {"as a node writes it", [](Node &) {}, true},
-    {"no upstream yet", [](Node &it) { it.Process = {}; }, true},
+    {"no upstream yet",
+     [](Node &it) {
+       it.Process = {};
+       it.State = holdings::UpstreamState::Absent;
+     },
+     true},
     {"no port", [](Node &it) { it.Peer.Port = 0; }, false},
     {"any address", [](Node &it) { it.Peer.Host = "0.0.0.0"; }, false},
     {"all addresses", [](Node &it) { it.Peer.Host = "255.255.255.255"; },
@@ -42,6 +47,23 @@
        it.Process.StartUnixMs = std::numeric_limits<std::int64_t>::max();
      },
      false},
+    {"no name", [](Node &it) { it.Name.clear(); }, false},
+    {"no data centre", [](Node &it) { it.DataCentre.clear(); }, false},
+    {"no service", [](Node &it) { it.Service.clear(); }, false},
+    {"no incarnation", [](Node &it) { it.Incarnation = 0; }, false},
+    {"no sequence", [](Node &it) { it.Sequence = 0; }, false},
+    {"ready, but no upstream", [](Node &it) { it.Process.Id.clear(); }, false},
+    {"leaving, but no upstream",
+     [](Node &it) {
+       it.Process.Id.clear();
+       it.State = holdings::UpstreamState::Leaving;
+     },
+     false},
+    {"an unknown state",
+     [](Node &it) { it.State = static_cast<holdings::UpstreamState>(3); },
+     false},
+    {"a record of an earlier release, without a generation",
+     [](Node &it) { it.Generation = 0; }, true},
     {"a name that isn't text", [](Node &it) { it.Name = "\xff"; }, false},
     {"an id that isn't text", [](Node &it) { it.Process.Id = "\xff"; }, false},
 };
@@ -65,6 +87,9 @@
     {"a birth of 2^63-1",
      {{0, 1}, "n", {"u", std::numeric_limits<std::int64_t>::max()}, 7, ""},
      false},
+    {"no node", {{0, 1}, "", {"u", 1}, 7, ""}, false},
+    {"no upstream", {{0, 1}, "n", {"", 1}, 7, ""}, false},
+    {"no token", {{0, 1}, "n", {"u", 1}, 0, ""}, false},
     {"keys of another part", {{0, 1024}, "n", {"u", 1}, 7, ""}, false},
     {"keys out of range", {{0, 4294967295U}, "n", {"u", 1}, 7, ""}, false},
     {"a handover that isn't text", {{0, 1}, "n", {"u", 1}, 7, "\xff"}, false},
@@ -87,16 +112,44 @@
     {"no number", {std::numeric_limits<double>::quiet_NaN(), 0.01}, false},
 };
 
+struct NoticeRow {
+  const char *Name;
+  holdings::ReleaseNotice Notice;
+  bool IsGood;
+};
+
+const NoticeRow NoticeRows[] = {
+    {"as a node sends it",
+     {"n", 1, {{{{0, 9}, "n", {"u", 1}, 7, ""}, ""}}},
+     true},
+    {"no node", {"", 1, {{{{0, 9}, "n", {"u", 1}, 7, ""}, ""}}}, false},
+    {"no incarnation", {"n", 0, {{{{0, 9}, "n", {"u", 1}, 7, ""}, ""}}}, false},
+    {"keys without a node",
+     {"n", 1, {{{{0, 9}, "", {"u", 1}, 7, ""}, ""}}},
+     false},
+    {"keys without an upstream",
+     {"n", 1, {{{{0, 9}, "n", {"", 1}, 7, ""}, ""}}},
+     false},
+    {"keys without a token",
+     {"n", 1, {{{{0, 9}, "n", {"u", 1}, 0, ""}, ""}}},
+     false},
+    {"a negative birth",
+     {"n", 1, {{{{0, 9}, "n", {"u", -1}, 7, ""}, ""}}},
+     false},
+};
+
 struct CreditRow {
   const char *Name;
+  const char *Account;
   core::Endpoint ReplyTo;
   bool IsGood;
 };
 
 const CreditRow CreditRows[] = {
-    {"as a node sends it", {"10.0.0.1", 80}, true},
-    {"no port", {"10.0.0.1", 0}, false},
-    {"all addresses", {"255.255.255.255", 80}, false},
+    {"as a node sends it", "a", {"10.0.0.1", 80}, true},
+    {"no account", "", {"10.0.0.1", 80}, false},
+    {"no port", "a", {"10.0.0.1", 0}, false},
+    {"all addresses", "a", {"255.255.255.255", 80}, false},
 };
 
 /// End of the log.
@@ -123,7 +176,17 @@
   cr_assert_eq(decodeDatagram(bytes).has_value(), row.IsGood, "%s", row.Name);
 }
 
+ACACIA_TABLE_TEST(FleetRecords, DecodesNotices, NoticeRows) {
+  const auto bytes = encodeDatagram(row.Notice);
+  cr_assert_eq(decodeDatagram(bytes).has_value(), row.IsGood, "%s", row.Name);
+}
+
+Test(FleetRecords, RefusesAHintWithoutANode) {
+  const auto bytes = encodeDatagram(FleetHint{"", 9, {0.5, 0.01}});
+  cr_assert_not(decodeDatagram(bytes).has_value());
+}
+
 ACACIA_TABLE_TEST(FleetRecords, DecodesCredit, CreditRows) {
-  const auto bytes = encodeCredit({"a", row.ReplyTo, 1, 2});
+  const auto bytes = encodeCredit({row.Account, row.ReplyTo, 1, 2});
   cr_assert_eq(decodeCredit(bytes).has_value(), row.IsGood, "%s", row.Name);
 }
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -565,6 +565,21 @@
             toString(freed->Cause).data());
 }
 
+// An answer may wait for a change of the log. It grants nothing if the process
+// has been replaced meanwhile.
+Test(HoldingAgent, GrantsNothingToAFormerProcess) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent = makeReady("node", ledger);
+  const UpstreamProcess former = agent.upstreamProcess();
+  agent.acceptHeartbeat(makeHeartbeat("u-node", 2, 1), Start);
+  applyAll(ledger, {{{0, 999}, "node", {"u-node", 2}, 101, ""}});
+  agent.ledgerChanged(ledger, Start);
+  cr_assert_not(agent.grantTo(former, ledger, Start).has_value());
+  const auto grant = agent.grantTo(agent.upstreamProcess(), ledger, Start);
+  cr_assert(grant.has_value());
+  cr_assert_eq(grant->Rows.size(), 1U);
+}
+
 namespace {
 
 /// A grant to the process of "node", and what replaces the process 100 ms
@@ -587,8 +602,8 @@
 
 using State = UpstreamState;
 const ReplacedRow ReplacedRows[] = {
-    {"by the same upstream, started again", true, "u-node", 2, State::Ready,
-     "", false, true},
+    {"by the same upstream, started again", true, "u-node", 2, State::Ready, "",
+     false, true},
     {"by the same upstream, leaving", true, "u-node", 2, State::Leaving, "",
      false, false},
     {"by another upstream", true, "u-new", 2, State::Ready, "", false, false},
@@ -602,8 +617,8 @@
      "dc", false, false},
     {"node restarted, by the same upstream", false, "u-node", 2, State::Ready,
      "", false, true},
-    {"node restarted, by another upstream", false, "u-new", 2, State::Ready,
-     "", false, false},
+    {"node restarted, by another upstream", false, "u-new", 2, State::Ready, "",
+     false, false},
     {"node restarted, by another upstream, leaving", false, "u-new", 2,
      State::Leaving, "", false, false},
 };
--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -5,6 +5,7 @@
 
 ROW names a test; PORT is the first of 40 consecutive free ports.
 """
+import functools
 import http.client
 import itertools
 import json
@@ -486,6 +487,15 @@
 ]
 
 
+def without_fields(body):
+    """Yields a heartbeat without each of its fields in turn."""
+    for parent in ((), ("info",), ("status",)):
+        for name in functools.reduce(dict.get, parent, json.loads(body)):
+            out = json.loads(body)
+            functools.reduce(dict.get, parent, out).pop(name)
+            yield json.dumps(out).encode()
+
+
 def malformed_heartbeats(upstream):
     """Yields (instance name, body) of heartbeats that describe no usable
     upstream."""
@@ -514,7 +524,8 @@
                valid.replace(b'"seq": 1000000', b'"seq": 1e999'),
                valid[:-1] + b', "more": ' + NESTED_ARRAYS
                + b"]" * len(NESTED_ARRAYS) + b"}",
-               NESTED_ARRAYS, b"\xff\x00"):
+               NESTED_ARRAYS, b"\xff\x00",
+               *without_fields(heartbeat(born=later, holds=[], freed=[]))):
         yield upstream.name, it
     yield "%s-%s" % (upstream.name, "x" * 1000), valid
 
--- a/Tests/Sidecar/RenewalCollectorTest.cpp
+++ b/Tests/Sidecar/RenewalCollectorTest.cpp
@@ -18,6 +18,8 @@
 std::string encodeNode(const std::string &name) {
   holdings::NodeRecord record;
   record.Name = name;
+  record.DataCentre = "dc";
+  record.Service = "service";
   record.Peer = {"127.0.0.1", 1};
   record.Incarnation = 1;
   record.Sequence = 2;
