A leave in the log binds the node's next incarnations

Cause: HoldingAgent kept in memory alone which process of its upstream had left. After a restart of the node, a heartbeat that came late was taken for the first one of a live upstream, and the node's first record took the leave out of the log.

Requests go to the own upstream only after the fleet's log has been read.

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -114,7 +114,8 @@
   const bool isSameProcess = heartbeat.Process == Process;
   if (isSameProcess && HasHeartbeat && heartbeat.Sequence <= HeartbeatSequence)
     return false;
-  if (!isSameProcess && heartbeat.Process.StartUnixMs < Process.StartUnixMs)
+  if (!isSameProcess && (heartbeat.Process.StartUnixMs < Process.StartUnixMs ||
+                         isBeforeLeft(heartbeat.Process, now)))
     return false;
   if (!isSameProcess) {
     Process = heartbeat.Process;
@@ -123,7 +124,8 @@
     if (HasHeartbeat)
       Release.clear();
     IsProcessLeaving =
-        Process.Id == LeftUpstreamId && now - LeftAt < LeavingRetention;
+        Process == Left ||
+        (Process.Id == LeftUpstreamId && now - LeftAt < LeavingRetention);
     // The new process holds no keys, unless a previous incarnation of the node
     // granted them.
     FormerHeldUntil = std::max(FormerHeldUntil, HeldUntil);
@@ -141,6 +143,24 @@
   return true;
 }
 
+bool HoldingAgent::isBeforeLeft(const UpstreamProcess &process,
+                                core::TimePoint now) const {
+  return Left.isKnown() && process.StartUnixMs < Left.StartUnixMs &&
+         now - LeftReadAt < LeavingRetention;
+}
+
+void HoldingAgent::resume(const NodeRecord &former, core::TimePoint now) {
+  if (former.State != UpstreamState::Leaving || former.Process == Left)
+    return;
+  Left = former.Process;
+  LeftReadAt = now;
+  // Its heartbeat may have come before the log was read.
+  if (!HasHeartbeat || !(Process == Left || isBeforeLeft(Process, now)))
+    return;
+  IsProcessLeaving = true;
+  State = UpstreamState::Leaving;
+}
+
 void HoldingAgent::upstreamLeaves(std::string_view id, core::TimePoint now) {
   if (Process.Id != id) {
     LeftUpstreamId = id;
@@ -230,6 +250,11 @@
   out.State = State;
   out.Slots = Slots;
   out.IsStopping = Draining;
+  // The next incarnation has to read it again.
+  if (!HasHeartbeat && Left.isKnown()) {
+    out.Process = Left;
+    out.State = UpstreamState::Leaving;
+  }
   return out;
 }
 
@@ -246,6 +271,8 @@
                                  core::TimePoint now) {
   const Member *self = ledger.findMember(Identity.Name);
   Lease.ledgerChanged(self ? &self->Record : nullptr, Identity.Incarnation);
+  if (self && self->Record.Incarnation != Identity.Incarnation)
+    resume(self->Record, now);
   if (Pending && ledger.end() > Pending->At)
     Pending.reset();
   // Keys that were reassigned need not be released any more.
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -205,6 +205,11 @@
   std::vector<Holding> ownHoldings(const FleetLedger &ledger) const;
   bool isHeldByFormerProcess(const Holding &row) const;
   bool mustReleaseKeys(const FleetLedger &ledger) const;
+  /// Takes over what the node's former incarnation wrote into the log.
+  void resume(const NodeRecord &former, core::TimePoint now);
+  /// Returns whether \p process had ended when \p Left left; its heartbeats
+  /// are late.
+  bool isBeforeLeft(const UpstreamProcess &process, core::TimePoint now) const;
   /// Returns whether the last grant of \p row, an assignment to this node, has
   /// run out. Keys that the upstream hasn't released aren't given to another
   /// process before, whatever the reason. Only a later life of the same
@@ -265,6 +270,10 @@
   /// Upstream that announced its shutdown before its first heartbeat, and when.
   std::string LeftUpstreamId;
   core::TimePoint LeftAt{};
+  /// Process that had left when a former incarnation of the node ended, and
+  /// when this was read; unknown if there was none.
+  UpstreamProcess Left;
+  core::TimePoint LeftReadAt{};
   core::TimePoint LastHeartbeatAt{};
   std::vector<Holding> GrantedRows;
   /// The upstream may hold keys until its last grant ends, at this time.
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -771,8 +771,10 @@
   const bool isLeaving = LeavingSince && now - *LeavingSince > LeavingGrace;
   const bool isOut =
       DataCentreOutSince && now - *DataCentreOutSince > DataCentreOutGrace;
-  out.IsOpen =
-      Agent.state() != holdings::UpstreamState::Absent && !isLeaving && !isOut;
+  // Until the log is read, the upstream may be one that has left.
+  out.IsOpen = IsFleetLoaded &&
+               Agent.state() != holdings::UpstreamState::Absent && !isLeaving &&
+               !isOut;
   const auto *self = Ledger.findMember(Options.Agent.Name);
   out.Slots = self == nullptr ? 0 : self->Record.Slots;
   out.ColdUntil = ColdUntil;
@@ -786,7 +788,7 @@
 }
 
 void Control::publish(core::TimePoint now) {
-  if (Agent.state() == holdings::UpstreamState::Ready)
+  if (IsFleetLoaded && Agent.state() == holdings::UpstreamState::Ready)
     LastReadyProcess = Agent.upstreamProcess();
   // An earlier incarnation of this node may have acknowledged the leave request
   // of an upstream that this one never saw ready. Its grace time is over then.
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -465,6 +465,131 @@
 
 namespace {
 
+/// The record of the node's former incarnation, whose process started at 5, and
+/// the heartbeat of "u" that arrives after the restart.
+struct FormerStateRow {
+  const char *Name;
+  UpstreamState Former;
+  /// Whether the heartbeat arrives before the log is read.
+  bool IsEarly;
+  /// Since the log is read.
+  core::Duration Age;
+  std::int64_t Born;
+  UpstreamState After;
+  /// State in the node's record.
+  UpstreamState Recorded;
+};
+
+const FormerStateRow FormerStateRows[] = {
+    {"left, late heartbeat",
+     UpstreamState::Leaving,
+     false,
+     {},
+     5,
+     UpstreamState::Leaving,
+     UpstreamState::Leaving},
+    {"left, late heartbeat before the log is read",
+     UpstreamState::Leaving,
+     true,
+     {},
+     5,
+     UpstreamState::Leaving,
+     UpstreamState::Leaving},
+    {"left, a very late heartbeat", UpstreamState::Leaving, false, seconds(60),
+     5, UpstreamState::Leaving, UpstreamState::Leaving},
+    {"left, late heartbeat of an earlier process",
+     UpstreamState::Leaving,
+     false,
+     {},
+     4,
+     UpstreamState::Absent,
+     UpstreamState::Leaving},
+    {"left, late heartbeat of an earlier process before the log is read",
+     UpstreamState::Leaving,
+     true,
+     {},
+     4,
+     UpstreamState::Leaving,
+     UpstreamState::Leaving},
+    {"left, started again",
+     UpstreamState::Leaving,
+     false,
+     {},
+     6,
+     UpstreamState::Ready,
+     UpstreamState::Ready},
+    {"left, started again before the log is read",
+     UpstreamState::Leaving,
+     true,
+     {},
+     6,
+     UpstreamState::Ready,
+     UpstreamState::Ready},
+    {"left, another process long after", UpstreamState::Leaving, false,
+     seconds(60), 4, UpstreamState::Ready, UpstreamState::Ready},
+    {"ready, the next heartbeat",
+     UpstreamState::Ready,
+     false,
+     {},
+     5,
+     UpstreamState::Ready,
+     UpstreamState::Ready},
+};
+
+} // namespace
+
+// What a node has acknowledged to an upstream that leaves binds the node's next
+// incarnations, which read it in the log.
+ACACIA_TABLE_TEST(HoldingAgent, RemembersALeaveFromTheLog, FormerStateRows) {
+  FleetLedger ledger;
+  NodeRecord former;
+  former.Name = "node";
+  former.Incarnation = 7;
+  former.Sequence = 3;
+  former.Generation = 4;
+  former.Process = {"u", 5};
+  former.State = row.Former;
+  ledger.setEnd(10);
+  TimePoint now = Start;
+  std::uint64_t incarnation = 8;
+  // The second restart finds only the record of the first.
+  for (int n = 0; n < 2; ++n) {
+    HoldingAgent agent(
+        {"node", "dc", "service", {"127.0.0.1", 1}, incarnation++},
+        {HeartbeatInterval, seconds(10)}, now);
+    const auto beat = [&] {
+      agent.acceptHeartbeat(makeHeartbeat("u", row.Born, 2), now);
+    };
+    const auto read = [&] {
+      ledger.applyNode(n == 0 ? former : ledger.findMember("node")->Record,
+                       now);
+      agent.ledgerChanged(ledger, now);
+    };
+    if (n == 1 && row.IsEarly)
+      beat();
+    read();
+    if (n == 0) {
+      const auto record = agent.nextRecord(ledger, true, now);
+      cr_assert(record.has_value(), "%s", row.Name);
+      ledger.applyNode(*record, now);
+      ledger.setEnd(20);
+      now += seconds(1);
+      continue;
+    }
+    now += row.Age;
+    if (!row.IsEarly)
+      beat();
+    cr_assert(agent.state() == row.After, "%s: %d", row.Name,
+              static_cast<int>(agent.state()));
+    const auto record = agent.nextRecord(ledger, true, now);
+    cr_assert(record.has_value(), "%s", row.Name);
+    cr_assert(record->State == row.Recorded, "%s: %d", row.Name,
+              static_cast<int>(record->State));
+  }
+}
+
+namespace {
+
 struct FormerRecordRow {
   const char *Name;
   /// Generation of a former incarnation's record that is read after the node's
