A leave is acknowledged once the log has it

Cause: a leave request or the first draining heartbeat was answered 200 before the node's record was appended. A node killed in between knew nothing of the leave when it was back.

Change: the answer waits for the log's acknowledgement, 800 ms at most; after that it is 503, so the leave isn't acknowledged (leave_not_recorded).

--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -123,9 +123,8 @@
     // What was given up before the first heartbeat stays withheld.
     if (HasHeartbeat)
       Release.clear();
-    IsProcessLeaving =
-        Process == Left ||
-        (Process.Id == LeftUpstreamId && now - LeftAt < LeavingRetention);
+    IsProcessLeaving = Process == Left || (Process.Id == LeftUpstreamId &&
+                                           now - LeftAt < LeavingRetention);
     // The new process holds no keys, unless a previous incarnation of the node
     // granted them.
     FormerHeldUntil = std::max(FormerHeldUntil, HeldUntil);
@@ -171,6 +170,19 @@
   State = UpstreamState::Leaving;
 }
 
+bool HoldingAgent::isLeaveRecorded(std::string_view id,
+                                   const FleetLedger &ledger) const {
+  if (Process.Id != id)
+    return true;
+  const auto isLeave = [&](const NodeRecord *it) {
+    return it != nullptr && it->State == UpstreamState::Leaving &&
+           it->Process == Process;
+  };
+  const Member *self = ledger.findMember(Identity.Name);
+  return isLeave(Lease.acknowledgedRecord()) ||
+         isLeave(self ? &self->Record : nullptr);
+}
+
 bool HoldingAgent::upstreamRefused(core::TimePoint now) {
   // A live upstream with a full queue refuses connections too but keeps sending
   // heartbeats. Its keys aren't reassigned before its grant expires, because
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -99,6 +99,11 @@
   /// announcement still counts then, because it was acknowledged.
   void upstreamLeaves(std::string_view id, core::TimePoint now);
 
+  /// Returns whether the log tells that the upstream \p id leaves, so that the
+  /// node's next incarnation knows it too. A leave is acknowledged only then.
+  /// Also true if the node has never heard of that upstream.
+  bool isLeaveRecorded(std::string_view id, const FleetLedger &ledger) const;
+
   /// Called when the upstream refuses connections. Returns whether it now
   /// counts as absent, which requires that its heartbeats are late too.
   bool upstreamRefused(core::TimePoint now);
--- a/Source/Holdings/LeaseRenewal.h
+++ b/Source/Holdings/LeaseRenewal.h
@@ -53,6 +53,11 @@
     IsAcknowledged = IsAcknowledged || isLast(sequence);
   }
 
+  /// Returns the last record if the log has acknowledged it.
+  const NodeRecord *acknowledgedRecord() const {
+    return IsAcknowledged ? &LastRecord : nullptr;
+  }
+
   /// Returns whether \p sequence is the number of the last record.
   bool isLast(std::uint64_t sequence) const {
     return sequence + 1 == NextSequence;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -52,6 +52,10 @@
 /// its keys move. It must stop getting them within five seconds.
 constexpr core::Duration DataCentreOutGrace = milliseconds(2000);
 
+/// Longest wait for the log to acknowledge a leave before the upstream is told
+/// that the leave isn't acknowledged. It waits one second for an answer.
+constexpr core::Duration LeaveRecordTimeout = milliseconds(800);
+
 /// Interval at which the counts of calls to the platform are logged.
 constexpr core::Duration StoreCallInterval = std::chrono::seconds(5);
 
@@ -270,6 +274,7 @@
   Agent.ledgerChanged(Ledger, now);
   updateReaders(now);
   answerDeferredHeartbeats(now);
+  answerDeferredLeaves(now);
   ProposalDeadline = now + ProposalWindow;
   appendPending(now);
 }
@@ -315,8 +320,9 @@
                {{"upstream", call.UpstreamId}});
     Agent.upstreamLeaves(call.UpstreamId, core::BootClock::now());
     IsViewStale = true;
-    exchange->respond(net::HttpResponse(net::http::status::ok, 11));
+    DeferredLeaves.push_back({exchange, call.UpstreamId});
     appendPending(core::BootClock::now());
+    answerDeferredLeaves(core::BootClock::now());
     return;
   case UpstreamCall::Kind::Unknown:
     exchange->respond(net::HttpResponse(net::http::status::not_found, 11));
@@ -365,14 +371,45 @@
   Agent.ledgerChanged(Ledger, now);
   sendReleaseNotice(now);
   appendPending(now);
-  if (isKeyed() && IsFleetLoaded && Agent.answerDelay(Ledger).count() > 0)
+  const bool isDelayed =
+      isKeyed() && IsFleetLoaded && Agent.answerDelay(Ledger).count() > 0;
+  if (isDelayed || isLeaveUnrecorded())
     DeferredHeartbeats.push_back({exchange, heartbeat->Process});
   else
     answerHeartbeat({exchange, heartbeat->Process});
 }
 
+bool Control::isLeaveUnrecorded() const {
+  return Agent.state() == holdings::UpstreamState::Leaving &&
+         !Agent.isLeaveRecorded(Agent.upstreamProcess().Id, Ledger);
+}
+
+void Control::refuseLeave(const ExchangePointer &exchange,
+                          std::string_view upstreamId) {
+  Log->write(logging::Level::Warning, "leave_not_recorded",
+             {{"upstream", upstreamId}});
+  exchange->respond(
+      net::HttpResponse(net::http::status::service_unavailable, 11));
+}
+
+void Control::answerDeferredLeaves(core::TimePoint now) {
+  std::erase_if(DeferredLeaves, [&](const PendingLeave &it) {
+    const bool isRecorded = Agent.isLeaveRecorded(it.UpstreamId, Ledger);
+    const bool isLate = now - it.Exchange->Received >= LeaveRecordTimeout;
+    if (isRecorded)
+      it.Exchange->respond(net::HttpResponse(net::http::status::ok, 11));
+    else if (isLate)
+      refuseLeave(it.Exchange, it.UpstreamId);
+    return isRecorded || isLate;
+  });
+}
+
 void Control::answerHeartbeat(const PendingHeartbeat &heartbeat) {
   const auto now = core::BootClock::now();
+  if (isLeaveUnrecorded()) {
+    refuseLeave(heartbeat.Exchange, heartbeat.Process.Id);
+    return;
+  }
   std::optional<holdings::Grant> grant;
   if (isKeyed() && IsFleetLoaded)
     grant = Agent.grantTo(heartbeat.Process, Ledger, now);
@@ -439,7 +476,8 @@
 void Control::answerDeferredHeartbeats(core::TimePoint now) {
   if (DeferredHeartbeats.empty())
     return;
-  const core::Duration delay = Agent.answerDelay(Ledger);
+  const core::Duration delay =
+      isLeaveUnrecorded() ? LeaveRecordTimeout : Agent.answerDelay(Ledger);
   std::vector<PendingHeartbeat> due;
   std::erase_if(DeferredHeartbeats, [&](const PendingHeartbeat &it) {
     const bool isDue = now - it.Exchange->Received >= delay;
@@ -588,6 +626,7 @@
     sendHints(false);
   Agent.ledgerChanged(Ledger, now);
   answerDeferredHeartbeats(now);
+  answerDeferredLeaves(now);
   sendReleaseNotice(now);
   appendPending(now);
   if (Renewals.appendDue(Ledger, now))
@@ -649,6 +688,8 @@
                {{"detail", result.error().Detail}});
   } else {
     Agent.recordAcknowledged(sequence);
+    answerDeferredHeartbeats(core::BootClock::now());
+    answerDeferredLeaves(core::BootClock::now());
     if (isStateChange) {
       HasUnannouncedChange = true;
       Fleet->readNow();
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -83,6 +83,12 @@
     holdings::UpstreamProcess Process;
   };
 
+  /// A leave request that is answered once the log has the leave.
+  struct PendingLeave {
+    ExchangePointer Exchange;
+    std::string UpstreamId;
+  };
+
   feed::FeedHooks operatorHooks();
   feed::FeedHooks fleetHooks();
   void applyOperators(const std::vector<feed::KeyedRecord> &records,
@@ -105,6 +111,12 @@
   /// Logs which assignments \p change ends, and why.
   void logFreedKeys(const holdings::HoldingChange &change);
   void answerDeferredHeartbeats(core::TimePoint now);
+  void answerDeferredLeaves(core::TimePoint now);
+  /// Whether the upstream is leaving and the log doesn't have it yet.
+  bool isLeaveUnrecorded() const;
+  /// Tells the upstream that its leave isn't acknowledged.
+  void refuseLeave(const ExchangePointer &exchange,
+                   std::string_view upstreamId);
 
   RelayHooks relayHooks();
   RelayChoice chooseRelay(RelayedLog log);
@@ -178,6 +190,7 @@
   std::set<std::string, std::less<>> NewHolders;
   /// Heartbeats whose responses wait for a change of holdings.
   std::vector<PendingHeartbeat> DeferredHeartbeats;
+  std::vector<PendingLeave> DeferredLeaves;
   std::optional<holdings::Grant> LastGrant;
   core::TimePoint GrantedUntil{};
   core::TimePoint HeardAt{};
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -590,6 +590,59 @@
 
 namespace {
 
+/// Steps of a leave, one letter each:
+/// d: a heartbeat in state Leaving
+/// l: the announced shutdown outside of a heartbeat
+/// s: the node's record is sent
+/// a: the log acknowledges it
+/// r: it is read back
+struct LeaveRow {
+  const char *Name;
+  const char *Steps;
+  bool IsRecorded;
+};
+
+const LeaveRow LeaveRows[] = {
+    {"not sent", "l", false},
+    {"sent, outcome unknown", "ls", false},
+    {"acknowledged", "lsa", true},
+    {"read back", "lsr", true},
+    {"a record from before the leave is acknowledged", "sla", false},
+    {"a record from before the leave is read back", "slr", false},
+    {"draining, not sent", "d", false},
+    {"draining, acknowledged", "dsa", true},
+};
+
+} // namespace
+
+// A leave is acknowledged to the upstream once the log has it: a node that ends
+// right afterwards knows it when it is back.
+ACACIA_TABLE_TEST(HoldingAgent, RecordsALeaveBeforeItsAcknowledgement,
+                  LeaveRows) {
+  HoldingAgent agent = makeAgent();
+  FleetLedger ledger;
+  agent.acceptHeartbeat(makeHeartbeat("u", 1, 1), Start);
+  std::optional<NodeRecord> record;
+  for (const char *it = row.Steps; *it != '\0'; ++it) {
+    if (*it == 'd')
+      agent.acceptHeartbeat(makeHeartbeat("u", 1, 2, UpstreamState::Leaving),
+                            Start);
+    if (*it == 'l')
+      agent.upstreamLeaves("u", Start);
+    if (*it == 's')
+      record = agent.nextRecord(ledger, false, Start);
+    if (*it == 'a')
+      agent.recordAcknowledged(record->Sequence);
+    if (*it == 'r')
+      ledger.applyNode(*record, Start);
+  }
+  cr_assert_eq(agent.isLeaveRecorded("u", ledger), row.IsRecorded, "%s",
+               row.Name);
+  cr_assert(agent.isLeaveRecorded("another", ledger), "%s", row.Name);
+}
+
+namespace {
+
 struct FormerRecordRow {
   const char *Name;
   /// Generation of a former incarnation's record that is read after the node's
