--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -114,7 +114,8 @@
   const bool isSameProcess = heartbeat.Process == Process;
   if (isSameProcess && HasHeartbeat && heartbeat.Sequence <= HeartbeatSequence)
     return false;
-  if (!isSameProcess && heartbeat.Process.StartUnixMs < Process.StartUnixMs)
+  if (!isSameProcess && (heartbeat.Process.StartUnixMs < Process.StartUnixMs ||
+                         isBeforeLeft(heartbeat.Process, now)))
     return false;
   if (!isSameProcess) {
     Process = heartbeat.Process;
@@ -122,10 +123,11 @@
     // What was given up before the first heartbeat stays withheld.
     if (HasHeartbeat)
       Release.clear();
-    IsProcessLeaving =
-        Process.Id == LeftUpstreamId && now - LeftAt < LeavingRetention;
-    // The previous process has ended and holds no keys. The new one doesn't
-    // hold any either, unless a previous incarnation of the node granted them.
+    IsProcessLeaving = Process == Left || (Process.Id == LeftUpstreamId &&
+                                           now - LeftAt < LeavingRetention);
+    // The new process holds no keys, unless a previous incarnation of the node
+    // granted them.
+    FormerHeldUntil = std::max(FormerHeldUntil, HeldUntil);
     if (HasHeartbeat)
       HeldUntil = now;
   }
@@ -140,6 +142,24 @@
   return true;
 }
 
+bool HoldingAgent::isBeforeLeft(const UpstreamProcess &process,
+                                core::TimePoint now) const {
+  return Left.isKnown() && process.StartUnixMs < Left.StartUnixMs &&
+         now - LeftReadAt < LeavingRetention;
+}
+
+void HoldingAgent::resume(const NodeRecord &former, core::TimePoint now) {
+  if (former.State != UpstreamState::Leaving || former.Process == Left)
+    return;
+  Left = former.Process;
+  LeftReadAt = now;
+  // Its heartbeat may have come before the log was read.
+  if (!HasHeartbeat || !(Process == Left || isBeforeLeft(Process, now)))
+    return;
+  IsProcessLeaving = true;
+  State = UpstreamState::Leaving;
+}
+
 void HoldingAgent::upstreamLeaves(std::string_view id, core::TimePoint now) {
   if (Process.Id != id) {
     LeftUpstreamId = id;
@@ -150,6 +170,19 @@
   State = UpstreamState::Leaving;
 }
 
+bool HoldingAgent::isLeaveRecorded(std::string_view id,
+                                   const FleetLedger &ledger) const {
+  if (Process.Id != id)
+    return true;
+  const auto isLeave = [&](const NodeRecord *it) {
+    return it != nullptr && it->State == UpstreamState::Leaving &&
+           it->Process == Process;
+  };
+  const Member *self = ledger.findMember(Identity.Name);
+  return isLeave(Lease.acknowledgedRecord()) ||
+         isLeave(self ? &self->Record : nullptr);
+}
+
 bool HoldingAgent::upstreamRefused(core::TimePoint now) {
   // A live upstream with a full queue refuses connections too but keeps sending
   // heartbeats. Its keys aren't reassigned before its grant expires, because
@@ -161,8 +194,12 @@
   return true;
 }
 
-bool HoldingAgent::isProcessGone(core::TimePoint now) const {
-  return State == UpstreamState::Absent && now >= HeldUntil;
+bool HoldingAgent::isHoldOver(const Holding &row, core::TimePoint now) const {
+  return now >= (owns(row) ? HeldUntil : FormerHeldUntil);
+}
+
+bool HoldingAgent::isHeldByEarlierLife(const Holding &row) const {
+  return isHeldByFormerProcess(row) && row.Process.Id == Process.Id;
 }
 
 bool HoldingAgent::owns(const Holding &row) const {
@@ -206,6 +243,14 @@
   return out;
 }
 
+std::optional<Grant> HoldingAgent::grantTo(const UpstreamProcess &process,
+                                           const FleetLedger &ledger,
+                                           core::TimePoint now) {
+  if (!(process == Process))
+    return std::nullopt;
+  return grant(ledger, now);
+}
+
 NodeRecord HoldingAgent::describe() const {
   NodeRecord out;
   out.Name = Identity.Name;
@@ -217,6 +262,11 @@
   out.State = State;
   out.Slots = Slots;
   out.IsStopping = Draining;
+  // The next incarnation has to read it again.
+  if (!HasHeartbeat && Left.isKnown()) {
+    out.Process = Left;
+    out.State = UpstreamState::Leaving;
+  }
   return out;
 }
 
@@ -233,6 +283,8 @@
                                  core::TimePoint now) {
   const Member *self = ledger.findMember(Identity.Name);
   Lease.ledgerChanged(self ? &self->Record : nullptr, Identity.Incarnation);
+  if (self && self->Record.Incarnation != Identity.Incarnation)
+    resume(self->Record, now);
   if (Pending && ledger.end() > Pending->At)
     Pending.reset();
   // Keys that were reassigned need not be released any more.
@@ -386,7 +438,7 @@
   if (isPending || Draining || now >= Lease.authorityUntil() ||
       now < NextProposal)
     return std::nullopt;
-  if (auto out = planProcessRestart(ledger))
+  if (auto out = planProcessRestart(ledger, now))
     return out;
   if (auto out = planReleased(ledger, now))
     return out;
@@ -425,23 +477,24 @@
 }
 
 std::optional<HoldingChange>
-HoldingAgent::planProcessRestart(const FleetLedger &ledger) const {
+HoldingAgent::planProcessRestart(const FleetLedger &ledger,
+                                 core::TimePoint now) const {
   const auto rows = ledger.holdingsOf(Identity.Service);
-  if (mustReleaseKeys(ledger) ||
-      std::none_of(rows.begin(), rows.end(), [&](const Holding &it) {
-        return isHeldByFormerProcess(it);
-      }))
+  if (mustReleaseKeys(ledger))
     return std::nullopt;
   Rows out(rows.begin(), rows.end());
   std::vector<ReleasedKeys> freed;
   for (Holding &it : out) {
-    if (!isHeldByFormerProcess(it))
+    if (!isHeldByFormerProcess(it) ||
+        !(isHeldByEarlierLife(it) || isHoldOver(it, now)))
       continue;
     freed.push_back({it, Identity.Name, FreeCause::FormerProcess});
     it.Process = Process;
     it.Token = ledger.end() + 1;
     it.Handover.clear();
   }
+  if (freed.empty())
+    return std::nullopt;
   return propose(ledger, std::move(out), "upstream restarted",
                  std::move(freed));
 }
@@ -454,17 +507,18 @@
   known.reserve(out.size());
   for (const ReleasedKeys &it : out)
     known.push_back(it.Row.Keys);
-  const bool isGone = isProcessGone(now);
   for (const Holding &row : ledger.holdingsOf(Identity.Service)) {
-    const bool isDead = row.Node == Identity.Name && isGone;
-    if (!isDead && !(isHeldByFormerProcess(row) && mustReleaseKeys(ledger)))
+    const bool isGone =
+        row.Node == Identity.Name && State == UpstreamState::Absent;
+    const bool isFormer = isHeldByFormerProcess(row) && mustReleaseKeys(ledger);
+    if (!(isGone || isFormer) || !isHoldOver(row, now))
       continue;
     for (Holding &it : without({{row}}, known)) {
       it.Handover.clear();
       out.push_back(
           {std::move(it),
            {},
-           isDead ? FreeCause::UpstreamGone : FreeCause::FormerProcess});
+           isGone ? FreeCause::UpstreamGone : FreeCause::FormerProcess});
     }
   }
   return out;
@@ -595,7 +649,7 @@
   const auto rows = ledger.holdingsOf(Identity.Service);
   const bool isRestart =
       std::any_of(rows.begin(), rows.end(),
-                  [&](const Holding &it) { return isHeldByFormerProcess(it); });
+                  [&](const Holding &it) { return isHeldByEarlierLife(it); });
   if (isRestart)
     return RestartAnswerDelay;
   return ownHoldings(ledger) == GrantedRows
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -99,6 +99,11 @@
   /// announcement still counts then, because it was acknowledged.
   void upstreamLeaves(std::string_view id, core::TimePoint now);
 
+  /// Returns whether the log tells that the upstream \p id leaves, so that the
+  /// node's next incarnation knows it too. A leave is acknowledged only then.
+  /// Also true if the node has never heard of that upstream.
+  bool isLeaveRecorded(std::string_view id, const FleetLedger &ledger) const;
+
   /// Called when the upstream refuses connections. Returns whether it now
   /// counts as absent, which requires that its heartbeats are late too.
   bool upstreamRefused(core::TimePoint now);
@@ -122,6 +127,12 @@
   /// `acceptHeartbeat` has accepted.
   std::optional<Grant> grant(const FleetLedger &ledger, core::TimePoint now);
 
+  /// Returns the answer to a heartbeat of \p process: the same, but nullopt for
+  /// a process that has been replaced since, which would hold the keys of the
+  /// newer one.
+  std::optional<Grant> grantTo(const UpstreamProcess &process,
+                               const FleetLedger &ledger, core::TimePoint now);
+
   /// Returns the node's record if it is due to be appended. \p isKeyless tells
   /// that the node's service doesn't assign keys. Also marks the upstream as
   /// absent once it has missed too many heartbeats.
@@ -200,7 +211,18 @@
   std::vector<Holding> ownHoldings(const FleetLedger &ledger) const;
   bool isHeldByFormerProcess(const Holding &row) const;
   bool mustReleaseKeys(const FleetLedger &ledger) const;
-  bool isProcessGone(core::TimePoint now) const;
+  /// Takes over what the node's former incarnation wrote into the log.
+  void resume(const NodeRecord &former, core::TimePoint now);
+  /// Returns whether \p process had ended when \p Left left; its heartbeats
+  /// are late.
+  bool isBeforeLeft(const UpstreamProcess &process, core::TimePoint now) const;
+  /// Returns whether the last grant of \p row, an assignment to this node, has
+  /// run out. Keys that the upstream hasn't released aren't given to another
+  /// process before, whatever the reason. Only a later life of the same
+  /// upstream may have them at once: it says itself that the earlier one has
+  /// ended.
+  bool isHoldOver(const Holding &row, core::TimePoint now) const;
+  bool isHeldByEarlierLife(const Holding &row) const;
   void planOutgoing(const FleetLedger &ledger, core::TimePoint now);
   void planForNewNodes(const FleetLedger &ledger, core::TimePoint now);
   void planForLoad(const FleetLedger &ledger, core::TimePoint now);
@@ -215,8 +237,8 @@
                         std::vector<ReleasedKeys> freed) const;
   std::optional<HoldingChange> planChange(const FleetLedger &ledger,
                                           core::TimePoint now) const;
-  std::optional<HoldingChange>
-  planProcessRestart(const FleetLedger &ledger) const;
+  std::optional<HoldingChange> planProcessRestart(const FleetLedger &ledger,
+                                                  core::TimePoint now) const;
   std::optional<HoldingChange> planReleased(const FleetLedger &ledger,
                                             core::TimePoint now) const;
   std::optional<HoldingChange> planOrphans(const FleetLedger &ledger,
@@ -254,10 +276,16 @@
   /// Upstream that announced its shutdown before its first heartbeat, and when.
   std::string LeftUpstreamId;
   core::TimePoint LeftAt{};
+  /// Process that had left when a former incarnation of the node ended, and
+  /// when this was read; unknown if there was none.
+  UpstreamProcess Left;
+  core::TimePoint LeftReadAt{};
   core::TimePoint LastHeartbeatAt{};
   std::vector<Holding> GrantedRows;
   /// The upstream may hold keys until its last grant ends, at this time.
   core::TimePoint HeldUntil{};
+  /// Former processes of the upstream may hold keys until then.
+  core::TimePoint FormerHeldUntil{};
   std::optional<PendingChange> Pending;
   /// The last change was refused.
   bool WasRefused = false;
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -52,6 +52,10 @@
 /// its keys move. It must stop getting them within five seconds.
 constexpr core::Duration DataCentreOutGrace = milliseconds(2000);
 
+/// Longest wait for the log to acknowledge a leave before the upstream is told
+/// that the leave isn't acknowledged. It waits one second for an answer.
+constexpr core::Duration LeaveRecordTimeout = milliseconds(800);
+
 /// Interval at which the counts of calls to the platform are logged.
 constexpr core::Duration StoreCallInterval = std::chrono::seconds(5);
 
@@ -270,6 +274,7 @@
   Agent.ledgerChanged(Ledger, now);
   updateReaders(now);
   answerDeferredHeartbeats(now);
+  answerDeferredLeaves(now);
   ProposalDeadline = now + ProposalWindow;
   appendPending(now);
 }
@@ -315,8 +320,9 @@
                {{"upstream", call.UpstreamId}});
     Agent.upstreamLeaves(call.UpstreamId, core::BootClock::now());
     IsViewStale = true;
-    exchange->respond(net::HttpResponse(net::http::status::ok, 11));
+    DeferredLeaves.push_back({exchange, call.UpstreamId});
     appendPending(core::BootClock::now());
+    answerDeferredLeaves(core::BootClock::now());
     return;
   case UpstreamCall::Kind::Unknown:
     exchange->respond(net::HttpResponse(net::http::status::not_found, 11));
@@ -328,7 +334,7 @@
                               const std::string &upstreamId) {
   const auto now = core::BootClock::now();
   const auto heartbeat =
-      Codec.DecodeHeartbeat(upstreamId, exchange->request().body());
+      Codec.DecodeHeartbeat(upstreamId, exchange->request().body(), keyLists());
   if (!heartbeat) {
     Log->write(
         logging::Level::Warning, "heartbeat_unreadable",
@@ -365,17 +371,48 @@
   Agent.ledgerChanged(Ledger, now);
   sendReleaseNotice(now);
   appendPending(now);
-  if (isKeyed() && IsFleetLoaded && Agent.answerDelay(Ledger).count() > 0)
-    DeferredHeartbeats.push_back(exchange);
+  const bool isDelayed =
+      isKeyed() && IsFleetLoaded && Agent.answerDelay(Ledger).count() > 0;
+  if (isDelayed || isLeaveUnrecorded())
+    DeferredHeartbeats.push_back({exchange, heartbeat->Process});
   else
-    answerHeartbeat(exchange);
+    answerHeartbeat({exchange, heartbeat->Process});
+}
+
+bool Control::isLeaveUnrecorded() const {
+  return Agent.state() == holdings::UpstreamState::Leaving &&
+         !Agent.isLeaveRecorded(Agent.upstreamProcess().Id, Ledger);
+}
+
+void Control::refuseLeave(const ExchangePointer &exchange,
+                          std::string_view upstreamId) {
+  Log->write(logging::Level::Warning, "leave_not_recorded",
+             {{"upstream", upstreamId}});
+  exchange->respond(
+      net::HttpResponse(net::http::status::service_unavailable, 11));
+}
+
+void Control::answerDeferredLeaves(core::TimePoint now) {
+  std::erase_if(DeferredLeaves, [&](const PendingLeave &it) {
+    const bool isRecorded = Agent.isLeaveRecorded(it.UpstreamId, Ledger);
+    const bool isLate = now - it.Exchange->Received >= LeaveRecordTimeout;
+    if (isRecorded)
+      it.Exchange->respond(net::HttpResponse(net::http::status::ok, 11));
+    else if (isLate)
+      refuseLeave(it.Exchange, it.UpstreamId);
+    return isRecorded || isLate;
+  });
 }
 
-void Control::answerHeartbeat(const ExchangePointer &exchange) {
+void Control::answerHeartbeat(const PendingHeartbeat &heartbeat) {
   const auto now = core::BootClock::now();
+  if (isLeaveUnrecorded()) {
+    refuseLeave(heartbeat.Exchange, heartbeat.Process.Id);
+    return;
+  }
   std::optional<holdings::Grant> grant;
   if (isKeyed() && IsFleetLoaded)
-    grant = Agent.grant(Ledger, now);
+    grant = Agent.grantTo(heartbeat.Process, Ledger, now);
   if (grant) {
     logGrant(*grant);
     LastGrant = grant;
@@ -387,7 +424,7 @@
   net::HttpResponse out(net::http::status::ok, 11);
   out.set(net::http::field::content_type, "application/json");
   out.body() = Codec.EncodeGrant(grant);
-  exchange->respond(std::move(out));
+  heartbeat.Exchange->respond(std::move(out));
   IsViewStale = true;
   publish(now);
 }
@@ -439,15 +476,16 @@
 void Control::answerDeferredHeartbeats(core::TimePoint now) {
   if (DeferredHeartbeats.empty())
     return;
-  const core::Duration delay = Agent.answerDelay(Ledger);
-  std::vector<ExchangePointer> due;
-  std::erase_if(DeferredHeartbeats, [&](const ExchangePointer &it) {
-    const bool isDue = now - it->Received >= delay;
+  const core::Duration delay =
+      isLeaveUnrecorded() ? LeaveRecordTimeout : Agent.answerDelay(Ledger);
+  std::vector<PendingHeartbeat> due;
+  std::erase_if(DeferredHeartbeats, [&](const PendingHeartbeat &it) {
+    const bool isDue = now - it.Exchange->Received >= delay;
     if (isDue)
       due.push_back(it);
     return isDue;
   });
-  for (const ExchangePointer &it : due)
+  for (const PendingHeartbeat &it : due)
     answerHeartbeat(it);
 }
 
@@ -589,6 +627,7 @@
     sendHints(false);
   Agent.ledgerChanged(Ledger, now);
   answerDeferredHeartbeats(now);
+  answerDeferredLeaves(now);
   sendReleaseNotice(now);
   appendPending(now);
   if (Renewals.appendDue(Ledger, now))
@@ -650,6 +689,8 @@
                {{"detail", result.error().Detail}});
   } else {
     Agent.recordAcknowledged(sequence);
+    answerDeferredHeartbeats(core::BootClock::now());
+    answerDeferredLeaves(core::BootClock::now());
     if (isStateChange) {
       HasUnannouncedChange = true;
       Fleet->readNow();
@@ -758,6 +799,12 @@
   return service != nullptr && service->IsKeyed;
 }
 
+KeyLists Control::keyLists() const {
+  // The log may have keys of the service before the configuration is read.
+  const bool hasKeys = !Ledger.holdingsOf(Options.Agent.Service).empty();
+  return isKeyed() || hasKeys ? KeyLists::Required : KeyLists::Optional;
+}
+
 proxy::OwnUpstream Control::describeOwnUpstream(core::TimePoint now) const {
   proxy::OwnUpstream out;
   out.Node = Options.Agent.Name;
@@ -766,8 +813,10 @@
   const bool isLeaving = LeavingSince && now - *LeavingSince > LeavingGrace;
   const bool isOut =
       DataCentreOutSince && now - *DataCentreOutSince > DataCentreOutGrace;
-  out.IsOpen =
-      Agent.state() != holdings::UpstreamState::Absent && !isLeaving && !isOut;
+  // Until the log is read, the upstream may be one that has left.
+  out.IsOpen = IsFleetLoaded &&
+               Agent.state() != holdings::UpstreamState::Absent && !isLeaving &&
+               !isOut;
   const auto *self = Ledger.findMember(Options.Agent.Name);
   out.Slots = self == nullptr ? 0 : self->Record.Slots;
   out.ColdUntil = ColdUntil;
@@ -781,7 +830,7 @@
 }
 
 void Control::publish(core::TimePoint now) {
-  if (Agent.state() == holdings::UpstreamState::Ready)
+  if (IsFleetLoaded && Agent.state() == holdings::UpstreamState::Ready)
     LastReadyProcess = Agent.upstreamProcess();
   // An earlier incarnation of this node may have acknowledged the leave request
   // of an upstream that this one never saw ready. Its grace time is over then.
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -465,6 +465,184 @@
 
 namespace {
 
+/// The record of the node's former incarnation, whose process started at 5, and
+/// the heartbeat of "u" that arrives after the restart.
+struct FormerStateRow {
+  const char *Name;
+  UpstreamState Former;
+  /// Whether the heartbeat arrives before the log is read.
+  bool IsEarly;
+  /// Since the log is read.
+  core::Duration Age;
+  std::int64_t Born;
+  UpstreamState After;
+  /// State in the node's record.
+  UpstreamState Recorded;
+};
+
+const FormerStateRow FormerStateRows[] = {
+    {"left, late heartbeat",
+     UpstreamState::Leaving,
+     false,
+     {},
+     5,
+     UpstreamState::Leaving,
+     UpstreamState::Leaving},
+    {"left, late heartbeat before the log is read",
+     UpstreamState::Leaving,
+     true,
+     {},
+     5,
+     UpstreamState::Leaving,
+     UpstreamState::Leaving},
+    {"left, a very late heartbeat", UpstreamState::Leaving, false, seconds(60),
+     5, UpstreamState::Leaving, UpstreamState::Leaving},
+    {"left, late heartbeat of an earlier process",
+     UpstreamState::Leaving,
+     false,
+     {},
+     4,
+     UpstreamState::Absent,
+     UpstreamState::Leaving},
+    {"left, late heartbeat of an earlier process before the log is read",
+     UpstreamState::Leaving,
+     true,
+     {},
+     4,
+     UpstreamState::Leaving,
+     UpstreamState::Leaving},
+    {"left, started again",
+     UpstreamState::Leaving,
+     false,
+     {},
+     6,
+     UpstreamState::Ready,
+     UpstreamState::Ready},
+    {"left, started again before the log is read",
+     UpstreamState::Leaving,
+     true,
+     {},
+     6,
+     UpstreamState::Ready,
+     UpstreamState::Ready},
+    {"left, another process long after", UpstreamState::Leaving, false,
+     seconds(60), 4, UpstreamState::Ready, UpstreamState::Ready},
+    {"ready, the next heartbeat",
+     UpstreamState::Ready,
+     false,
+     {},
+     5,
+     UpstreamState::Ready,
+     UpstreamState::Ready},
+};
+
+} // namespace
+
+// What a node has acknowledged to an upstream that leaves binds the node's next
+// incarnations, which read it in the log.
+ACACIA_TABLE_TEST(HoldingAgent, RemembersALeaveFromTheLog, FormerStateRows) {
+  FleetLedger ledger;
+  NodeRecord former;
+  former.Name = "node";
+  former.Incarnation = 7;
+  former.Sequence = 3;
+  former.Generation = 4;
+  former.Process = {"u", 5};
+  former.State = row.Former;
+  ledger.setEnd(10);
+  TimePoint now = Start;
+  std::uint64_t incarnation = 8;
+  // The second restart finds only the record of the first.
+  for (int n = 0; n < 2; ++n) {
+    HoldingAgent agent(
+        {"node", "dc", "service", {"127.0.0.1", 1}, incarnation++},
+        {HeartbeatInterval, seconds(10)}, now);
+    const auto beat = [&] {
+      agent.acceptHeartbeat(makeHeartbeat("u", row.Born, 2), now);
+    };
+    const auto read = [&] {
+      ledger.applyNode(n == 0 ? former : ledger.findMember("node")->Record,
+                       now);
+      agent.ledgerChanged(ledger, now);
+    };
+    if (n == 1 && row.IsEarly)
+      beat();
+    read();
+    if (n == 0) {
+      const auto record = agent.nextRecord(ledger, true, now);
+      cr_assert(record.has_value(), "%s", row.Name);
+      ledger.applyNode(*record, now);
+      ledger.setEnd(20);
+      now += seconds(1);
+      continue;
+    }
+    now += row.Age;
+    if (!row.IsEarly)
+      beat();
+    cr_assert(agent.state() == row.After, "%s: %d", row.Name,
+              static_cast<int>(agent.state()));
+    const auto record = agent.nextRecord(ledger, true, now);
+    cr_assert(record.has_value(), "%s", row.Name);
+    cr_assert(record->State == row.Recorded, "%s: %d", row.Name,
+              static_cast<int>(record->State));
+  }
+}
+
+namespace {
+
+/// Steps of a leave, one letter each:
+/// d: a heartbeat in state Leaving
+/// l: the announced shutdown outside of a heartbeat
+/// s: the node's record is sent
+/// a: the log acknowledges it
+/// r: it is read back
+struct LeaveRow {
+  const char *Name;
+  const char *Steps;
+  bool IsRecorded;
+};
+
+const LeaveRow LeaveRows[] = {
+    {"not sent", "l", false},
+    {"sent, outcome unknown", "ls", false},
+    {"acknowledged", "lsa", true},
+    {"read back", "lsr", true},
+    {"a record from before the leave is acknowledged", "sla", false},
+    {"a record from before the leave is read back", "slr", false},
+    {"draining, not sent", "d", false},
+    {"draining, acknowledged", "dsa", true},
+};
+
+} // namespace
+
+// A leave is acknowledged to the upstream once the log has it: a node that ends
+// right afterwards knows it when it is back.
+ACACIA_TABLE_TEST(HoldingAgent, RecordsALeaveBeforeItsAcknowledgement,
+                  LeaveRows) {
+  HoldingAgent agent = makeAgent();
+  FleetLedger ledger;
+  agent.acceptHeartbeat(makeHeartbeat("u", 1, 1), Start);
+  std::optional<NodeRecord> record;
+  for (const char *it = row.Steps; *it != '\0'; ++it) {
+    if (*it == 'd')
+      agent.acceptHeartbeat(makeHeartbeat("u", 1, 2, UpstreamState::Leaving),
+                            Start);
+    if (*it == 'l')
+      agent.upstreamLeaves("u", Start);
+    if (*it == 's')
+      record = agent.nextRecord(ledger, false, Start);
+    if (*it == 'a')
+      agent.recordAcknowledged(record->Sequence);
+    if (*it == 'r')
+      ledger.applyNode(*record, Start);
+  }
+  cr_assert_eq(agent.isLeaveRecorded("u", ledger), row.IsRecorded, "%s",
+               row.Name);
+  cr_assert(agent.isLeaveRecorded("another", ledger), "%s", row.Name);
+}
+
+namespace {
+
 struct FormerRecordRow {
   const char *Name;
   /// Generation of a former incarnation's record that is read after the node's
@@ -564,3 +742,119 @@
   cr_assert(freed->Cause == row.Cause, "%s: %s", row.Name,
             toString(freed->Cause).data());
 }
+
+// An answer may wait for a change of the log. It grants nothing if the process
+// has been replaced meanwhile.
+Test(HoldingAgent, GrantsNothingToAFormerProcess) {
+  FleetLedger ledger = makeLedger();
+  HoldingAgent agent = makeReady("node", ledger);
+  const UpstreamProcess former = agent.upstreamProcess();
+  agent.acceptHeartbeat(makeHeartbeat("u-node", 2, 1), Start);
+  applyAll(ledger, {{{0, 999}, "node", {"u-node", 2}, 101, ""}});
+  agent.ledgerChanged(ledger, Start);
+  cr_assert_not(agent.grantTo(former, ledger, Start).has_value());
+  const auto grant = agent.grantTo(agent.upstreamProcess(), ledger, Start);
+  cr_assert(grant.has_value());
+  cr_assert_eq(grant->Rows.size(), 1U);
+}
+
+namespace {
+
+/// A grant to the process of "node", and what replaces the process 100 ms
+/// later. The grant lasts 2550 ms, with the drift of the upstream's clock.
+struct ReplacedRow {
+  const char *Name;
+  /// Whether the node granted the keys itself; if not, a former incarnation of
+  /// the node may have done so until it started.
+  bool IsKnown;
+  const char *NewId;
+  std::int64_t NewBorn;
+  UpstreamState NewState;
+  /// Data centre that is taken out at the same time; may be empty.
+  const char *Out;
+  /// Whether the replacement is silent afterwards.
+  bool IsSilent;
+  /// Whether the keys may go to the new process at once.
+  bool IsOwnAtOnce;
+};
+
+using State = UpstreamState;
+const ReplacedRow ReplacedRows[] = {
+    {"by the same upstream, started again", true, "u-node", 2, State::Ready, "",
+     false, true},
+    {"by the same upstream, leaving", true, "u-node", 2, State::Leaving, "",
+     false, false},
+    {"by another upstream", true, "u-new", 2, State::Ready, "", false, false},
+    {"by another upstream, of the same start time", true, "u-new", 1,
+     State::Ready, "", false, false},
+    {"by another upstream, leaving", true, "u-new", 2, State::Leaving, "",
+     false, false},
+    {"by another upstream, silent", true, "u-new", 2, State::Ready, "", true,
+     false},
+    {"by another upstream, data centre out", true, "u-new", 2, State::Ready,
+     "dc", false, false},
+    {"node restarted, by the same upstream", false, "u-node", 2, State::Ready,
+     "", false, true},
+    {"node restarted, by another upstream", false, "u-new", 2, State::Ready, "",
+     false, false},
+    {"node restarted, by another upstream, leaving", false, "u-new", 2,
+     State::Leaving, "", false, false},
+};
+
+} // namespace
+
+// Whatever replaces a process, the keys that it was granted aren't given to
+// another upstream before its grant has run out.
+ACACIA_TABLE_TEST(HoldingAgent, WaitsForTheEndOfAGrant, ReplacedRows) {
+  FleetLedger ledger = makeLedger();
+  NodeRecord elsewhere = ledger.findMember("a")->Record;
+  elsewhere.DataCentre = "other";
+  const auto keepOthers = [&](TimePoint now) {
+    elsewhere.Sequence += 1;
+    ledger.applyNode(elsewhere, now);
+  };
+  HoldingAgent agent({"node", "dc", "service", {"127.0.0.1", 1}, 1},
+                     {HeartbeatInterval, seconds(10)}, Start);
+  if (row.IsKnown)
+    agent.acceptHeartbeat(makeHeartbeat("u-node", 1, 1), Start);
+  TimePoint now = Start;
+  const auto renew = [&] {
+    if (const auto record = agent.nextRecord(ledger, false, now)) {
+      agent.recordSent(record->Sequence, now);
+      ledger.applyNode(*record, now);
+    }
+    keepOthers(now);
+    agent.ledgerChanged(ledger, now);
+  };
+  renew();
+  if (row.IsKnown)
+    cr_assert_eq(agent.grant(ledger, now)->Rows.size(), 1U, "%s", row.Name);
+  const TimePoint heldUntil = Start + milliseconds(2550);
+  now += milliseconds(100);
+  if (*row.Out != '\0')
+    ledger.setDataCentresOut({row.Out});
+  std::uint64_t sequence = 0;
+  const auto beat = [&] {
+    agent.acceptHeartbeat(
+        makeHeartbeat(row.NewId, row.NewBorn, ++sequence, row.NewState), now);
+    renew();
+    agent.grant(ledger, now);
+  };
+  beat();
+  std::optional<TimePoint> given;
+  for (; now < Start + seconds(9) && !given; now += milliseconds(10)) {
+    if (!row.IsSilent && (now - Start) % milliseconds(500) == milliseconds(100))
+      beat();
+    renew();
+    const auto notice = agent.nextNotice(ledger, now);
+    const auto change = agent.nextChange(ledger, now);
+    if (notice && !notice->Notice.Keys.empty())
+      given = now;
+    if (change && !change->Freed.empty())
+      given = now;
+  }
+  cr_assert(given.has_value(), "%s: never given", row.Name);
+  const bool isAtOnce = *given < heldUntil;
+  cr_assert_eq(isAtOnce, row.IsOwnAtOnce, "%s: given after %lld ms", row.Name,
+               static_cast<long long>((*given - Start) / milliseconds(1)));
+}
