Feed: responses of the log carry its era

Cause: the store may be restored from an older copy. Offsets are given out again then, and a node went on reading at its offset as if nothing had happened.

Relayed records carry the era; a relay that is behind counts as outdated. A data centre that is out stays out for 10 s, until the operators' records have been written again.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -300,6 +300,7 @@
   }
   out.set_next(tail.Next);
   out.set_age(tail.Age.count());
+  out.set_era(tail.Era);
   return out.SerializeAsString();
 }
 
@@ -317,6 +318,7 @@
   out.Next = in.next();
   out.End = in.next();
   out.Age = core::Duration(in.age());
+  out.Era = in.era();
   return out;
 }
 
--- a/Source/Core/Identifiers.h
+++ b/Source/Core/Identifiers.h
@@ -25,6 +25,10 @@
 /// Position of a record in the platform's log.
 using Offset = std::uint64_t;
 
+/// Number of times that the log was restored from an older copy of itself.
+/// Offsets of one era don't hold in another.
+using LogEra = std::uint64_t;
+
 /// Counts the owners that a slice has had.
 using Epoch = std::uint64_t;
 
--- a/Source/Feed/FeedTypes.h
+++ b/Source/Feed/FeedTypes.h
@@ -32,6 +32,7 @@
   core::Offset End = 0;
   /// Errors of records that could not be decoded and are not in Records.
   std::vector<core::Error> Unreadable;
+  core::LogEra Era = 0;
 };
 
 /// Consecutive records in log order.
@@ -48,18 +49,26 @@
   std::vector<core::Error> Unreadable;
   /// Whether another node answered the read, which doesn't wait for records.
   bool IsRelayed = false;
+  core::LogEra Era = 0;
+};
+
+/// Where records were appended.
+struct Appended {
+  /// Offset of the first one.
+  core::Offset At = 0;
+  core::LogEra Era = 0;
 };
 
 using PageHandler = std::function<void(core::Result<NewestPage>)>;
 using TailHandler = std::function<void(core::Result<Tail>)>;
-/// Receives the offset of the first appended record.
-using AppendHandler = std::function<void(core::Result<core::Offset>)>;
+using AppendHandler = std::function<void(core::Result<Appended>)>;
 
 /// Operations of one keyed log of the platform. Reads fail with LogUnavailable,
-/// or with LogTrimmed if the records no longer exist. Appends fail with
-/// Conflict if the log does not end at the given offset, with LogUnavailable if
-/// nothing was appended, and with LogOutcomeUnknown if the records may have
-/// been.
+/// or with LogTrimmed if the records no longer exist.
+/// An answer of an earlier era than one before it counts as LogUnavailable.
+/// Appends fail with Conflict if the log does not end at the given offset, with
+/// LogUnavailable if nothing was appended, and with LogOutcomeUnknown if the
+/// records may have been.
 struct KeyedLog {
   /// Reads the newest records of the keys after \p after.
   std::function<void(std::string_view after, PageHandler)> ReadNewest;
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -46,10 +46,30 @@
   IsFollowing = false;
   Snapshot.clear();
   PendingRecords.clear();
+  IsSnapshotRequested = false;
   SnapshotRequestedAt = core::BootClock::now();
   readPage();
 }
 
+bool KeyedFeed::checkEra(core::LogEra era) {
+  if (!Era && era != 0)
+    Hooks.OnEraChanged(era);
+  if (!Era)
+    Era = era;
+  if (era > *Era) {
+    Era = era;
+    Hooks.OnEraChanged(era);
+    restart();
+    return false;
+  }
+  if (era < *Era) {
+    // A relay that hasn't heard of the era yet.
+    onFailure({core::ErrorKind::LogUnavailable, "data of an earlier era"});
+    return false;
+  }
+  return true;
+}
+
 void KeyedFeed::readPage() {
   IsReading = true;
   const std::string after = Snapshot.empty() ? "" : Snapshot.back().Key;
@@ -65,6 +85,8 @@
     onFailure(page.error());
     return;
   }
+  if (!checkEra(page->Era))
+    return;
   for (const core::Error &it : page->Unreadable)
     Hooks.OnDecodeError(it);
   // Pages are read at different times. Reading on from the end that the first
@@ -111,6 +133,12 @@
       onFailure(tail.error());
     return;
   }
+  if (!checkEra(tail->Era))
+    return;
+  if (IsSnapshotRequested) {
+    restart();
+    return;
+  }
   ConsecutiveFailures = 0;
   if (!std::exchange(IsReachable, true))
     Hooks.OnReachabilityChanged(true, {});
@@ -118,7 +146,7 @@
     Hooks.OnDecodeError(it);
   // `appended` may have advanced the position during the read.
   if (tail->Next < Position)
-    *tail = {{}, Position, Position, tail->Age, {}, tail->IsRelayed};
+    *tail = {{}, Position, Position, tail->Age, {}, tail->IsRelayed, tail->Era};
   Position = tail->Next;
   std::move(tail->Records.begin(), tail->Records.end(),
             std::back_inserter(PendingRecords));
@@ -153,9 +181,10 @@
   return std::max(core::Duration{}, std::min(Timing.Pause, left));
 }
 
-void KeyedFeed::appended(const std::vector<KeyedRecord> &records,
-                         core::Offset at, core::TimePoint requestedAt) {
-  if (!IsFollowing || at != Position || !PendingRecords.empty()) {
+void KeyedFeed::appended(const std::vector<KeyedRecord> &records, Appended at,
+                         core::TimePoint requestedAt) {
+  if (!IsFollowing || at.Era != Era || at.At != Position ||
+      !PendingRecords.empty()) {
     readNow();
     return;
   }
@@ -163,6 +192,19 @@
   Hooks.OnRecords(records, Position, requestedAt);
 }
 
+void KeyedFeed::eraHeard(core::LogEra era) {
+  if (Era && era > *Era)
+    readSnapshot();
+}
+
+void KeyedFeed::readSnapshot() {
+  IsSnapshotRequested = true;
+  if (IsReading)
+    return;
+  Timer.cancel();
+  restart();
+}
+
 void KeyedFeed::onFailure(const core::Error &error) {
   if (std::exchange(IsReachable, false) || ConsecutiveFailures == 0)
     Hooks.OnReachabilityChanged(false, error.Detail);
@@ -177,7 +219,7 @@
 }
 
 void KeyedFeed::continueReading() {
-  if (IsFollowing)
+  if (IsFollowing && !IsSnapshotRequested)
     readTail();
   else
     restart();
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -5,6 +5,7 @@
 #define ACACIAROAD_FEED_KEYEDFEED_H
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   std::function<void(bool, std::string_view detail)> OnReachabilityChanged;
   /// One record could not be decoded and was skipped.
   std::function<void(const core::Error &)> OnDecodeError;
+  /// The log has entered a later era, in which its newest records and the
+  /// offsets of others may be gone. A snapshot of that era follows.
+  std::function<void(core::LogEra)> OnEraChanged = [](core::LogEra) {};
 };
 
 struct PollTiming {
@@ -45,8 +49,8 @@
 
 /// Reads a snapshot of the newest record of each key and then the records that
 /// follow. Starts again from a snapshot if the log has trimmed the next
-/// records. Failed reads are retried with back-off. All members must be called
-/// on the event loop.
+/// records, or if it has entered another era. Failed reads are retried with
+/// back-off. All members must be called on the event loop.
 class KeyedFeed {
 public:
   KeyedFeed(boost::asio::io_context &loop, KeyedLog log, PollTiming timing,
@@ -59,14 +63,23 @@
   /// Reports that this node appended \p records at \p at, which was the end of
   /// the log at some time after \p requestedAt. Delivers them without a read if
   /// all earlier records were delivered.
-  void appended(const std::vector<KeyedRecord> &records, core::Offset at,
+  void appended(const std::vector<KeyedRecord> &records, Appended at,
                 core::TimePoint requestedAt);
 
+  /// Another node has seen \p era of the log. Asks the log if that is later
+  /// than the known one.
+  void eraHeard(core::LogEra era);
+
+  /// Starts again from a snapshot.
+  void readSnapshot();
+
   /// Reads now, or right after the read in flight.
   void readNow();
 
 private:
   void restart();
+  /// Returns whether \p era is the known one. Starts again if it is later.
+  bool checkEra(core::LogEra era);
   void readPage();
   void onPage(core::Result<NewestPage> page);
   void readTail();
@@ -88,11 +101,14 @@
   core::Offset SnapshotEnd = 0;
   core::TimePoint SnapshotRequestedAt{};
   core::Offset Position = 0;
+  /// The known era; none before the first response.
+  std::optional<core::LogEra> Era;
   /// The log is known to have ended at the position at some time after this.
   core::TimePoint ConfirmedAt{};
   bool IsFollowing = false;
   bool IsReading = false;
   bool IsImmediateReadRequested = false;
+  bool IsSnapshotRequested = false;
   bool IsReachable = false;
   int ConsecutiveFailures = 0;
 };
--- a/Source/Feed/RelayBuffer.cpp
+++ b/Source/Feed/RelayBuffer.cpp
@@ -24,6 +24,12 @@
   IsInitialized = true;
 }
 
+void RelayBuffer::enterEra(core::LogEra era) {
+  reset(0, {});
+  Era = era;
+  IsInitialized = false;
+}
+
 void RelayBuffer::insert(const KeyedRecord &record, core::Offset end) {
   if (const auto replaced = ByKey.find(record.Key); replaced != ByKey.end())
     erase(replaced->second);
@@ -64,6 +70,7 @@
     return std::nullopt;
   Tail out;
   out.Age = now - RequestedAt;
+  out.Era = Era;
   out.Next = std::max(from, End);
   out.End = out.Next;
   const auto first =
--- a/Source/Feed/RelayBuffer.h
+++ b/Source/Feed/RelayBuffer.h
@@ -29,6 +29,10 @@
   /// Clears the buffer after a snapshot was read of a log that ends at \p end.
   void reset(core::Offset end, core::TimePoint requestedAt);
 
+  /// The log has entered \p era. Empties the buffer until the next snapshot.
+  void enterEra(core::LogEra era);
+  core::LogEra era() const { return Era; }
+
   /// Adds the \p records from the buffer's end to \p end. There may be fewer
   /// than offsets: records that were replaced within the range or that could
   /// not be decoded; or more, if some were added before. Clears the buffer if
@@ -64,6 +68,7 @@
   core::Offset FirstOffset = 0;
   core::Offset End = 0;
   core::TimePoint RequestedAt{};
+  core::LogEra Era = 0;
   /// Whether the log has been read.
   bool IsInitialized = false;
 };
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -56,6 +56,10 @@
 /// that the leave isn't acknowledged. It waits one second for an answer.
 constexpr core::Duration LeaveRecordTimeout = milliseconds(800);
 
+/// Time in which operators' records that the log has lost in another era are
+/// written again.
+constexpr core::Duration OperatorRestoreTime = std::chrono::seconds(10);
+
 /// Interval at which the counts of calls to the platform are logged.
 constexpr core::Duration StoreCallInterval = std::chrono::seconds(5);
 
@@ -142,6 +146,19 @@
   appendPending(now);
 }
 
+void Control::enterEra(RelayedLog log, core::LogEra era) {
+  Relay->buffer(log).enterEra(era);
+  Log->write(logging::Level::Warning, "log_era",
+             {{"log", toString(log)}, {"era", era}});
+  if (log == RelayedLog::Fleet) {
+    Operators->eraHeard(era);
+    return;
+  }
+  Fleet->eraHeard(era);
+  if (!DataCentresOut.empty())
+    OperatorsRestoredAt = core::BootClock::now() + OperatorRestoreTime;
+}
+
 feed::FeedHooks Control::operatorHooks() {
   return {
       [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
@@ -159,7 +176,8 @@
       [this](bool isReachable, std::string_view detail) {
         logReachability("operators", isReachable, detail);
       },
-      [this](const core::Error &error) { logDecodeError("operators", error); }};
+      [this](const core::Error &error) { logDecodeError("operators", error); },
+      [this](core::LogEra era) { enterEra(RelayedLog::Operators, era); }};
 }
 
 feed::FeedHooks Control::fleetHooks() {
@@ -176,7 +194,8 @@
           [this](bool isReachable, std::string_view detail) {
             logReachability("fleet", isReachable, detail);
           },
-          [this](const core::Error &error) { logDecodeError("fleet", error); }};
+          [this](const core::Error &error) { logDecodeError("fleet", error); },
+          [this](core::LogEra era) { enterEra(RelayedLog::Fleet, era); }};
 }
 
 void Control::logReachability(std::string_view log, bool isReachable,
@@ -193,7 +212,8 @@
 
 void Control::applyOperators(const std::vector<feed::KeyedRecord> &records,
                              bool isSnapshot) {
-  if (isSnapshot)
+  // A data centre stays out while the record that took it out may be missing.
+  if (isSnapshot && core::BootClock::now() >= OperatorsRestoredAt)
     DataCentresOut.clear();
   for (const feed::KeyedRecord &it : records) {
     const OperatorKey key = Codec.ParseOperatorKey(it.Key);
@@ -633,6 +653,10 @@
   if (Renewals.appendDue(Ledger, now))
     countStoreCall(StoreCallCause::Renewal);
   reportStoreCalls(now);
+  if (OperatorsRestoredAt != core::TimePoint{} && now >= OperatorsRestoredAt) {
+    OperatorsRestoredAt = {};
+    Operators->readSnapshot();
+  }
   publish(now);
   Timer.expires_after(TickInterval);
   Timer.async_wait([this](error_code ec) {
@@ -676,18 +700,19 @@
   const feed::KeyedRecord records[] = {codec::toLogRecord(record)};
   Logs.Fleet.Append(records, std::nullopt,
                     [this, isStateChange, sequence = record.Sequence](
-                        const core::Result<core::Offset> &result) {
+                        const core::Result<feed::Appended> &result) {
                       onNodeRecordAppended(sequence, isStateChange, result);
                     });
 }
 
 void Control::onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
-                                   const core::Result<core::Offset> &result) {
+                                   const core::Result<feed::Appended> &result) {
   IsAppending = false;
   if (!result) {
     Log->write(logging::Level::Warning, "record_not_appended",
                {{"detail", result.error().Detail}});
   } else {
+    Fleet->eraHeard(result->Era);
     Agent.recordAcknowledged(sequence);
     answerDeferredHeartbeats(core::BootClock::now());
     answerDeferredLeaves(core::BootClock::now());
@@ -766,14 +791,14 @@
                        codec::encodeHoldings(it.Rows)});
   const auto sent = core::BootClock::now();
   Logs.Fleet.Append(records, change.At,
-                    [this, records, sent](core::Result<core::Offset> result) {
+                    [this, records, sent](core::Result<feed::Appended> result) {
                       onChangeAppended(records, sent, std::move(result));
                     });
 }
 
 void Control::onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                                core::TimePoint sent,
-                               core::Result<core::Offset> result) {
+                               core::Result<feed::Appended> result) {
   IsAppending = false;
   auto outcome = holdings::ChangeOutcome::Appended;
   if (!result)
@@ -787,10 +812,12 @@
                         : StoreCallCause::ChangeRefused);
   Agent.changeCompleted(outcome, core::BootClock::now());
   HasUnannouncedChange = HasUnannouncedChange || result.has_value();
-  if (result)
-    Fleet->appended(records, *result, sent);
-  else
+  if (!result) {
     Fleet->readNow();
+    return;
+  }
+  Fleet->eraHeard(result->Era);
+  Fleet->appended(records, *result, sent);
 }
 
 bool Control::isKeyed() const {
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -89,6 +89,8 @@
     std::string UpstreamId;
   };
 
+  /// \p log has entered \p era; its records are read again.
+  void enterEra(RelayedLog log, core::LogEra era);
   feed::FeedHooks operatorHooks();
   feed::FeedHooks fleetHooks();
   void applyOperators(const std::vector<feed::KeyedRecord> &records,
@@ -133,7 +135,7 @@
   void appendPending(core::TimePoint now);
   void appendNodeRecord(const holdings::NodeRecord &record);
   void onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
-                            const core::Result<core::Offset> &result);
+                            const core::Result<feed::Appended> &result);
   /// Renews the lease through a reader, or directly if none is known.
   void renewLease(const holdings::NodeRecord &record);
   /// Continues after the renewal \p sequence was appended or, if \p round is
@@ -145,7 +147,7 @@
   void appendHoldingChange(const holdings::HoldingChange &change);
   void onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                         core::TimePoint sent,
-                        core::Result<core::Offset> result);
+                        core::Result<feed::Appended> result);
   void publish(core::TimePoint now);
   proxy::OwnUpstream describeOwnUpstream(core::TimePoint now) const;
   bool isKeyed() const;
@@ -176,6 +178,8 @@
   std::unique_ptr<feed::KeyedFeed> Fleet;
   std::shared_ptr<const routing::RouteTable> Routes;
   std::set<std::string, std::less<>> DataCentresOut;
+  /// Until then, what the operators' log lacks may have to be written again.
+  core::TimePoint OperatorsRestoredAt{};
   holdings::FleetLedger Ledger;
   holdings::HoldingAgent Agent;
   bool IsFleetLoaded = false;
--- a/Source/Sidecar/LogRelay.cpp
+++ b/Source/Sidecar/LogRelay.cpp
@@ -83,6 +83,10 @@
 
 } // namespace
 
+std::string_view toString(RelayedLog log) {
+  return log == RelayedLog::Operators ? "operators" : "fleet";
+}
+
 core::Result<std::unique_ptr<LogRelay>>
 LogRelay::create(boost::asio::io_context &loop, const core::Endpoint &listen,
                  RelayHooks hooks) {
@@ -129,6 +133,9 @@
   }
   readFrom(choice, read->Name, read->From,
            [this, read, host = choice.Host](core::Result<feed::Tail> tail) {
+             if (tail && tail->Era < buffer(read->Name).era())
+               tail = core::fail(ErrorKind::NodeIsolated,
+                                 "the relay's records are of an earlier era");
              if (tail)
                read->Handler(std::move(tail));
              else
--- a/Source/Sidecar/LogRelay.h
+++ b/Source/Sidecar/LogRelay.h
@@ -24,6 +24,9 @@
 /// Identifies a relayed log; the number is part of the request path.
 enum class RelayedLog : std::uint8_t { Operators, Fleet };
 
+/// Returns the name of \p log for log lines.
+std::string_view toString(RelayedLog log);
+
 /// Where a node reads records from.
 struct RelayChoice {
   /// The node to read from; empty to read the log itself.
@@ -53,7 +56,7 @@
 
 /// Serves buffered records to other nodes and reads records from them. Falls
 /// back to another relay, and then to the log, if the relay fails or its data
-/// is too old.
+/// is too old or of an earlier era.
 class LogRelay {
 public:
   /// Fails with InvalidArgument if the address cannot be bound.
--- a/Source/Sidecar/RenewalCollector.cpp
+++ b/Source/Sidecar/RenewalCollector.cpp
@@ -43,7 +43,7 @@
   for (const auto &it : *renewals)
     records.push_back(codec::toLogRecord(it.Record));
   Fleet.Append(records, std::nullopt,
-               [this, renewals](const core::Result<core::Offset> &result) {
+               [this, renewals](const core::Result<feed::Appended> &result) {
                  if (!result)
                    Log->write(logging::Level::Warning, "renewals_not_appended",
                               {{"records", renewals->size()},
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -28,7 +28,11 @@
   TailWithDecodeError,
   PartialTail,
   Trimmed,
-  Unavailable
+  Unavailable,
+  /// The log enters the next era before the step that follows.
+  NextEra,
+  /// A tail of the era before.
+  TailOfEarlierEra
 };
 
 std::vector<core::Error> makeDecodeErrors(bool isOne) {
@@ -39,7 +43,7 @@
   const char *Name;
   std::vector<ReadStep> Steps;
   /// Expected hook calls: s: snapshot, r: records, +: reachable, -:
-  /// unreachable, u: a record can't be decoded.
+  /// unreachable, u: a record can't be decoded, e: another era.
   const char *Calls;
 };
 
@@ -66,6 +70,29 @@
      {ReadStep::Page, ReadStep::Unavailable, ReadStep::LastPage,
       ReadStep::Tail},
      "-s+r"},
+    {"another era restarts from a snapshot before its records",
+     {ReadStep::LastPage, ReadStep::Tail, ReadStep::NextEra, ReadStep::Tail,
+      ReadStep::LastPage, ReadStep::Tail},
+     "s+resr"},
+    {"two eras between two reads",
+     {ReadStep::LastPage, ReadStep::Tail, ReadStep::NextEra, ReadStep::NextEra,
+      ReadStep::Tail, ReadStep::LastPage, ReadStep::Tail},
+     "s+resr"},
+    {"another era between pages drops the first ones",
+     {ReadStep::Page, ReadStep::NextEra, ReadStep::LastPage, ReadStep::LastPage,
+      ReadStep::Tail},
+     "es+r"},
+    {"another era while a partial tail is held back",
+     {ReadStep::LastPage, ReadStep::PartialTail, ReadStep::NextEra,
+      ReadStep::Tail, ReadStep::LastPage, ReadStep::Tail},
+     "s+esr"},
+    {"a later era from the start",
+     {ReadStep::NextEra, ReadStep::LastPage, ReadStep::Tail},
+     "es+r"},
+    {"data of an earlier era is dropped",
+     {ReadStep::NextEra, ReadStep::LastPage, ReadStep::Tail,
+      ReadStep::TailOfEarlierEra, ReadStep::Tail},
+     "es+r-+r"},
 };
 
 /// Answers reads with scripted results and stops the loop after the last one.
@@ -87,7 +114,8 @@
                 {{"a", "1"}},
                 *step == ReadStep::Page,
                 5,
-                makeDecodeErrors(*step == ReadStep::LastPageWithDecodeError)});
+                makeDecodeErrors(*step == ReadStep::LastPageWithDecodeError),
+                Era});
         },
         [this](core::Offset from, core::Duration, const TailHandler &handler) {
           const auto step = next();
@@ -103,13 +131,19 @@
                 from + 1,
                 from + (*step == ReadStep::PartialTail ? 2U : 1U),
                 {},
-                makeDecodeErrors(*step == ReadStep::TailWithDecodeError)});
+                makeDecodeErrors(*step == ReadStep::TailWithDecodeError),
+                false,
+                *step == ReadStep::TailOfEarlierEra ? Era - 1 : Era});
         },
         {}};
   }
 
 private:
   std::optional<ReadStep> next() {
+    while (Position < Steps.size() && Steps[Position] == ReadStep::NextEra) {
+      ++Era;
+      ++Position;
+    }
     if (Position == Steps.size()) {
       Loop.stop();
       return std::nullopt;
@@ -120,6 +154,7 @@
   boost::asio::io_context &Loop;
   std::vector<ReadStep> Steps;
   std::size_t Position = 0;
+  core::LogEra Era = 0;
 };
 
 struct BufferRow {
@@ -193,7 +228,8 @@
                   [&](bool isReachable, std::string_view) {
                     calls += isReachable ? '+' : '-';
                   },
-                  [&](const core::Error &) { calls += 'u'; }});
+                  [&](const core::Error &) { calls += 'u'; },
+                  [&](core::LogEra) { calls += 'e'; }});
   feed.start();
   loop.run();
   cr_assert_eq(calls, row.Calls, "%s: %s", row.Name, calls.c_str());
@@ -502,6 +538,21 @@
   cr_assert_eq(tail->Records.size(), 1U);
 }
 
+// Offsets are given out again, so no record of the era before may be read.
+Test(RelayBuffer, IsEmptyInAnotherEra) {
+  RelayBuffer buffer(2000);
+  buffer.reset(0, TimePoint());
+  buffer.add(makeRecords(2), 2, TimePoint());
+  buffer.enterEra(1);
+  cr_assert_not(buffer.read(0, TimePoint()).has_value());
+  cr_assert_not(buffer.read(2, TimePoint()).has_value());
+  buffer.reset(1, TimePoint());
+  const auto tail = buffer.read(1, TimePoint());
+  cr_assert(tail.has_value());
+  cr_assert_eq(tail->Era, 1U);
+  cr_assert(tail->Records.empty());
+}
+
 Test(RelayBuffer, ResetsBeforeItsEnd) {
   RelayBuffer buffer(2000);
   buffer.reset(5, TimePoint());
--- a/Tests/Sidecar/LogRelayTest.cpp
+++ b/Tests/Sidecar/LogRelayTest.cpp
@@ -53,6 +53,8 @@
   std::vector<std::string> Hosts;
   /// Why the log is read directly; nullopt if it isn't.
   std::optional<StoreCallCause> Cause;
+  /// Era that the reader knows of; the relay is in era 0.
+  core::LogEra Era = 0;
 };
 
 const ReadRow ReadRows[] = {
@@ -96,6 +98,12 @@
      milliseconds(300),
      {"127.0.0.3", "127.0.0.4", "127.0.0.2"},
      StoreCallCause::RelaySilent},
+    {"relay of an earlier era",
+     100,
+     milliseconds(300),
+     {"127.0.0.2", "127.0.0.2"},
+     StoreCallCause::RelayOutdated,
+     1},
 };
 
 struct RenewalRow {
@@ -133,6 +141,7 @@
     buffer.add({&record, 1}, 1, requestedAt);
   }
   feed::KeyedLog log;
+  (*reader)->buffer(RelayedLog::Operators).enterEra(row.Era);
   bool isDirect = false;
   log.ReadFrom = [&](core::Offset, core::Duration,
                      const feed::TailHandler &handler) {
--- a/Tests/Sidecar/RenewalCollectorTest.cpp
+++ b/Tests/Sidecar/RenewalCollectorTest.cpp
@@ -56,7 +56,7 @@
     cr_assert_not(at.has_value());
     appends.push_back(records.size());
     if (row.IsAppended)
-      handler(core::Offset{5});
+      handler(feed::Appended{5});
     else
       handler(core::fail(core::ErrorKind::LogUnavailable));
   };
