Holdings: holders claim their keys when the log enters another era

Cause: a restored log names former holders, and offsets, from which tokens are drawn, are given out again. Nodes that read it granted keys that others held.

Change: on entering an era, a node whose lease runs claims the keys that it may still grant (EraInventory). Its lease is extended only by a record that the log has together with the claim. No keys are assigned before the claims are whole or the longest lease has passed. Keys of holdings and claims name the era, and tokens have the era above the offset; in era 0 all are as before. Requests are routed by the former rows meanwhile. A lapsed or stopped member, a leaving upstream and the generation of records don't go back.

Found by the model: during the inventory, nodes whose claims weren't read yet looked like new ones and were given keys; no move is planned before it is whole.

FleetRecords DecodesHoldings passes the next token in place of the log's end; the bound is the same.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr std::string_view NodePrefix = "node/";
-constexpr std::string_view HoldingsPrefix = "keys/";
+/// Followed by "/" in era 0, and by ".ERA/" in later ones.
+constexpr std::string_view HoldingsPrefix = "keys";
+constexpr std::string_view ClaimPrefix = "claim";
 
 tl::unexpected<core::Error> corrupt(std::string detail) {
   return core::fail(core::ErrorKind::CorruptMessage, std::move(detail));
@@ -89,6 +91,47 @@
           row.handover()};
 }
 
+std::string eraPrefix(std::string_view prefix, core::LogEra era) {
+  return era == 0 ? fmt::format("{}/", prefix)
+                  : fmt::format("{}.{}/", prefix, era);
+}
+
+/// Removes what `eraPrefix` returns from \p key. Returns the era, or nullopt if
+/// \p key begins otherwise.
+std::optional<core::LogEra> removeEraPrefix(std::string_view prefix,
+                                            std::string_view &key) {
+  const std::size_t slash = key.find('/');
+  if (!key.starts_with(prefix) || slash == std::string_view::npos)
+    return std::nullopt;
+  std::string_view text = key.substr(prefix.size(), slash - prefix.size());
+  std::optional<core::LogEra> era = 0;
+  if (!text.empty() && text.front() == '.')
+    era = core::parseNumber<core::LogEra>(text.substr(1));
+  else if (!text.empty())
+    return std::nullopt;
+  key.remove_prefix(slash + 1);
+  return era;
+}
+
+core::Result<std::vector<holdings::Holding>>
+readRows(std::string_view what,
+         const google::protobuf::RepeatedPtrField<pb::FleetHolding> &rows,
+         const holdings::KeyRange &range, holdings::FencingToken nextToken) {
+  std::vector<holdings::Holding> out;
+  holdings::Key from = range.From;
+  for (const pb::FleetHolding &it : rows) {
+    if (!isRange(it) || it.from() < from || it.to() > range.To)
+      return corrupt(fmt::format("{} has rows out of order", what));
+    if (auto done = checkRow(what, it); !done)
+      return tl::unexpected(done.error());
+    if (it.token() >= nextToken || !isBirth(it.upstream_born()))
+      return corrupt(fmt::format("{} has a number out of range", what));
+    out.push_back(readRow(it));
+    from = it.to() + 1;
+  }
+  return out;
+}
+
 } // namespace
 
 void silenceLibrary() { google::protobuf::SetLogHandler(nullptr); }
@@ -97,24 +140,31 @@
   return std::string(NodePrefix).append(node);
 }
 
-std::string holdingsKey(std::string_view service, holdings::Key part) {
-  return fmt::format("{}{}/{}", HoldingsPrefix, service, part);
+std::string holdingsKey(core::LogEra era, std::string_view service,
+                        holdings::Key part) {
+  return fmt::format("{}{}/{}", eraPrefix(HoldingsPrefix, era), service, part);
+}
+
+std::string claimKey(core::LogEra era, std::string_view node) {
+  return eraPrefix(ClaimPrefix, era).append(node);
 }
 
 FleetKey parseFleetKey(std::string_view key) {
   if (key.starts_with(NodePrefix))
-    return {FleetKey::Kind::Node, std::string(key.substr(NodePrefix.size())),
-            0};
-  if (!key.starts_with(HoldingsPrefix))
+    return {FleetKey::Kind::Node, std::string(key.substr(NodePrefix.size()))};
+  if (const auto era = removeEraPrefix(ClaimPrefix, key))
+    return {FleetKey::Kind::Claim, std::string(key), 0, *era};
+  const auto era = removeEraPrefix(HoldingsPrefix, key);
+  if (!era)
     return {};
-  key.remove_prefix(HoldingsPrefix.size());
   const std::size_t slash = key.rfind('/');
   if (slash == std::string_view::npos)
     return {};
   const auto part = core::parseNumber<holdings::Key>(key.substr(slash + 1));
   if (!part || *part >= holdings::PartCount)
     return {};
-  return {FleetKey::Kind::Holdings, std::string(key.substr(0, slash)), *part};
+  return {FleetKey::Kind::Holdings, std::string(key.substr(0, slash)), *part,
+          *era};
 }
 
 std::string encodeNode(const holdings::NodeRecord &record) {
@@ -183,26 +233,39 @@
   return out.SerializeAsString();
 }
 
-core::Result<holdings::HoldingPart> decodeHoldings(std::string_view value,
-                                                   holdings::Key part,
-                                                   core::Offset logEnd) {
+core::Result<holdings::HoldingPart>
+decodeHoldings(std::string_view value, holdings::Key part,
+               holdings::FencingToken nextToken) {
   pb::FleetHoldings in;
   if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
     return corrupt("a record of holdings can't be parsed");
-  holdings::HoldingPart out{part, {}};
-  holdings::Key from = part * holdings::KeysPerPart;
-  const holdings::Key end = from + holdings::KeysPerPart;
-  for (const pb::FleetHolding &it : in.rows()) {
-    if (!isRange(it) || it.from() < from || it.to() >= end)
-      return corrupt("a record of holdings has rows out of order");
-    if (auto done = checkRow("a record of holdings", it); !done)
-      return tl::unexpected(done.error());
-    if (it.token() > logEnd || !isBirth(it.upstream_born()))
-      return corrupt("a record of holdings has a number out of range");
-    out.Rows.push_back(readRow(it));
-    from = it.to() + 1;
-  }
-  return out;
+  const holdings::Key from = part * holdings::KeysPerPart;
+  auto rows = readRows("a record of holdings", in.rows(),
+                       {from, from + holdings::KeysPerPart - 1}, nextToken);
+  if (!rows)
+    return tl::unexpected(rows.error());
+  return holdings::HoldingPart{part, std::move(*rows)};
+}
+
+std::string encodeClaim(const holdings::HoldingClaim &claim) {
+  pb::FleetClaim out;
+  out.set_service(claim.Service);
+  for (const holdings::Holding &it : claim.Rows)
+    writeRow(it, *out.add_rows());
+  return out.SerializeAsString();
+}
+
+core::Result<holdings::HoldingClaim>
+decodeClaim(std::string_view value, std::string_view node,
+            holdings::FencingToken nextToken) {
+  pb::FleetClaim in;
+  if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
+    return corrupt("a claim can't be parsed");
+  auto rows = readRows("a claim", in.rows(), {}, nextToken);
+  if (!rows)
+    return tl::unexpected(rows.error());
+  return holdings::HoldingClaim{std::string(node), in.service(),
+                                std::move(*rows)};
 }
 
 std::string encodeDatagram(const FleetDatagram &datagram) {
@@ -213,6 +276,7 @@
     to.set_fleet_end(hint->FleetEnd);
     to.set_utilization(hint->Load.Utilization);
     to.set_cost(hint->Load.Cost);
+    to.set_era(hint->Era);
   }
   if (const auto *notice = std::get_if<holdings::ReleaseNotice>(&datagram)) {
     pb::FleetRelease &to = *out.mutable_release();
@@ -239,7 +303,7 @@
       return tl::unexpected(done.error());
     if (!isLoad(load))
       return corrupt("a hint has a load out of range");
-    return FleetHint{hint.node(), hint.fleet_end(), load};
+    return FleetHint{hint.node(), hint.fleet_end(), load, hint.era()};
   }
   if (!in.has_release())
     return corrupt("a datagram is empty");
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -26,16 +26,21 @@
 
 /// What a record of the fleet's log is about.
 struct FleetKey {
-  enum class Kind { Unknown, Node, Holdings };
+  enum class Kind { Unknown, Node, Holdings, Claim };
   Kind What = Kind::Unknown;
   /// Name of the node or of the service.
   std::string Name;
   /// Number of the part of the service's keys.
   holdings::Key Part = 0;
+  /// Era of the log that holdings or a claim were written for. One of an
+  /// earlier era may be appended late, and must not replace the present one.
+  core::LogEra Era = 0;
 };
 
 std::string nodeKey(std::string_view node);
-std::string holdingsKey(std::string_view service, holdings::Key part);
+std::string holdingsKey(core::LogEra era, std::string_view service,
+                        holdings::Key part);
+std::string claimKey(core::LogEra era, std::string_view node);
 FleetKey parseFleetKey(std::string_view key);
 
 std::string encodeNode(const holdings::NodeRecord &record);
@@ -49,10 +54,17 @@
 
 std::string encodeHoldings(std::span<const holdings::Holding> rows);
 /// Fails with CorruptMessage, also for rows that overlap, are out of order, lie
-/// outside \p part, or have a token that \p logEnd, the end of the log when the
-/// record was read, has not reached: upstreams refuse each later, lower one.
+/// outside \p part, or have a token that is not below \p nextToken, that of a
+/// record at the end of the log: upstreams refuse each later, lower one.
 core::Result<holdings::HoldingPart>
-decodeHoldings(std::string_view value, holdings::Key part, core::Offset logEnd);
+decodeHoldings(std::string_view value, holdings::Key part,
+               holdings::FencingToken nextToken);
+
+std::string encodeClaim(const holdings::HoldingClaim &claim);
+/// Fails with CorruptMessage, as `decodeHoldings` does.
+core::Result<holdings::HoldingClaim>
+decodeClaim(std::string_view value, std::string_view node,
+            holdings::FencingToken nextToken);
 
 /// What nodes tell each other often; a lost one is replaced by the next.
 struct FleetHint {
@@ -60,6 +72,7 @@
   /// End of the fleet's log as far as the sender knows.
   core::Offset FleetEnd = 0;
   holdings::NodeLoad Load;
+  core::LogEra Era = 0;
 };
 
 /// What one datagram between nodes carries.
--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -52,16 +52,19 @@
 }
 
 bool KeyedFeed::checkEra(core::LogEra era) {
-  if (!Era && era != 0)
-    Hooks.OnEraChanged(era);
-  if (!Era)
-    Era = era;
-  if (era > *Era) {
+  const bool isFirst = !Era;
+  if (era > Era.value_or(0)) {
     Era = era;
+    // Keeps the hook from starting a second read.
+    IsReading = true;
     Hooks.OnEraChanged(era);
+    IsReading = false;
+    if (isFirst)
+      return true;
     restart();
     return false;
   }
+  Era = Era.value_or(0);
   if (era < *Era) {
     // A relay that hasn't heard of the era yet.
     onFailure({core::ErrorKind::LogUnavailable, "data of an earlier era"});
--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -53,12 +53,22 @@
 }
 
 void FleetLedger::applyHoldings(std::string_view service, HoldingPart part) {
-  ServiceHoldings &all = Holdings[std::string(service)];
-  all.Parts[part.Number] = std::move(part.Rows);
-  all.Rows.clear();
-  for (const auto &[number, it] : all.Parts)
-    all.Rows.insert(all.Rows.end(), it.begin(), it.end());
-  normalize(all.Rows);
+  Holdings[std::string(service)].Inventory.applyPart(std::move(part));
+}
+
+void FleetLedger::applyClaim(HoldingClaim claim) {
+  Holdings[claim.Service].Inventory.applyClaim(claim.Node,
+                                               std::move(claim.Rows));
+}
+
+void FleetLedger::enterEra(core::LogEra era, core::TimePoint now) {
+  Era = era;
+  EraSeenAt = now;
+  End = 0;
+  for (auto &[service, it] : Holdings) {
+    it.Former = routingRowsOf(service);
+    it.Inventory = {};
+  }
 }
 
 const Member *FleetLedger::findMember(std::string_view name) const {
@@ -71,7 +81,35 @@
   const auto it = Holdings.find(service);
   if (it == Holdings.end())
     return {};
-  return it->second.Rows;
+  return it->second.Inventory.rows();
+}
+
+std::vector<Holding>
+FleetLedger::routingRowsOf(std::string_view service) const {
+  const auto it = Holdings.find(service);
+  if (it == Holdings.end())
+    return {};
+  const auto rows = it->second.Inventory.rows();
+  std::vector<Holding> out(rows.begin(), rows.end());
+  if (!it->second.Former.empty()) {
+    addUncovered(out, it->second.Former);
+    normalize(out);
+  }
+  return out;
+}
+
+bool FleetLedger::hasClaimOf(std::string_view node,
+                             std::string_view service) const {
+  const auto it = Holdings.find(service);
+  return it != Holdings.end() && it->second.Inventory.hasClaimOf(node);
+}
+
+AssignableKeys FleetLedger::assignableKeys(std::string_view service,
+                                           core::TimePoint now) const {
+  const auto it = Holdings.find(service);
+  static const EraInventory Empty;
+  return holdings::assignableKeys(
+      Era, EraSeenAt, it == Holdings.end() ? Empty : it->second.Inventory, now);
 }
 
 bool FleetLedger::isEligible(const Member &member, core::TimePoint now) const {
--- a/Source/Holdings/FleetLedger.h
+++ b/Source/Holdings/FleetLedger.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "Core/Clock.h"
+#include "Holdings/EraInventory.h"
 #include "Holdings/HoldingTypes.h"
 
 namespace acaciaroad::holdings {
@@ -42,7 +43,8 @@
 
 /// Current state of the fleet, folded from the records of its log. Holdings are
 /// appended only if the log still ends where their writer had read it, so every
-/// record in the log is valid.
+/// record in the log is valid. If the log enters another era, assignments of
+/// earlier ones only route requests until holders have claimed their keys.
 class FleetLedger {
 public:
   /// Ignores a record that is older than the known one of the same incarnation,
@@ -55,8 +57,13 @@
   void applyNode(const NodeRecord &record, core::TimePoint readAt);
   void removeNode(std::string_view name);
   void applyHoldings(std::string_view service, HoldingPart part);
+  void applyClaim(HoldingClaim claim);
   void setEnd(core::Offset end) { End = end; }
 
+  /// Begins \p era of the log, which was first seen at \p now. Its records are
+  /// applied from now on, those of other eras are not.
+  void enterEra(core::LogEra era, core::TimePoint now);
+
   /// Sets the data centres that operators have taken out of service.
   void setDataCentresOut(std::set<std::string, std::less<>> names) {
     DataCentresOut = std::move(names);
@@ -67,12 +74,23 @@
 
   /// Offset of the next record in the log.
   core::Offset end() const { return End; }
+  core::LogEra era() const { return Era; }
+  /// Returns the token of an assignment that is appended at the end.
+  FencingToken nextToken() const { return makeToken(Era, End); }
   const Member *findMember(std::string_view name) const;
   const std::map<std::string, Member, std::less<>> &members() const {
     return Members;
   }
   /// Returns the assignments sorted by key; empty before the first one.
   std::span<const Holding> holdingsOf(std::string_view service) const;
+  /// Returns the assignments with those of earlier eras for keys that have none
+  /// in this one.
+  std::vector<Holding> routingRowsOf(std::string_view service) const;
+
+  bool hasClaimOf(std::string_view node, std::string_view service) const;
+  /// Returns which keys of \p service may be assigned to other holders.
+  AssignableKeys assignableKeys(std::string_view service,
+                                core::TimePoint now) const;
 
   /// Returns whether \p member may receive keys or other new work: its upstream
   /// is ready, its lease is current and its data centre is in service.
@@ -84,15 +102,17 @@
 
 private:
   struct ServiceHoldings {
-    std::map<Key, std::vector<Holding>> Parts;
-    /// Assignments of all parts, sorted and merged.
-    std::vector<Holding> Rows;
+    EraInventory Inventory;
+    /// Assignments of earlier eras.
+    std::vector<Holding> Former;
   };
 
   std::map<std::string, Member, std::less<>> Members;
   std::map<std::string, ServiceHoldings, std::less<>> Holdings;
   std::set<std::string, std::less<>> DataCentresOut;
   core::Offset End = 0;
+  core::LogEra Era = 0;
+  core::TimePoint EraSeenAt{};
 };
 
 } // namespace acaciaroad::holdings
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -213,9 +213,36 @@
   for (const Holding &it : ledger.holdingsOf(Identity.Service))
     if (owns(it))
       out.push_back(it);
+  if (!hasPendingClaim(ledger))
+    return out;
+  std::vector<KeyRange> assigned;
+  for (const Holding &it : ledger.holdingsOf(Identity.Service))
+    assigned.push_back(it.Keys);
+  for (Holding &it : without(ClaimedRows, assigned))
+    if (owns(it))
+      out.push_back(std::move(it));
   return out;
 }
 
+void HoldingAgent::enterEra(const FleetLedger &ledger, core::TimePoint now) {
+  ClaimedRows = claimableRows(ownHoldings(ledger), Release.withheld(),
+                              Lease.authorityUntil(), now);
+  Lease.enterEra(now);
+  Pending.reset();
+}
+
+bool HoldingAgent::hasPendingClaim(const FleetLedger &ledger) const {
+  return !ClaimedRows.empty() &&
+         !ledger.hasClaimOf(Identity.Name, Identity.Service);
+}
+
+std::optional<HoldingClaim>
+HoldingAgent::pendingClaim(const FleetLedger &ledger) const {
+  if (!hasPendingClaim(ledger))
+    return std::nullopt;
+  return HoldingClaim{Identity.Name, Identity.Service, ClaimedRows};
+}
+
 bool HoldingAgent::isHeldByFormerProcess(const Holding &row) const {
   return row.Node == Identity.Name && HasHeartbeat &&
          !(row.Process == Process) &&
@@ -309,6 +336,9 @@
       Release.plan(row, {});
     return;
   }
+  // Nodes whose claims aren't read yet seem to have no keys.
+  if (ledger.assignableKeys(Identity.Service, now) != AssignableKeys::All)
+    return;
   planForNewNodes(ledger, now);
   planForLoad(ledger, now);
 }
@@ -438,6 +468,11 @@
   if (isPending || Draining || now >= Lease.authorityUntil() ||
       now < NextProposal)
     return std::nullopt;
+  const AssignableKeys keys = ledger.assignableKeys(Identity.Service, now);
+  if (keys == AssignableKeys::None)
+    return std::nullopt;
+  if (keys == AssignableKeys::Orphans)
+    return planOrphans(ledger, now);
   if (auto out = planProcessRestart(ledger, now))
     return out;
   if (auto out = planReleased(ledger, now))
@@ -490,7 +525,7 @@
       continue;
     freed.push_back({it, Identity.Name, FreeCause::FormerProcess});
     it.Process = Process;
-    it.Token = ledger.end() + 1;
+    it.Token = ledger.nextToken();
     it.Handover.clear();
   }
   if (freed.empty())
@@ -570,7 +605,7 @@
       free.push_back(std::move(it));
   if (free.empty())
     return std::nullopt;
-  const FencingToken token = ledger.end() + 1;
+  const FencingToken token = ledger.nextToken();
   std::vector<KeyRange> gone;
   Rows given;
   Rows open;
@@ -615,7 +650,7 @@
   }
   Rows out = without(rows, gone);
   const auto candidates = ledger.eligible(Identity.Service, now);
-  for (Holding &it : distributeKeys(open, out, candidates, ledger.end() + 1))
+  for (Holding &it : distributeKeys(open, out, candidates, ledger.nextToken()))
     out.push_back(std::move(it));
   return propose(ledger, std::move(out),
                  rows.empty() ? "initial assignment" : "holder lost",
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -118,6 +118,14 @@
   /// recently reported; 0 if none is known.
   double typicalCost(core::TimePoint now) const;
 
+  /// Called when the log enters another era, before \p ledger does. Claims the
+  /// keys that may still be granted.
+  void enterEra(const FleetLedger &ledger, core::TimePoint now);
+
+  /// Returns the claim to append with each of the node's records, until it is
+  /// in the log: only then may a record extend the lease.
+  std::optional<HoldingClaim> pendingClaim(const FleetLedger &ledger) const;
+
   /// Called when the node starts to shut down; it then proposes no more
   /// changes.
   void beginDrain() { Draining = true; }
@@ -207,6 +215,7 @@
   using Rows = std::vector<Holding>;
 
   core::Duration grantLength() const;
+  bool hasPendingClaim(const FleetLedger &ledger) const;
   bool owns(const Holding &row) const;
   std::vector<Holding> ownHoldings(const FleetLedger &ledger) const;
   bool isHeldByFormerProcess(const Holding &row) const;
@@ -282,6 +291,8 @@
   core::TimePoint LeftReadAt{};
   core::TimePoint LastHeartbeatAt{};
   std::vector<Holding> GrantedRows;
+  /// Keys claimed in the present era of the log.
+  std::vector<Holding> ClaimedRows;
   /// The upstream may hold keys until its last grant ends, at this time.
   core::TimePoint HeldUntil{};
   /// Former processes of the upstream may hold keys until then.
--- a/Source/Holdings/HoldingTypes.h
+++ b/Source/Holdings/HoldingTypes.h
@@ -24,6 +24,14 @@
 /// Increases each time a key is assigned to another holder.
 using FencingToken = std::uint64_t;
 
+/// Returns the token of an assignment that is appended at \p at. Tokens of a
+/// later era are higher than all tokens of earlier ones, and stay below 2^53,
+/// which JSON numbers can hold, for 8191 eras of 2^40 records.
+constexpr FencingToken makeToken(core::LogEra era, core::Offset at) {
+  constexpr unsigned OffsetBits = 40;
+  return (era << OffsetBits) + at + 1;
+}
+
 /// Range of keys, including both ends.
 struct KeyRange {
   Key From = 0;
@@ -85,6 +93,14 @@
   bool operator==(const HoldingPart &) const = default;
 };
 
+/// Keys that a node may grant when the log enters another era.
+struct HoldingClaim {
+  std::string Node;
+  std::string Service;
+  std::vector<Holding> Rows;
+  bool operator==(const HoldingClaim &) const = default;
+};
+
 enum class UpstreamState : std::uint8_t {
   /// The node knows of no running upstream.
   Absent,
--- a/Source/Holdings/LeaseRenewal.cpp
+++ b/Source/Holdings/LeaseRenewal.cpp
@@ -40,7 +40,7 @@
                                              bool isKeyless,
                                              core::TimePoint now) {
   if (Generation == 0)
-    Generation = ledger.end() + 1;
+    Generation = ledger.nextToken();
   NodeRecord record = present;
   record.Generation = Generation;
   const core::Duration age = now - LastRecordAt;
@@ -66,6 +66,12 @@
     Round = round + RenewalRound * ((latest - round) / RenewalRound);
 }
 
+void LeaseRenewal::enterEra(core::TimePoint now) {
+  Sent.clear();
+  IsAcknowledged = false;
+  Round = now;
+}
+
 void LeaseRenewal::sent(std::uint64_t sequence, core::TimePoint at) {
   Sent.push_back({sequence, at});
 }
--- a/Source/Holdings/LeaseRenewal.h
+++ b/Source/Holdings/LeaseRenewal.h
@@ -44,6 +44,10 @@
   /// Makes the next record due at \p now.
   void renewAt(core::TimePoint now) { Round = now; }
 
+  /// The log has entered another era. Only records that are sent from now on
+  /// extend the lease, and the next one is due at \p now.
+  void enterEra(core::TimePoint now);
+
   /// Called when the record is sent to the log.
   void sent(std::uint64_t sequence, core::TimePoint at);
 
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -152,6 +152,13 @@
              {{"log", toString(log)}, {"era", era}});
   if (log == RelayedLog::Fleet) {
     Operators->eraHeard(era);
+    const auto now = core::BootClock::now();
+    Agent.enterEra(Ledger, now);
+    Ledger.enterEra(era, now);
+    IsEraSnapshot = IsFleetLoaded;
+    if (const auto claim = Agent.pendingClaim(Ledger))
+      logClaim(*claim);
+    appendPending(now);
     return;
   }
   Fleet->eraHeard(era);
@@ -273,7 +280,7 @@
 void Control::applyFleet(const std::vector<feed::KeyedRecord> &records,
                          core::Offset end, bool isSnapshot) {
   const auto now = core::BootClock::now();
-  if (isSnapshot) {
+  if (isSnapshot && !std::exchange(IsEraSnapshot, false)) {
     std::set<std::string, std::less<>> presentKeys;
     for (const feed::KeyedRecord &it : records)
       presentKeys.insert(it.Key);
@@ -317,13 +324,26 @@
       Ledger.applyNode(*node, now);
     return;
   case codec::FleetKey::Kind::Holdings:
+    if (key.Era != Ledger.era())
+      return;
     if (!record.Value)
       Ledger.applyHoldings(key.Name, {key.Part, {}});
-    else if (auto part = codec::decodeHoldings(*record.Value, key.Part, end))
+    else if (auto part =
+                 codec::decodeHoldings(*record.Value, key.Part,
+                                       holdings::makeToken(Ledger.era(), end)))
       Ledger.applyHoldings(key.Name, std::move(*part));
     else
       logRecordError(part.error());
     return;
+  case codec::FleetKey::Kind::Claim:
+    if (key.Era != Ledger.era() || !record.Value)
+      return;
+    if (auto claim = codec::decodeClaim(*record.Value, key.Name,
+                                        holdings::makeToken(Ledger.era(), end)))
+      Ledger.applyClaim(std::move(*claim));
+    else
+      logRecordError(claim.error());
+    return;
   case codec::FleetKey::Kind::Unknown:
     return;
   }
@@ -474,6 +494,15 @@
   Log->write(logging::Level::Info, "keys_granted", fields);
 }
 
+void Control::logClaim(const holdings::HoldingClaim &claim) {
+  std::string ranges;
+  for (const holdings::Holding &it : claim.Rows)
+    appendRange(ranges, it);
+  Log->write(
+      logging::Level::Info, "keys_claimed",
+      {{"era", Ledger.era()}, {"rows", claim.Rows.size()}, {"ranges", ranges}});
+}
+
 void Control::logFreedKeys(const holdings::HoldingChange &change) {
   // One line for each former holder and cause.
   std::map<std::pair<std::string, holdings::FreeCause>, std::string> ranges;
@@ -588,6 +617,7 @@
   if (hint == nullptr)
     return;
   Agent.setPeerLoad(hint->Node, hint->Load, now);
+  Fleet->eraHeard(hint->Era);
   if (!IsFleetLoaded || hint->FleetEnd <= Ledger.end())
     return;
   const auto *member = Ledger.findMember(hint->Node);
@@ -599,8 +629,9 @@
 void Control::sendHints(bool announcesChange) {
   HintsSentAt = core::BootClock::now();
   // Lease renewals move the end all the time, so periodic hints omit it.
-  const std::string bytes = codec::encodeDatagram(codec::FleetHint{
-      Options.Agent.Name, announcesChange ? Ledger.end() : 0, OwnLoad});
+  const std::string bytes = codec::encodeDatagram(
+      codec::FleetHint{Options.Agent.Name, announcesChange ? Ledger.end() : 0,
+                       OwnLoad, Ledger.era()});
   std::vector<const holdings::Member *> recipients;
   for (const auto &[name, it] : Ledger.members()) {
     const bool isRecipient =
@@ -669,7 +700,7 @@
   if (IsAppending || !IsFleetLoaded)
     return;
   if (const auto record = Agent.nextRecord(Ledger, !isKeyed(), now)) {
-    if (!holdings::isRenewal(*record, Ledger)) {
+    if (!holdings::isRenewal(*record, Ledger) || Agent.pendingClaim(Ledger)) {
       appendNodeRecord(*record);
       return;
     }
@@ -697,10 +728,17 @@
   const bool isStateChange = known == nullptr ||
                              known->Record.State != record.State ||
                              known->Record.IsStopping != record.IsStopping;
-  const feed::KeyedRecord records[] = {codec::toLogRecord(record)};
+  std::vector<feed::KeyedRecord> records{codec::toLogRecord(record)};
+  if (const auto claim = Agent.pendingClaim(Ledger))
+    records.push_back({codec::claimKey(Ledger.era(), claim->Node),
+                       codec::encodeClaim(*claim)});
+  const bool hasClaim = records.size() > 1;
   Logs.Fleet.Append(records, std::nullopt,
-                    [this, isStateChange, sequence = record.Sequence](
+                    [this, isStateChange, hasClaim, sequence = record.Sequence](
                         const core::Result<feed::Appended> &result) {
+                      // The lease of an earlier era may end soon.
+                      if (hasClaim)
+                        Fleet->readNow();
                       onNodeRecordAppended(sequence, isStateChange, result);
                     });
 }
@@ -784,11 +822,12 @@
   std::vector<feed::KeyedRecord> records;
   for (const holdings::HoldingPart &part : change.Parts)
     for (const holdings::Holding &it : part.Rows)
-      if (it.Token == change.At + 1)
+      if (it.Token == Ledger.nextToken())
         NewHolders.insert(it.Node);
   for (const holdings::HoldingPart &it : change.Parts)
-    records.push_back({codec::holdingsKey(change.Service, it.Number),
-                       codec::encodeHoldings(it.Rows)});
+    records.push_back(
+        {codec::holdingsKey(Ledger.era(), change.Service, it.Number),
+         codec::encodeHoldings(it.Rows)});
   const auto sent = core::BootClock::now();
   Logs.Fleet.Append(records, change.At,
                     [this, records, sent](core::Result<feed::Appended> result) {
@@ -888,9 +927,8 @@
   if (Routes)
     for (const routing::Service &it : Routes->configuration().Services) {
       auto &service = view->Services[it.Name];
-      const auto rows = Ledger.holdingsOf(it.Name);
       if (it.IsKeyed)
-        service.Holdings.assign(rows.begin(), rows.end());
+        service.Holdings = Ledger.routingRowsOf(it.Name);
     }
   // Adds this node, whose own record may not have been read yet.
   const auto self = std::lower_bound(view->Nodes.begin(), view->Nodes.end(),
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -110,6 +110,7 @@
                        const std::string &upstreamId);
   void answerHeartbeat(const PendingHeartbeat &heartbeat);
   void logGrant(const holdings::Grant &grant);
+  void logClaim(const holdings::HoldingClaim &claim);
   /// Logs which assignments \p change ends, and why.
   void logFreedKeys(const holdings::HoldingChange &change);
   void answerDeferredHeartbeats(core::TimePoint now);
@@ -133,6 +134,8 @@
   void sendReleaseNotice(core::TimePoint now);
   void tick();
   void appendPending(core::TimePoint now);
+  /// Appends \p record, and with it this node's claim of the present era until
+  /// that is in the log.
   void appendNodeRecord(const holdings::NodeRecord &record);
   void onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
                             const core::Result<feed::Appended> &result);
@@ -183,6 +186,9 @@
   holdings::FleetLedger Ledger;
   holdings::HoldingAgent Agent;
   bool IsFleetLoaded = false;
+  /// The next snapshot is the first one of an era that began while this node
+  /// ran. It may lack nodes that live.
+  bool IsEraSnapshot = false;
   bool IsAppending = false;
   /// The last renewal through a reader failed, so the next one is appended
   /// directly.
--- a/Tests/Adapter/MutationTest.cpp
+++ b/Tests/Adapter/MutationTest.cpp
@@ -91,7 +91,8 @@
     {"holdings record",
      {codec::encodeHoldings({{makeHolding()}})},
      [](std::string_view bytes) {
-       const auto part = codec::decodeHoldings(bytes, 0, 9);
+       const auto part =
+           codec::decodeHoldings(bytes, 0, holdings::makeToken(0, 9));
        for (const auto &it :
             part ? part->Rows : std::vector<holdings::Holding>())
          cr_assert(it.Keys.From <= it.Keys.To &&
--- a/Tests/Codec/FleetRecordsTest.cpp
+++ b/Tests/Codec/FleetRecordsTest.cpp
@@ -152,6 +152,29 @@
     {"all addresses", "a", {"255.255.255.255", 80}, false},
 };
 
+struct KeyRow {
+  const char *Name;
+  const char *Text;
+  FleetKey Key;
+};
+
+const KeyRow KeyRows[] = {
+    {"node", "node/n", {FleetKey::Kind::Node, "n"}},
+    {"holdings of era 0", "keys/s/7", {FleetKey::Kind::Holdings, "s", 7, 0}},
+    {"holdings of a later era",
+     "keys.12/s/7",
+     {FleetKey::Kind::Holdings, "s", 7, 12}},
+    {"a service that looks like an era",
+     "keys/s.3/4/7",
+     {FleetKey::Kind::Holdings, "s.3/4", 7, 0}},
+    {"claim", "claim.2/n", {FleetKey::Kind::Claim, "n", 0, 2}},
+    {"an era that isn't a number", "keys.x/s/7", {}},
+    {"no era", "keys./s/7", {}},
+    {"part out of range", "keys.1/s/64", {}},
+    {"another prefix", "keys2/s/7", {}},
+    {"no slash", "claim.2", {}},
+};
+
 /// End of the log.
 constexpr core::Offset End = 9;
 
@@ -167,10 +190,34 @@
 
 ACACIA_TABLE_TEST(FleetRecords, DecodesHoldings, HoldingRows) {
   silenceLibrary();
-  const auto part = decodeHoldings(encodeHoldings({{row.Row}}), 0, End);
+  const auto part = decodeHoldings(encodeHoldings({{row.Row}}), 0,
+                                   holdings::makeToken(0, End));
   cr_assert_eq(part.has_value(), row.IsGood, "%s", row.Name);
 }
 
+ACACIA_TABLE_TEST(FleetRecords, DecodesClaims, HoldingRows) {
+  silenceLibrary();
+  const holdings::HoldingClaim claim{"n", "s", {row.Row}};
+  const auto read =
+      decodeClaim(encodeClaim(claim), "n", holdings::makeToken(0, End));
+  // Unlike a part, a claim may name all keys.
+  const bool isGood = row.IsGood || row.Row.Keys.To == 1024;
+  cr_assert_eq(read.has_value(), isGood, "%s", row.Name);
+  cr_assert(!isGood || *read == claim, "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(FleetRecords, ParsesKeys, KeyRows) {
+  const FleetKey key = parseFleetKey(row.Text);
+  cr_assert(key.What == row.Key.What && key.Name == row.Key.Name &&
+                key.Part == row.Key.Part && key.Era == row.Key.Era,
+            "%s", row.Name);
+  if (key.What == FleetKey::Kind::Holdings)
+    cr_assert_str_eq(holdingsKey(key.Era, key.Name, key.Part).c_str(),
+                     row.Text);
+  if (key.What == FleetKey::Kind::Claim)
+    cr_assert_str_eq(claimKey(key.Era, key.Name).c_str(), row.Text);
+}
+
 ACACIA_TABLE_TEST(FleetRecords, DecodesHints, HintRows) {
   const auto bytes = encodeDatagram(FleetHint{"n", 9, row.Load});
   cr_assert_eq(decodeDatagram(bytes).has_value(), row.IsGood, "%s", row.Name);
--- a/Tests/Holdings/FleetModel.cpp
+++ b/Tests/Holdings/FleetModel.cpp
@@ -24,10 +24,29 @@
 /// Longest time from a renewal to the next round.
 constexpr std::uint64_t MaxRenewalRoundMs = 2300;
 
-/// Record of the log: of a node or of a part of the holdings.
+/// Longest time whose records a restored log lacks.
+constexpr std::uint64_t MaxLostMs = 6000;
+/// Longest time for which the log is away before it is restored.
+constexpr std::uint64_t MaxAwayMs = 2000;
+/// Longest time between two restorations of a series.
+constexpr std::uint64_t MaxSeriesGapMs = 4000;
+
+/// Record of the log: of a node, of a part of the holdings, or a claim.
 struct LogRecord {
   std::optional<NodeRecord> Node;
   std::optional<HoldingPart> Part;
+  std::optional<HoldingClaim> Claim;
+  /// Era that holdings or a claim were written for.
+  core::LogEra Era = 0;
+  core::TimePoint AppendedAt{};
+
+  std::string key() const {
+    if (Node)
+      return Node->Name;
+    const std::string prefix = std::to_string(Era) + "/";
+    return Part ? prefix + std::to_string(Part->Number)
+                : prefix + "claim/" + Claim->Node;
+  }
 };
 
 /// Calls functions at given times of the virtual clock.
@@ -75,6 +94,12 @@
   FleetLedger Ledger;
   std::size_t Position = 0;
   bool HasReadLog = false;
+  /// The next read is one of a snapshot.
+  bool IsSnapshotDue = true;
+  /// Latest era of an answer of the log.
+  core::LogEra Era = 0;
+  /// Replaces the agent's claim if a rule is broken.
+  std::optional<HoldingClaim> ForcedClaim;
   bool IsReading = false;
   bool IsAppending = false;
   core::TimePoint NextRead{};
@@ -104,6 +129,8 @@
       Now += Step;
       if (Options.HasFaults)
         injectFaults();
+      if (Options.HasRestorations)
+        injectRestorations();
       Events.runUntil(Now);
       for (const auto &it : Nodes) {
         stepUpstream(*it);
@@ -141,6 +168,9 @@
     node.Ledger = FleetLedger();
     node.Position = 0;
     node.HasReadLog = false;
+    node.IsSnapshotDue = true;
+    node.Era = 0;
+    node.ForcedClaim.reset();
     node.IsReading = false;
     node.IsAppending = false;
     node.NextRead = Now;
@@ -182,6 +212,30 @@
     }
   }
 
+  /// Restores the log about once in 12 s, at times in a series.
+  void injectRestorations() {
+    if (Now.time_since_epoch() < seconds(8) || Now < AwayUntil)
+      return;
+    if (Now >= NextRestoration) {
+      restoreLog();
+      AwayUntil = Now + randomDelay(MaxAwayMs);
+      const bool isSeries = Options.HasFaults && Rng.chance(0.3);
+      NextRestoration =
+          AwayUntil + (isSeries ? randomDelay(MaxSeriesGapMs)
+                                : seconds(4) + randomDelay(16000));
+    }
+  }
+
+  /// Drops the newest records. Their offsets are given out again.
+  void restoreLog() {
+    FormerLogs.push_back(Log);
+    const core::TimePoint copied = Now - randomDelay(MaxLostMs);
+    while (!Log.empty() && Log.back().AppendedAt > copied)
+      Log.pop_back();
+    ++Era;
+    ++Out.Restorations;
+  }
+
   void crashUpstream(ModelNode &node) {
     ModelUpstream &upstream = node.Upstream;
     upstream.IsUp = false;
@@ -349,40 +403,98 @@
     node.IsReading = true;
     Events.at(Now + delay(),
               [this, &node, incarnation = node.Incarnation, end = Log.size(),
-               isPartitioned = node.IsPartitioned] {
+               era = Era, isLost = node.IsPartitioned || Now < AwayUntil] {
                 if (!isRunning(node, incarnation))
                   return;
-                finishRead(node, end, isPartitioned);
+                finishRead(node, era, end, isLost);
               });
   }
 
-  void finishRead(ModelNode &node, std::size_t end, bool isPartitioned) {
+  /// Returns the log as it was in \p era.
+  const std::vector<LogRecord> &logOf(core::LogEra era) const {
+    return era == Era ? Log : FormerLogs[era];
+  }
+
+  void enterEra(ModelNode &node, core::LogEra era) {
+    if (Options.Broken == BrokenRule::ClaimWithheld ||
+        Options.Broken == BrokenRule::ClaimAfterLease)
+      forceClaim(node);
+    node.Agent->enterEra(node.Ledger, Now);
+    // What was first seen long ago needs no wait.
+    const core::Duration age = Options.Broken == BrokenRule::AssignAtOnce
+                                   ? 2 * NodeLapseTimeout
+                                   : core::Duration{};
+    node.Ledger.enterEra(era, Now - age);
+    node.Position = 0;
+    node.IsSnapshotDue = true;
+  }
+
+  void forceClaim(ModelNode &node) {
+    const bool isAuthorized = Now < node.Agent->authorityUntil();
+    node.ForcedClaim.reset();
+    if (isAuthorized != (Options.Broken == BrokenRule::ClaimWithheld))
+      return;
+    HoldingClaim claim{node.Name, ServiceName, {}};
+    for (const Holding &it : node.Ledger.holdingsOf(ServiceName))
+      if (it.Node == node.Name && it.Process == node.Agent->upstreamProcess())
+        claim.Rows.push_back(it);
+    if (!claim.Rows.empty())
+      node.ForcedClaim = std::move(claim);
+  }
+
+  std::optional<HoldingClaim> pendingClaim(const ModelNode &node) const {
+    if (Options.Broken == BrokenRule::RenewWithoutClaim)
+      return std::nullopt;
+    if (node.ForcedClaim && !node.Ledger.hasClaimOf(node.Name, ServiceName))
+      return node.ForcedClaim;
+    return node.Agent->pendingClaim(node.Ledger);
+  }
+
+  void finishRead(ModelNode &node, core::LogEra era, std::size_t end,
+                  bool isLost) {
     if (Now < node.FrozenUntil) {
-      Events.at(node.FrozenUntil, [this, &node, end, isPartitioned,
+      Events.at(node.FrozenUntil, [this, &node, era, end, isLost,
                                    incarnation = node.Incarnation] {
         if (isRunning(node, incarnation))
-          finishRead(node, end, isPartitioned);
+          finishRead(node, era, end, isLost);
       });
       return;
     }
     node.IsReading = false;
     node.NextRead = Now + ReadInterval;
-    if (isPartitioned)
+    if (isLost || era < node.Era)
       return;
+    node.Era = era;
+    if (era != node.Ledger.era() && Options.Broken != BrokenRule::IgnoreEra) {
+      enterEra(node, era);
+      if (node.HasReadLog) {
+        node.NextRead = Now;
+        append(node);
+        return;
+      }
+    }
+    const std::vector<LogRecord> &log = logOf(era);
     core::TimePoint readAt = Now;
     if (Options.Broken == BrokenRule::EarlyLapse)
       readAt -= NodeLapseTimeout / 2;
     // A node that starts reads a snapshot, which lacks replaced records.
     const std::vector<bool> isReplaced =
-        node.HasReadLog ? std::vector<bool>(end, false) : replacedRecords(end);
+        std::exchange(node.IsSnapshotDue, false)
+            ? replacedRecords(log, end)
+            : std::vector<bool>(end, false);
     for (; node.Position < end; ++node.Position) {
       if (isReplaced[node.Position])
         continue;
-      const LogRecord &it = Log[node.Position];
+      const LogRecord &it = log[node.Position];
+      const bool isOfEra = it.Era == node.Ledger.era() ||
+                           (Options.Broken == BrokenRule::TrustFormerHoldings &&
+                            it.Era < node.Ledger.era());
       if (it.Node)
         node.Ledger.applyNode(*it.Node, readAt);
-      if (it.Part)
+      if (it.Part && isOfEra)
         node.Ledger.applyHoldings(ServiceName, *it.Part);
+      if (it.Claim && isOfEra)
+        node.Ledger.applyClaim(*it.Claim);
     }
     node.Ledger.setEnd(node.Position);
     node.HasReadLog = true;
@@ -390,18 +502,14 @@
     append(node);
   }
 
-  /// Returns for each record of the log before \p end whether one with the same
+  /// Returns for each record of \p log before \p end whether one with the same
   /// key follows it.
-  std::vector<bool> replacedRecords(std::size_t end) const {
+  static std::vector<bool> replacedRecords(std::span<const LogRecord> log,
+                                           std::size_t end) {
     std::vector<bool> out(end, false);
     std::set<std::string> known;
-    for (std::size_t n = end; n-- > 0;) {
-      const LogRecord &it = Log[n];
-      out[n] = !known
-                    .insert(it.Node ? it.Node->Name
-                                    : std::to_string(it.Part->Number))
-                    .second;
-    }
+    for (std::size_t n = end; n-- > 0;)
+      out[n] = !known.insert(log[n].key()).second;
     return out;
   }
 
@@ -410,13 +518,20 @@
       return;
     if (const auto record = node.Agent->nextRecord(node.Ledger, false, Now)) {
       // Renewals wait for those of other nodes.
-      const bool isBatched = isRenewal(*record, node.Ledger);
+      const auto claim = pendingClaim(node);
+      const bool isBatched = isRenewal(*record, node.Ledger) && !claim;
       node.IsAppending = !isBatched;
       core::TimePoint sent = Now;
       if (Options.Broken == BrokenRule::LeaseFromAnswer)
         sent += NodeLease / 2;
       node.Agent->recordSent(record->Sequence, sent);
-      submit(node, {{*record, std::nullopt}}, std::nullopt,
+      std::vector<LogRecord> records(1);
+      records.front().Node = *record;
+      if (claim) {
+        records.emplace_back().Claim = *claim;
+        records.back().Era = node.Ledger.era();
+      }
+      submit(node, std::move(records), std::nullopt,
              isBatched ? milliseconds(1) + randomDelay(MaxRenewalDelayMs)
                        : core::Duration{});
       if (isBatched)
@@ -429,10 +544,17 @@
         for (HoldingPart &part : change->Parts)
           for (Holding &it : part.Rows)
             it.Token = 1;
+      if (Options.Broken == BrokenRule::TokenWithoutEra)
+        for (HoldingPart &part : change->Parts)
+          for (Holding &it : part.Rows)
+            if (it.Token == node.Ledger.nextToken())
+              it.Token = change->At + 1;
       checkRows(change->Rows);
       std::vector<LogRecord> records;
-      for (HoldingPart &it : change->Parts)
-        records.push_back({std::nullopt, std::move(it)});
+      for (HoldingPart &it : change->Parts) {
+        records.emplace_back().Part = std::move(it);
+        records.back().Era = node.Ledger.era();
+      }
       std::optional<std::size_t> at = change->At;
       if (Options.Broken == BrokenRule::Unconditional)
         at.reset();
@@ -445,9 +567,10 @@
   void submit(ModelNode &node, std::vector<LogRecord> records,
               std::optional<std::size_t> at, core::Duration wait = {}) {
     const bool isChange = records.front().Part.has_value();
+    const bool isClaim = records.back().Claim.has_value();
     core::Duration latency = delay() + wait;
-    bool isAnswered = !node.IsPartitioned;
-    bool isDone = !node.IsPartitioned;
+    bool isAnswered = !node.IsPartitioned && Now >= AwayUntil;
+    bool isDone = isAnswered;
     if (Options.HasFaults && Rng.chance(0.08)) {
       isAnswered = false;
       isDone = Rng.chance(0.7);
@@ -458,21 +581,33 @@
     const core::TimePoint answerAt =
         isAnswered ? Now + latency + milliseconds(2) : Now + seconds(1);
     const auto isAccepted = std::make_shared<bool>(false);
+    const auto answerEra = std::make_shared<core::LogEra>(0);
     if (isDone)
-      Events.at(Now + latency,
-                [this, records = std::move(records), at, isAccepted, isChange] {
-                  if (at && *at != Log.size())
-                    return;
-                  *isAccepted = true;
-                  Out.Changes += isChange ? 1 : 0;
-                  Log.insert(Log.end(), records.begin(), records.end());
-                });
+      Events.at(Now + latency, [this, records = std::move(records), at,
+                                isAccepted, answerEra, isChange]() mutable {
+        *answerEra = Era;
+        if (at && *at != Log.size())
+          return;
+        *isAccepted = true;
+        Out.Changes += isChange ? 1 : 0;
+        for (LogRecord &it : records) {
+          it.AppendedAt = Now;
+          Log.push_back(std::move(it));
+        }
+      });
     const bool isBatched = wait.count() > 0;
     Events.at(answerAt, [this, &node, incarnation, isAnswered, isAccepted,
-                         isChange, isBatched] {
+                         answerEra, isChange, isClaim, isBatched] {
       if (!isRunning(node, incarnation))
         return;
+      if (isAnswered && *answerEra > node.Era) {
+        node.Era = *answerEra;
+        node.NextRead = Now;
+      }
       node.IsAppending = node.IsAppending && isBatched;
+      // The lease of an earlier era may end soon.
+      if (isClaim && isAnswered)
+        node.NextRead = Now;
       if (!isChange)
         return;
       auto end = ChangeOutcome::Unknown;
@@ -530,6 +665,11 @@
   core::TimePoint Now{};
   Schedule Events;
   std::vector<LogRecord> Log;
+  core::LogEra Era = 0;
+  /// The log at the end of each earlier era.
+  std::vector<std::vector<LogRecord>> FormerLogs;
+  core::TimePoint AwayUntil{};
+  core::TimePoint NextRestoration{};
   std::vector<std::unique_ptr<ModelNode>> Nodes;
   std::vector<std::pair<Holding, UpstreamProcess>> Tokens;
   ModelResult Out;
--- a/Tests/Holdings/FleetModel.h
+++ b/Tests/Holdings/FleetModel.h
@@ -31,6 +31,20 @@
   Unconditional,
   /// All assignments have the same fencing token.
   SameToken,
+  /// Nodes go on as if the log had not entered another era.
+  IgnoreEra,
+  /// Keys are assigned in a new era before its inventory is whole.
+  AssignAtOnce,
+  /// Holdings of earlier eras count in the present one.
+  TrustFormerHoldings,
+  /// Nodes claim keys that they withhold.
+  ClaimWithheld,
+  /// Nodes claim keys although their lease has ended.
+  ClaimAfterLease,
+  /// A record without the claim extends the lease in a new era.
+  RenewWithoutClaim,
+  /// Tokens are drawn from offsets alone.
+  TokenWithoutEra,
 };
 
 struct ModelOptions {
@@ -39,6 +53,9 @@
   core::Duration Length = std::chrono::seconds(45);
   /// Whether to inject faults.
   bool HasFaults = true;
+  /// Whether the log is restored from older copies at times; with faults, also
+  /// several times in a few seconds.
+  bool HasRestorations = false;
   BrokenRule Broken = BrokenRule::None;
 };
 
@@ -49,6 +66,8 @@
   double HeldFraction = 0;
   /// Number of changes of holdings that were appended to the log.
   int Changes = 0;
+  /// Number of times that the log was restored.
+  int Restorations = 0;
 };
 
 /// Runs the model until its end or the first broken rule.
--- a/Tests/Holdings/FleetModelTest.cpp
+++ b/Tests/Holdings/FleetModelTest.cpp
@@ -14,6 +14,7 @@
   std::uint64_t First;
   std::uint64_t Count;
   int Nodes;
+  bool HasRestorations = false;
 };
 
 // ACACIA_MODEL_RUNS multiplies the number of seeds, for longer manual runs.
@@ -21,11 +22,15 @@
     {"two nodes", 1, 500, 2},
     {"four nodes", 1001, 1000, 4},
     {"six nodes", 2001, 500, 6},
+    {"two nodes, log restored", 3001, 500, 2, true},
+    {"four nodes, log restored", 4001, 1000, 4, true},
+    {"six nodes, log restored", 5001, 500, 6, true},
 };
 
 struct BrokenRuleRow {
   const char *Name;
   BrokenRule Rule;
+  bool HasRestorations = false;
 };
 
 const BrokenRuleRow BrokenRows[] = {
@@ -33,6 +38,15 @@
     {"a lease expires early for other nodes", BrokenRule::EarlyLapse},
     {"appends are unconditional", BrokenRule::Unconditional},
     {"tokens stay the same", BrokenRule::SameToken},
+    {"another era is ignored", BrokenRule::IgnoreEra, true},
+    {"keys are assigned at once in another era", BrokenRule::AssignAtOnce,
+     true},
+    {"holdings of earlier eras count", BrokenRule::TrustFormerHoldings, true},
+    {"withheld keys are claimed", BrokenRule::ClaimWithheld, true},
+    {"keys are claimed after the lease", BrokenRule::ClaimAfterLease, true},
+    {"the lease is extended without the claim", BrokenRule::RenewWithoutClaim,
+     true},
+    {"tokens don't tell the era", BrokenRule::TokenWithoutEra, true},
 };
 
 std::uint64_t factor() {
@@ -48,6 +62,7 @@
     ModelOptions options;
     options.Seed = seed;
     options.Nodes = row.Nodes;
+    options.HasRestorations = row.HasRestorations;
     const ModelResult result = runFleetModel(options);
     cr_assert(result.Violation.empty(), "%s, seed %lu: %s", row.Name,
               static_cast<unsigned long>(seed), result.Violation.c_str());
@@ -60,6 +75,7 @@
     ModelOptions options;
     options.Seed = seed;
     options.Broken = row.Rule;
+    options.HasRestorations = row.HasRestorations;
     if (!runFleetModel(options).Violation.empty())
       return;
   }
@@ -74,3 +90,20 @@
   cr_assert_float_eq(result.HeldFraction, 1.0, 1e-9);
   cr_assert_eq(result.Changes, 1);
 }
+
+// Keys stay with their holders while the log is restored, if it lasts for long
+// enough to renew the leases in between.
+Test(FleetModel, HoldsAllKeysWhenTheLogIsRestored) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ModelOptions options;
+    options.Seed = seed;
+    options.HasFaults = false;
+    options.HasRestorations = true;
+    const ModelResult result = runFleetModel(options);
+    cr_assert(result.Violation.empty(), "seed %lu: %s",
+              static_cast<unsigned long>(seed), result.Violation.c_str());
+    cr_assert_gt(result.Restorations, 0);
+    cr_assert_float_eq(result.HeldFraction, 1.0, 1e-9, "seed %lu: %f",
+                       static_cast<unsigned long>(seed), result.HeldFraction);
+  }
+}
--- a/Tests/Holdings/HoldingAgentTest.cpp
+++ b/Tests/Holdings/HoldingAgentTest.cpp
@@ -858,3 +858,79 @@
   cr_assert_eq(isAtOnce, row.IsOwnAtOnce, "%s: given after %lld ms", row.Name,
                static_cast<long long>((*given - Start) / milliseconds(1)));
 }
+
+namespace {
+
+struct EraRow {
+  const char *Name;
+  /// Events after the upstream has got all keys: e: the log enters another era,
+  /// r: the node's record is read back without its claim, c: with its claim, l:
+  /// the upstream leaves, w: half of a lease passes.
+  const char *Events;
+  bool IsGranted;
+  bool HasPendingClaim;
+  UpstreamState State;
+};
+
+const EraRow EraRows[] = {
+    {"keeps its keys", "e", true, true, UpstreamState::Ready},
+    {"its claim is read back", "ec", true, false, UpstreamState::Ready},
+    {"for no longer than its lease", "eww", false, true, UpstreamState::Ready},
+    {"a record sent before doesn't extend it", "erww", false, true,
+     UpstreamState::Ready},
+    {"a record read back with the claim does", "wecw", true, false,
+     UpstreamState::Ready},
+    {"nothing to claim after the lease", "wwe", false, false,
+     UpstreamState::Ready},
+    {"two eras before the claim is read", "ee", true, true,
+     UpstreamState::Ready},
+    {"two eras, claimed in the first", "ece", true, true, UpstreamState::Ready},
+    {"a leaving upstream stays so and releases its keys", "le", false, true,
+     UpstreamState::Leaving},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(HoldingAgent, EntersAnotherEra, EraRows) {
+  HoldingAgent agent = makeAgent();
+  FleetLedger ledger;
+  TimePoint now = Start;
+  std::uint64_t heartbeats = 0;
+  core::LogEra era = 0;
+  cr_assert(agent.acceptHeartbeat(makeHeartbeat("u", 1, ++heartbeats), now));
+  const auto readBack = [&](bool isSentNow) {
+    agent.renewAt(now);
+    const auto record = agent.nextRecord(ledger, false, now);
+    cr_assert(record.has_value(), "%s", row.Name);
+    if (isSentNow)
+      agent.recordSent(record->Sequence, now);
+    ledger.applyNode(*record, now);
+    agent.ledgerChanged(ledger, now);
+  };
+  applyAll(ledger, {{{0, KeyCount - 1}, "node", {"u", 1}, 7, {}}});
+  readBack(true);
+  for (const char it : std::string(row.Events)) {
+    if (it == 'e') {
+      agent.enterEra(ledger, now);
+      ledger.enterEra(++era, now);
+      agent.ledgerChanged(ledger, now);
+    } else if (it == 'r') {
+      readBack(false);
+    } else if (it == 'c') {
+      ledger.applyClaim(*agent.pendingClaim(ledger));
+      readBack(true);
+    } else if (it == 'l') {
+      agent.upstreamLeaves("u", now);
+    } else {
+      now += NodeLease / 2;
+      cr_assert(
+          agent.acceptHeartbeat(makeHeartbeat("u", 1, ++heartbeats), now));
+    }
+  }
+  const auto grant = agent.grant(ledger, now);
+  cr_assert_eq(grant.has_value() && !grant->Rows.empty(), row.IsGranted, "%s",
+               row.Name);
+  cr_assert_eq(agent.pendingClaim(ledger).has_value(), row.HasPendingClaim,
+               "%s", row.Name);
+  cr_assert(agent.state() == row.State, "%s", row.Name);
+}
