Processes: the stand-in store is restored from an older copy

Store.restore is away for a moment, continues without the records of the last seconds, writes the operators' ones again and raises the era in all responses. Reads from an offset that it doesn't have get 410.

--- a/Tests/Processes/sidecar_test.py
+++ b/Tests/Processes/sidecar_test.py
@@ -262,6 +262,80 @@
     assert fleet.wait_until_served(6), fleet.served_share()
 
 
+class ServiceWatch(threading.Thread):
+    """Sends requests for all sample keys in turn until it is stopped, and
+    counts those that are not served."""
+
+    def __init__(self, fleet, account_key="secret-key"):
+        super().__init__()
+        self.fleet, self.account_key = fleet, account_key
+        self.is_over, self.sent, self.failed = threading.Event(), 0, []
+
+    def run(self):
+        for n, key in enumerate(itertools.cycle(SAMPLE_KEYS)):
+            if self.is_over.is_set():
+                return
+            node = self.fleet.nodes[n % len(self.fleet.nodes)]
+            status = node.send_request(key, account_key=self.account_key)[0]
+            self.sent += 1
+            if status != 200:
+                self.failed.append((node.name, key, status))
+            time.sleep(0.01)
+
+    def stop(self):
+        self.is_over.set()
+        self.join()
+
+
+def restored_store(fleet):
+    """The store comes back without its newest records: keys stay with their
+    holders, and callers don't notice."""
+    token = max(max(it.upstream.tokens) for it in fleet.nodes)
+    watch = ServiceWatch(fleet)
+    watch.start()
+    for lost_s in (3, 6):
+        fleet.store.restore(lost_s, away_s=1)
+        time.sleep(9)
+    watch.stop()
+    assert not watch.failed, (len(watch.failed), watch.sent, watch.failed[:9])
+    assert max(max(it.upstream.tokens) for it in fleet.nodes) == token
+
+
+def restored_store_in_series(fleet):
+    fleet.check_exclusive_ranges()
+    for away_s in (0.2, 1, 0, 0.5):
+        fleet.store.restore(5, away_s)
+        time.sleep(0.7)
+    assert fleet.wait_until_served(20), fleet.served_share()
+
+
+def restored_store_without_the_assignment(fleet):
+    """The restored log lacks all assignments, and one of the holders has gone
+    with it."""
+    node = fleet.nodes[2]
+    token = max(max(it.upstream.tokens) for it in fleet.nodes)
+    node.process.kill()
+    node.process.wait()
+    fleet.store.restore(60, 0.5)
+    others = fleet.nodes[:2]
+    # The longest lease, the delay of the second candidate, and a heartbeat.
+    assert fleet.wait_until_served(12, others), fleet.served_share(others)
+    node.start()
+    assert fleet.wait_until_served(10), fleet.served_share()
+    assert max(max(it.upstream.tokens) for it in fleet.nodes) > token
+
+
+def restored_store_after_a_withdrawn_key(fleet):
+    fleet.store.put("keyed.op", "config", make_configuration(2, "other-key"))
+    time.sleep(2)
+    fleet.store.restore(5, 0.5)
+    end = time.monotonic() + 4
+    while time.monotonic() < end:
+        for node in fleet.nodes:
+            assert node.send_request(1)[0] == 401
+            assert node.send_request(1, account_key="other-key")[0] == 200
+
+
 def withdrawn_key(fleet):
     fleet.store.put("keyed.op", "config", make_configuration(2, "other-key"))
     time.sleep(2)
@@ -642,6 +716,10 @@
 
 ROWS = {row.__name__: row for row in (calm, killed_node, lost_node,
                                       restarted_upstream, store_outage,
+                                      restored_store,
+                                      restored_store_in_series,
+                                      restored_store_without_the_assignment,
+                                      restored_store_after_a_withdrawn_key,
                                       withdrawn_key, open_requests_at_stop,
                                       open_orders_at_stop,
                                       orders_of_others_at_stop,
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -54,15 +54,20 @@
 
     Each call is delayed by delay_s. A fraction lost_share of the calls is
     executed but gets no response. Reads of records discarded by forget() get
-    410.
+    410. restore() replaces the log by an older copy.
     """
 
+    # Topics whose writers write lost records again.
+    REWRITTEN_TOPICS = ("keyed.op",)
+
     def __init__(self, address):
         self.topics = {}
         self.changed = threading.Condition()
         self.is_down = False
         self.delay_s, self.lost_share = 0.0, 0.0
         self.first = {}
+        # Number of restorations, and when each record was appended.
+        self.era, self.append_times = 0, {}
         # Page size of /log-newest, in keys.
         self.page_keys = 500
         store = self
@@ -78,7 +83,32 @@
 
     def put(self, topic, key, value):
         with self.changed:
-            self.topics.setdefault(topic, []).append((key, value))
+            self.add(topic, key, value)
+            self.changed.notify_all()
+
+    def add(self, topic, key, value):
+        self.topics.setdefault(topic, []).append((key, value))
+        self.append_times.setdefault(topic, []).append(time.monotonic())
+
+    def restore(self, lost_s, away_s):
+        """Is away for away_s, then continues from a copy that lacks the records
+        of the last lost_s seconds before. Their offsets are given out again."""
+        with self.changed:
+            copied_at = time.monotonic() - lost_s
+            self.is_down = True
+        time.sleep(away_s)
+        with self.changed:
+            self.era += 1
+            for topic, topic_records in self.topics.items():
+                times = self.append_times[topic]
+                kept = sum(it <= copied_at for it in times)
+                lost = topic_records[kept:]
+                del topic_records[kept:], times[kept:]
+                if topic in self.REWRITTEN_TOPICS:
+                    for key, value in lost:
+                        self.add(topic, key, value)
+                self.first[topic] = min(self.first.get(topic, 0), kept)
+            self.is_down = False
             self.changed.notify_all()
 
     def records(self, topic, prefix):
@@ -95,7 +125,7 @@
         body = call.read_body()
         time.sleep(self.delay_s)
         if self.is_down:
-            call.answer(503)
+            call.answer(503, headers=self.era_header())
             return
         url = urllib.parse.urlparse(call.path)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
@@ -104,11 +134,16 @@
         if operation is None:
             call.answer(404)
         else:
-            answer = operation(query, body)
+            with self.changed:
+                status, answer_body = operation(query, body)
+                headers = self.era_header()
             if random.random() < self.lost_share:
                 call.close_connection = True
             else:
-                call.answer(*answer)
+                call.answer(status, answer_body, headers)
+
+    def era_header(self):
+        return [("Store-Era", str(self.era))]
 
     def append(self, query, body):
         with self.changed:
@@ -120,7 +155,7 @@
                 size = struct.unpack(">I", body[:4])[0]
                 record, body = body[4:4 + size], body[4 + size:]
                 key = record[1:1 + record[0]].decode()
-                topic_records.append((key, record[1 + record[0]:]))
+                self.add(query["topic"], key, record[1 + record[0]:])
             self.changed.notify_all()
             return 200, json.dumps({"offset": offset,
                                     "end": len(topic_records)}).encode()
@@ -134,7 +169,11 @@
             if start < first:
                 return 410, json.dumps({"first": first}).encode()
             while len(topic_records) <= start and time.monotonic() < end:
+                if start > len(topic_records):
+                    break
                 self.changed.wait(end - time.monotonic())
+            if start > len(topic_records):
+                return 410, json.dumps({"first": first}).encode()
             out = struct.pack(">QQ", len(topic_records), 0)
             for key, value in topic_records[start:]:
                 record = bytes([len(key)]) + key.encode() + value
