--- a/Source/Holdings/FleetLedger.cpp
+++ b/Source/Holdings/FleetLedger.cpp
@@ -107,9 +107,9 @@
 AssignableKeys FleetLedger::assignableKeys(std::string_view service,
                                            core::TimePoint now) const {
   const auto it = Holdings.find(service);
-  static const EraInventory Empty;
+  static const EraInventory empty;
   return holdings::assignableKeys(
-      Era, EraSeenAt, it == Holdings.end() ? Empty : it->second.Inventory, now);
+      Era, EraSeenAt, it == Holdings.end() ? empty : it->second.Inventory, now);
 }
 
 bool FleetLedger::isEligible(const Member &member, core::TimePoint now) const {
--- a/Tests/Processes/soak.py
+++ b/Tests/Processes/soak.py
@@ -2,8 +2,10 @@
 """Runs acacia-sidecar processes under random faults, reproducible by seed.
 
 Usage: soak.py BIN_FOLDER PORT [--seeds FIRST-LAST] [--seconds S]
+               [--restorations]
 
-PORT is the first of 40 consecutive free ports. Faults are injected from
+PORT is the first of 40 consecutive free ports. With --restorations, the store
+is also restored from older copies of itself, at times in series. Faults are injected from
 outside: by loopback proxies on the connections to the store, the upstreams and
 the callers, by signals, and by the stand-ins. Safety is checked during the run
 on what callers and upstreams observe. The exit status is 1 if a seed violated a
@@ -246,8 +248,9 @@
 
 
 class Soak:
-    def __init__(self, binary, port, seed):
+    def __init__(self, binary, port, seed, has_restorations=False):
         self.seed, self.rng = seed, random.Random(seed)
+        self.has_restorations = has_restorations
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-%d-" % seed))
         self.checker = SafetyChecker()
         self.store = Store(("127.0.0.1", port + 10))
@@ -398,11 +401,23 @@
             self.faults_are_over.wait(rng.uniform(0.5, LONGEST_CALL_S))
             upstream.may_complete.set()
 
+    def restore_store(self):
+        """Restores the store from older copies until the faults are over. Uses a
+        generator of its own, as stall_upstreams does."""
+        rng = random.Random(self.seed)
+        while not self.faults_are_over.wait(rng.uniform(1.0, 8.0)):
+            for _ in range(rng.choice((1, 1, 2, 4))):
+                self.store.restore(rng.uniform(0.0, 6.0), rng.uniform(0.0, 1.5))
+                time.sleep(rng.uniform(0.0, 1.5))
+
     def run(self, seconds):
         threads = [threading.Thread(target=self.client, args=(n,), daemon=True)
                    for n in range(CLIENTS)]
         threads.append(threading.Thread(target=self.stall_upstreams,
                                         daemon=True))
+        restorer = threading.Thread(target=self.restore_store, daemon=True)
+        if self.has_restorations:
+            threads.append(restorer)
         time.sleep(4)
         for it in threads:
             it.start()
@@ -418,6 +433,8 @@
             self.run_scheduled()
             time.sleep(0.02)
         self.faults_are_over.set()
+        if self.has_restorations:
+            restorer.join()
         self.check_recovery()
         self.is_over = True
         for it in threads:
@@ -474,20 +491,22 @@
     parser.add_argument("port", type=int)
     parser.add_argument("--seeds", default="1-1")
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--restorations", action="store_true")
     args = parser.parse_args()
     first, last = map(int, args.seeds.split("-"))
     failed = 0
     for seed in range(first, last + 1):
-        soak = Soak(args.binaries / "acacia-sidecar", args.port, seed)
+        soak = Soak(args.binaries / "acacia-sidecar", args.port, seed,
+                    args.restorations)
         try:
             kinds = soak.run(args.seconds)
         finally:
             soak.close()
         violations = soak.checker.violations
         failed += bool(violations)
-        print("seed %d: %s, %d served, %d faults injected%s" %
+        print("seed %d: %s, %d served, %d faults injected, %d restorations%s" %
               (seed, "FAILED" if violations else "kept", soak.checker.served,
-               len(kinds), ", logs in %s" % soak.folder if violations else ""))
+               len(kinds), soak.store.era, ", logs in %s" % soak.folder if violations else ""))
         for it in violations[:5]:
             print("  " + it)
         sys.stdout.flush()
