Feed: a node asks the log about a heard era once

Change: a feed asks once for each era that it hears of, and uses the page that tells it if no page of an earlier era precedes.

Tests: KeyedFeed AsksTheLogOnceAboutAnEra; feed_test 70, sidecar_parts_test 39, adapter_test 136 pass.

--- a/Source/Feed/KeyedFeed.cpp
+++ b/Source/Feed/KeyedFeed.cpp
@@ -51,18 +51,17 @@
   readPage();
 }
 
-bool KeyedFeed::checkEra(core::LogEra era) {
-  const bool isFirst = !Era;
+bool KeyedFeed::checkEra(core::LogEra era, bool followsEarlierData) {
   if (era > Era.value_or(0)) {
     Era = era;
     // Keeps the hook from starting a second read.
     IsReading = true;
     Hooks.OnEraChanged(era);
     IsReading = false;
-    if (isFirst)
-      return true;
-    restart();
-    return false;
+    IsSnapshotRequested = false;
+    if (followsEarlierData)
+      restart();
+    return !followsEarlierData;
   }
   Era = Era.value_or(0);
   if (era < *Era) {
@@ -88,7 +87,7 @@
     onFailure(page.error());
     return;
   }
-  if (!checkEra(page->Era))
+  if (!checkEra(page->Era, !Snapshot.empty()))
     return;
   for (const core::Error &it : page->Unreadable)
     Hooks.OnDecodeError(it);
@@ -136,7 +135,7 @@
       onFailure(tail.error());
     return;
   }
-  if (!checkEra(tail->Era))
+  if (!checkEra(tail->Era, true))
     return;
   if (IsSnapshotRequested) {
     restart();
@@ -196,8 +195,10 @@
 }
 
 void KeyedFeed::eraHeard(core::LogEra era) {
-  if (Era && era > *Era)
-    readSnapshot();
+  if (!Era || era <= std::max(*Era, HeardEra))
+    return;
+  HeardEra = era;
+  readSnapshot();
 }
 
 void KeyedFeed::readSnapshot() {
--- a/Source/Feed/KeyedFeed.h
+++ b/Source/Feed/KeyedFeed.h
@@ -66,8 +66,8 @@
   void appended(const std::vector<KeyedRecord> &records, Appended at,
                 core::TimePoint requestedAt);
 
-  /// Another node has seen \p era of the log. Asks the log if that is later
-  /// than the known one.
+  /// Another node has seen \p era of the log. Asks the log, once, if that is
+  /// later than the known one.
   void eraHeard(core::LogEra era);
 
   /// Starts again from a snapshot.
@@ -78,8 +78,9 @@
 
 private:
   void restart();
-  /// Returns whether \p era is the known one. Starts again if it is later.
-  bool checkEra(core::LogEra era);
+  /// Returns whether what was read in \p era may be delivered. Starts again if
+  /// the era is later than the known one and it \p followsEarlierData.
+  bool checkEra(core::LogEra era, bool followsEarlierData);
   void readPage();
   void onPage(core::Result<NewestPage> page);
   void readTail();
@@ -103,6 +104,8 @@
   core::Offset Position = 0;
   /// The known era; none before the first response.
   std::optional<core::LogEra> Era;
+  /// The latest era that the log was asked about.
+  core::LogEra HeardEra = 0;
   /// The log is known to have ended at the position at some time after this.
   core::TimePoint ConfirmedAt{};
   bool IsFollowing = false;
--- a/Tests/Feed/KeyedFeedTest.cpp
+++ b/Tests/Feed/KeyedFeedTest.cpp
@@ -483,6 +483,43 @@
             static_cast<long>(waits[1] / std::chrono::microseconds(1)));
 }
 
+// All nodes tell each other of a new era within a second.
+Test(KeyedFeed, AsksTheLogOnceAboutAnEra) {
+  boost::asio::io_context loop;
+  core::LogEra era = 0;
+  std::string calls;
+  std::vector<TailHandler> pending;
+  KeyedFeed feed(loop,
+                 {[&](std::string_view, const PageHandler &handler) {
+                    calls += 'p';
+                    handler(NewestPage{{{"a", "1"}}, false, 5, {}, era});
+                  },
+                  [&](core::Offset, core::Duration, TailHandler handler) {
+                    pending.push_back(std::move(handler));
+                  },
+                  {}},
+                 {},
+                 {[&](const auto &, core::Offset, TimePoint) { calls += 's'; },
+                  [&](const auto &, core::Offset, TimePoint) { calls += 'r'; },
+                  [](bool, std::string_view) {}, [](const core::Error &) {},
+                  [&](core::LogEra) { calls += 'e'; }});
+  feed.eraHeard(1);
+  feed.start();
+  era = 1;
+  for (int n = 0; n < 3; ++n)
+    feed.eraHeard(1);
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, {}});
+  cr_assert_eq(calls, "pspes", "%s", calls.c_str());
+  feed.eraHeard(1);
+  // No response of the log confirms this one.
+  for (int n = 0; n < 3; ++n)
+    feed.eraHeard(9);
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, {}, false, 1});
+  feed.eraHeard(9);
+  std::exchange(pending, {}).front()(feed::Tail{{}, 5, 5, {}, {}, false, 1});
+  cr_assert_eq(calls, "pspespsr", "%s", calls.c_str());
+}
+
 ACACIA_TABLE_TEST(RelayBuffer, Reads, BufferRows) {
   RelayBuffer buffer(1U << 20U);
   const TimePoint start{};
