--- a/Tests/Codec/FleetRecordsTest.cpp
+++ b/Tests/Codec/FleetRecordsTest.cpp
@@ -212,10 +212,9 @@
                 key.Part == row.Key.Part && key.Era == row.Key.Era,
             "%s", row.Name);
   if (key.What == FleetKey::Kind::Holdings)
-    cr_assert_str_eq(holdingsKey(key.Era, key.Name, key.Part).c_str(),
-                     row.Text);
+    cr_assert_eq(holdingsKey(key.Era, key.Name, key.Part), row.Text);
   if (key.What == FleetKey::Kind::Claim)
-    cr_assert_str_eq(claimKey(key.Era, key.Name).c_str(), row.Text);
+    cr_assert_eq(claimKey(key.Era, key.Name), row.Text);
 }
 
 ACACIA_TABLE_TEST(FleetRecords, DecodesHints, HintRows) {
