--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -56,6 +56,10 @@
 /// that the leave isn't acknowledged. It waits one second for an answer.
 constexpr core::Duration LeaveRecordTimeout = milliseconds(800);
 
+/// Time in which operators' records that the log has lost in another era are
+/// written again.
+constexpr core::Duration OperatorRestoreTime = std::chrono::seconds(10);
+
 /// Interval at which the counts of calls to the platform are logged.
 constexpr core::Duration StoreCallInterval = std::chrono::seconds(5);
 
@@ -142,6 +146,26 @@
   appendPending(now);
 }
 
+void Control::enterEra(RelayedLog log, core::LogEra era) {
+  Relay->buffer(log).enterEra(era);
+  Log->write(logging::Level::Warning, "log_era",
+             {{"log", toString(log)}, {"era", era}});
+  if (log == RelayedLog::Fleet) {
+    Operators->eraHeard(era);
+    const auto now = core::BootClock::now();
+    Agent.enterEra(Ledger, now);
+    Ledger.enterEra(era, now);
+    IsEraSnapshot = IsFleetLoaded;
+    if (const auto claim = Agent.pendingClaim(Ledger))
+      logClaim(*claim);
+    appendPending(now);
+    return;
+  }
+  Fleet->eraHeard(era);
+  if (!DataCentresOut.empty())
+    OperatorsRestoredAt = core::BootClock::now() + OperatorRestoreTime;
+}
+
 feed::FeedHooks Control::operatorHooks() {
   return {
       [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
@@ -159,7 +183,8 @@
       [this](bool isReachable, std::string_view detail) {
         logReachability("operators", isReachable, detail);
       },
-      [this](const core::Error &error) { logDecodeError("operators", error); }};
+      [this](const core::Error &error) { logDecodeError("operators", error); },
+      [this](core::LogEra era) { enterEra(RelayedLog::Operators, era); }};
 }
 
 feed::FeedHooks Control::fleetHooks() {
@@ -176,7 +201,8 @@
           [this](bool isReachable, std::string_view detail) {
             logReachability("fleet", isReachable, detail);
           },
-          [this](const core::Error &error) { logDecodeError("fleet", error); }};
+          [this](const core::Error &error) { logDecodeError("fleet", error); },
+          [this](core::LogEra era) { enterEra(RelayedLog::Fleet, era); }};
 }
 
 void Control::logReachability(std::string_view log, bool isReachable,
@@ -193,7 +219,8 @@
 
 void Control::applyOperators(const std::vector<feed::KeyedRecord> &records,
                              bool isSnapshot) {
-  if (isSnapshot)
+  // A data centre stays out while the record that took it out may be missing.
+  if (isSnapshot && core::BootClock::now() >= OperatorsRestoredAt)
     DataCentresOut.clear();
   for (const feed::KeyedRecord &it : records) {
     const OperatorKey key = Codec.ParseOperatorKey(it.Key);
@@ -253,7 +280,7 @@
 void Control::applyFleet(const std::vector<feed::KeyedRecord> &records,
                          core::Offset end, bool isSnapshot) {
   const auto now = core::BootClock::now();
-  if (isSnapshot) {
+  if (isSnapshot && !std::exchange(IsEraSnapshot, false)) {
     std::set<std::string, std::less<>> presentKeys;
     for (const feed::KeyedRecord &it : records)
       presentKeys.insert(it.Key);
@@ -297,13 +324,26 @@
       Ledger.applyNode(*node, now);
     return;
   case codec::FleetKey::Kind::Holdings:
+    if (key.Era != Ledger.era())
+      return;
     if (!record.Value)
       Ledger.applyHoldings(key.Name, {key.Part, {}});
-    else if (auto part = codec::decodeHoldings(*record.Value, key.Part, end))
+    else if (auto part =
+                 codec::decodeHoldings(*record.Value, key.Part,
+                                       holdings::makeToken(Ledger.era(), end)))
       Ledger.applyHoldings(key.Name, std::move(*part));
     else
       logRecordError(part.error());
     return;
+  case codec::FleetKey::Kind::Claim:
+    if (key.Era != Ledger.era() || !record.Value)
+      return;
+    if (auto claim = codec::decodeClaim(*record.Value, key.Name,
+                                        holdings::makeToken(Ledger.era(), end)))
+      Ledger.applyClaim(std::move(*claim));
+    else
+      logRecordError(claim.error());
+    return;
   case codec::FleetKey::Kind::Unknown:
     return;
   }
@@ -454,6 +494,15 @@
   Log->write(logging::Level::Info, "keys_granted", fields);
 }
 
+void Control::logClaim(const holdings::HoldingClaim &claim) {
+  std::string ranges;
+  for (const holdings::Holding &it : claim.Rows)
+    appendRange(ranges, it);
+  Log->write(
+      logging::Level::Info, "keys_claimed",
+      {{"era", Ledger.era()}, {"rows", claim.Rows.size()}, {"ranges", ranges}});
+}
+
 void Control::logFreedKeys(const holdings::HoldingChange &change) {
   // One line for each former holder and cause.
   std::map<std::pair<std::string, holdings::FreeCause>, std::string> ranges;
@@ -568,6 +617,7 @@
   if (hint == nullptr)
     return;
   Agent.setPeerLoad(hint->Node, hint->Load, now);
+  Fleet->eraHeard(hint->Era);
   if (!IsFleetLoaded || hint->FleetEnd <= Ledger.end())
     return;
   const auto *member = Ledger.findMember(hint->Node);
@@ -579,8 +629,9 @@
 void Control::sendHints(bool announcesChange) {
   HintsSentAt = core::BootClock::now();
   // Lease renewals move the end all the time, so periodic hints omit it.
-  const std::string bytes = codec::encodeDatagram(codec::FleetHint{
-      Options.Agent.Name, announcesChange ? Ledger.end() : 0, OwnLoad});
+  const std::string bytes = codec::encodeDatagram(
+      codec::FleetHint{Options.Agent.Name, announcesChange ? Ledger.end() : 0,
+                       OwnLoad, Ledger.era()});
   std::vector<const holdings::Member *> recipients;
   for (const auto &[name, it] : Ledger.members()) {
     const bool isRecipient =
@@ -633,6 +684,10 @@
   if (Renewals.appendDue(Ledger, now))
     countStoreCall(StoreCallCause::Renewal);
   reportStoreCalls(now);
+  if (OperatorsRestoredAt != core::TimePoint{} && now >= OperatorsRestoredAt) {
+    OperatorsRestoredAt = {};
+    Operators->readSnapshot();
+  }
   publish(now);
   Timer.expires_after(TickInterval);
   Timer.async_wait([this](error_code ec) {
@@ -645,7 +700,7 @@
   if (IsAppending || !IsFleetLoaded)
     return;
   if (const auto record = Agent.nextRecord(Ledger, !isKeyed(), now)) {
-    if (!holdings::isRenewal(*record, Ledger)) {
+    if (!holdings::isRenewal(*record, Ledger) || Agent.pendingClaim(Ledger)) {
       appendNodeRecord(*record);
       return;
     }
@@ -673,21 +728,29 @@
   const bool isStateChange = known == nullptr ||
                              known->Record.State != record.State ||
                              known->Record.IsStopping != record.IsStopping;
-  const feed::KeyedRecord records[] = {codec::toLogRecord(record)};
+  std::vector<feed::KeyedRecord> records{codec::toLogRecord(record)};
+  if (const auto claim = Agent.pendingClaim(Ledger))
+    records.push_back({codec::claimKey(Ledger.era(), claim->Node),
+                       codec::encodeClaim(*claim)});
+  const bool hasClaim = records.size() > 1;
   Logs.Fleet.Append(records, std::nullopt,
-                    [this, isStateChange, sequence = record.Sequence](
-                        const core::Result<core::Offset> &result) {
+                    [this, isStateChange, hasClaim, sequence = record.Sequence](
+                        const core::Result<feed::Appended> &result) {
+                      // The lease of an earlier era may end soon.
+                      if (hasClaim)
+                        Fleet->readNow();
                       onNodeRecordAppended(sequence, isStateChange, result);
                     });
 }
 
 void Control::onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
-                                   const core::Result<core::Offset> &result) {
+                                   const core::Result<feed::Appended> &result) {
   IsAppending = false;
   if (!result) {
     Log->write(logging::Level::Warning, "record_not_appended",
                {{"detail", result.error().Detail}});
   } else {
+    Fleet->eraHeard(result->Era);
     Agent.recordAcknowledged(sequence);
     answerDeferredHeartbeats(core::BootClock::now());
     answerDeferredLeaves(core::BootClock::now());
@@ -759,21 +822,22 @@
   std::vector<feed::KeyedRecord> records;
   for (const holdings::HoldingPart &part : change.Parts)
     for (const holdings::Holding &it : part.Rows)
-      if (it.Token == change.At + 1)
+      if (it.Token == Ledger.nextToken())
         NewHolders.insert(it.Node);
   for (const holdings::HoldingPart &it : change.Parts)
-    records.push_back({codec::holdingsKey(change.Service, it.Number),
-                       codec::encodeHoldings(it.Rows)});
+    records.push_back(
+        {codec::holdingsKey(Ledger.era(), change.Service, it.Number),
+         codec::encodeHoldings(it.Rows)});
   const auto sent = core::BootClock::now();
   Logs.Fleet.Append(records, change.At,
-                    [this, records, sent](core::Result<core::Offset> result) {
+                    [this, records, sent](core::Result<feed::Appended> result) {
                       onChangeAppended(records, sent, std::move(result));
                     });
 }
 
 void Control::onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                                core::TimePoint sent,
-                               core::Result<core::Offset> result) {
+                               core::Result<feed::Appended> result) {
   IsAppending = false;
   auto outcome = holdings::ChangeOutcome::Appended;
   if (!result)
@@ -787,10 +851,12 @@
                         : StoreCallCause::ChangeRefused);
   Agent.changeCompleted(outcome, core::BootClock::now());
   HasUnannouncedChange = HasUnannouncedChange || result.has_value();
-  if (result)
-    Fleet->appended(records, *result, sent);
-  else
+  if (!result) {
     Fleet->readNow();
+    return;
+  }
+  Fleet->eraHeard(result->Era);
+  Fleet->appended(records, *result, sent);
 }
 
 bool Control::isKeyed() const {
@@ -861,9 +927,8 @@
   if (Routes)
     for (const routing::Service &it : Routes->configuration().Services) {
       auto &service = view->Services[it.Name];
-      const auto rows = Ledger.holdingsOf(it.Name);
       if (it.IsKeyed)
-        service.Holdings.assign(rows.begin(), rows.end());
+        service.Holdings = Ledger.routingRowsOf(it.Name);
     }
   // Adds this node, whose own record may not have been read yet.
   const auto self = std::lower_bound(view->Nodes.begin(), view->Nodes.end(),
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -89,6 +89,8 @@
     std::string UpstreamId;
   };
 
+  /// \p log has entered \p era; its records are read again.
+  void enterEra(RelayedLog log, core::LogEra era);
   feed::FeedHooks operatorHooks();
   feed::FeedHooks fleetHooks();
   void applyOperators(const std::vector<feed::KeyedRecord> &records,
@@ -108,6 +110,7 @@
                        const std::string &upstreamId);
   void answerHeartbeat(const PendingHeartbeat &heartbeat);
   void logGrant(const holdings::Grant &grant);
+  void logClaim(const holdings::HoldingClaim &claim);
   /// Logs which assignments \p change ends, and why.
   void logFreedKeys(const holdings::HoldingChange &change);
   void answerDeferredHeartbeats(core::TimePoint now);
@@ -131,9 +134,11 @@
   void sendReleaseNotice(core::TimePoint now);
   void tick();
   void appendPending(core::TimePoint now);
+  /// Appends \p record, and with it this node's claim of the present era until
+  /// that is in the log.
   void appendNodeRecord(const holdings::NodeRecord &record);
   void onNodeRecordAppended(std::uint64_t sequence, bool isStateChange,
-                            const core::Result<core::Offset> &result);
+                            const core::Result<feed::Appended> &result);
   /// Renews the lease through a reader, or directly if none is known.
   void renewLease(const holdings::NodeRecord &record);
   /// Continues after the renewal \p sequence was appended or, if \p round is
@@ -145,7 +150,7 @@
   void appendHoldingChange(const holdings::HoldingChange &change);
   void onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                         core::TimePoint sent,
-                        core::Result<core::Offset> result);
+                        core::Result<feed::Appended> result);
   void publish(core::TimePoint now);
   proxy::OwnUpstream describeOwnUpstream(core::TimePoint now) const;
   bool isKeyed() const;
@@ -176,9 +181,14 @@
   std::unique_ptr<feed::KeyedFeed> Fleet;
   std::shared_ptr<const routing::RouteTable> Routes;
   std::set<std::string, std::less<>> DataCentresOut;
+  /// Until then, what the operators' log lacks may have to be written again.
+  core::TimePoint OperatorsRestoredAt{};
   holdings::FleetLedger Ledger;
   holdings::HoldingAgent Agent;
   bool IsFleetLoaded = false;
+  /// The next snapshot is the first one of an era that began while this node
+  /// ran. It may lack nodes that live.
+  bool IsEraSnapshot = false;
   bool IsAppending = false;
   /// The last renewal through a reader failed, so the next one is appended
   /// directly.
