Bodies in chunks count as long as they are against one bound

Cause: a body in chunks counted as 256 KiB however long it got, and took up to twice its length as its string grew; the servers for callers and for other nodes each had a bound of their own, a constant.

Change: a body in chunks takes room before each read, and is refused with 503 and Retry-After if there is none; a body that never fits gets 413. Both servers share one count, a quarter of limits.memory_mb (256 by default, so 64 MiB as before). The room is given back when the request itself goes, not when its connection does.

Not done: answers that wait for a slow reader and the copy of a request that is sent on aren't counted.

--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -19,6 +19,7 @@
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
+#include "Net/BodyMemory.h"
 #include "Net/HttpMessage.h"
 
 namespace acaciaroad::net {
@@ -31,17 +32,18 @@
   std::uint64_t BodyBytes = 0;
   core::Duration HeaderTimeout{};
   core::Duration IdleTimeout{};
-  /// Bytes of bodies that are held for all requests together; more are answered
-  /// 503 before their body is read.
+  /// Bytes of bodies that are held for all requests together. A
+  /// request whose body doesn't fit is answered 503, or 413 if it never fits.
   std::uint64_t HeldBytes = 64U << 20U;
 };
 
 /// One request and the answer to it. Keeps its session alive.
 class Exchange {
 public:
+  /// \p room is what the request takes of the server's memory.
   Exchange(std::shared_ptr<ServerSession> session, HttpRequest request,
-           core::TimePoint received)
-      : Received(received), Session(std::move(session)),
+           BodyMemory::Room room, core::TimePoint received)
+      : Received(received), Session(std::move(session)), Room(std::move(room)),
         Request(std::move(request)) {}
 
   /// Sends the answer; later calls have no effect.
@@ -62,6 +64,7 @@
   void abandon();
 
   std::shared_ptr<ServerSession> Session;
+  BodyMemory::Room Room;
   HttpRequest Request;
   std::function<void()> OnAbandoned;
   bool Answered = false;
@@ -113,6 +116,12 @@
   void setOnUnanswered(UnansweredHook hook) { OnUnanswered = std::move(hook); }
 
   void setLimits(const ServerLimits &limits) { Limits = limits; }
+
+  /// Counts bodies in \p memory, together with other servers of the process. To
+  /// be called before the first request.
+  void shareMemory(std::shared_ptr<BodyMemory> memory) {
+    Memory = std::move(memory);
+  }
   const ServerLimits &limits() const { return Limits; }
 
   /// Answers from now on ask the client to close its connection, unless it has
@@ -154,8 +163,7 @@
   std::size_t InFlight = 0;
   /// Sessions that wait for their client to close.
   std::size_t Lingering = 0;
-  /// Bytes of bodies that sessions hold or have room reserved for.
-  std::uint64_t Held = 0;
+  std::shared_ptr<BodyMemory> Memory = std::make_shared<BodyMemory>();
   bool Draining = false;
 };
 
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -16,9 +16,18 @@
 
 namespace {
 
-/// Reserved for a body in chunks, whose length isn't known; above the mean of
-/// uploads.
-constexpr std::uint64_t ChunkedReserve = 256U << 10U;
+/// Most bytes of a body in chunks that one read adds.
+constexpr std::uint64_t ChunkRoom = MessageBuffer::MostBytes + 1;
+
+/// A body in chunks that grows takes room for this part of its length in
+/// addition, so that it isn't copied with each read.
+constexpr std::uint64_t GrowthShare = 4;
+
+/// Larger bodies keep the room that they don't use: shrinking copies them.
+constexpr std::uint64_t LargestShrunkBody = 1U << 20U;
+
+/// Clients whose request finds no room try again after this time, in seconds.
+constexpr const char *RetryAfterSeconds = "1";
 
 /// A client has this long to take in an answer that ends its connection; some
 /// retransmissions. Closing with unread bytes would reset the connection and
@@ -58,7 +67,6 @@
   if (!Server)
     return;
   reportUnanswered(UnansweredCause::Dropped);
-  releaseBody();
   enter(Phase::Closed);
   Server->Sessions.erase(this);
 }
@@ -171,40 +179,82 @@
     return;
   if (ec)
     refuse(ec);
-  else if (!reserveBody())
-    answerAndClose(http::status::service_unavailable);
+  else if (const auto refusal = reserveBody())
+    answerAndClose(*refusal);
   else if (Parser->is_done())
     onRead({});
   else
     readBody();
 }
 
-bool ServerSession::reserveBody() {
-  const std::uint64_t wanted =
-      Parser->chunked() ? ChunkedReserve : Parser->content_length().value_or(0);
-  if (Server->Held + wanted > Server->Limits.HeldBytes)
-    return false;
+std::optional<http::status> ServerSession::reserveBody() {
+  const std::uint64_t wanted = Parser->content_length().value_or(0);
+  RequestRoom = BodyMemory::Room(Server->Memory);
+  if (wanted > Server->Limits.HeldBytes)
+    return http::status::payload_too_large;
+  if (!RequestRoom.grow(wanted, Server->Limits.HeldBytes))
+    return http::status::service_unavailable;
   if (Parser->chunked())
-    Parser->body_limit(std::min(Server->Limits.BodyBytes,
-                                Server->Limits.HeldBytes - Server->Held));
-  Reserved = wanted;
-  Server->Held += Reserved;
+    Parser->body_limit(
+        std::min(Server->Limits.BodyBytes, Server->Limits.HeldBytes));
+  return std::nullopt;
+}
+
+bool ServerSession::reserveChunk() {
+  std::string &body = Parser->get().body();
+  const std::uint64_t most =
+      std::min(Server->Limits.BodyBytes, Server->Limits.HeldBytes);
+  const std::uint64_t needed = std::min(body.size() + ChunkRoom, most);
+  if (needed <= RequestRoom.bytes())
+    return true;
+  const std::uint64_t ample =
+      std::min(needed + body.size() / GrowthShare, most);
+  if (!RequestRoom.grow(ample, Server->Limits.HeldBytes) &&
+      !RequestRoom.grow(needed, Server->Limits.HeldBytes))
+    return false;
+  // A string that grows by itself takes up to twice its length.
+  std::string next;
+  next.reserve(RequestRoom.bytes());
+  next += body;
+  body.swap(next);
   return true;
 }
 
-void ServerSession::releaseBody() {
-  if (Server)
-    Server->Held -= Reserved;
-  Reserved = 0;
+void ServerSession::returnSpareRoom() {
+  std::string &body = Parser->get().body();
+  if (body.size() > LargestShrunkBody)
+    return;
+  body.shrink_to_fit();
+  RequestRoom.resize(body.size());
 }
 
 void ServerSession::readBody() {
+  if (Parser->chunked()) {
+    readChunks();
+    return;
+  }
   http::async_read(Socket, Buffer, *Parser,
                    [self = shared_from_this()](error_code ec, std::size_t) {
                      self->onRead(ec);
                    });
 }
 
+void ServerSession::readChunks() {
+  if (!reserveChunk()) {
+    answerAndClose(http::status::service_unavailable);
+    return;
+  }
+  http::async_read_some(
+      Socket, Buffer, *Parser,
+      [self = shared_from_this()](error_code ec, std::size_t) {
+        if (ec || self->State == Phase::Closed || !self->Server ||
+            self->Parser->is_done())
+          self->onRead(ec);
+        else
+          self->readChunks();
+      });
+}
+
 void ServerSession::onRead(error_code ec) {
   if (State == Phase::Closed || !Server)
     return;
@@ -212,10 +262,13 @@
     refuse(ec);
     return;
   }
+  if (Parser->chunked())
+    returnSpareRoom();
   KeepAlive = Parser->get().keep_alive();
   IsHead = Parser->get().method() == http::verb::head;
   const auto exchange = std::make_shared<Exchange>(
-      shared_from_this(), Parser->release(), core::BootClock::now());
+      shared_from_this(), Parser->release(), std::move(RequestRoom),
+      core::BootClock::now());
   Parser.reset();
   Current = exchange;
   enter(Phase::Handling);
@@ -247,7 +300,13 @@
 void ServerSession::answerAndClose(http::status status) {
   KeepAlive = false;
   enter(Phase::Handling);
-  respond(HttpResponse(status, 11));
+  // What was read of the request is given back at once.
+  Parser.reset();
+  RequestRoom = {};
+  HttpResponse out(status, 11);
+  if (status == http::status::service_unavailable)
+    out.set(http::field::retry_after, RetryAfterSeconds);
+  respond(std::move(out));
 }
 
 void ServerSession::respond(HttpResponse response) {
@@ -281,7 +340,6 @@
 void ServerSession::onWritten(error_code ec, bool close) {
   Serializer.reset();
   Response.reset();
-  releaseBody();
   if (ec || State == Phase::Closed) {
     this->close(UnansweredCause::WriteFailed);
     return;
@@ -359,7 +417,6 @@
     return;
   reportUnanswered(cause);
   enter(Phase::Closed);
-  releaseBody();
   error_code ignored; // Nothing is left to do on a failed close.
   Socket.close(ignored);
 }
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -57,9 +57,15 @@
   void read();
   void onHeader(boost::beast::error_code ec);
   void readBody();
-  /// Reserves room for the body; returns false if there is none.
-  bool reserveBody();
-  void releaseBody();
+  void readChunks();
+  /// Takes room for a body of known length; returns the status of the refusal
+  /// if there is none.
+  std::optional<http::status> reserveBody();
+  /// Takes room for the next bytes of a body in chunks; returns false if there
+  /// is none.
+  bool reserveChunk();
+  /// Gives back what a body in chunks has not filled.
+  void returnSpareRoom();
   void answerAndClose(http::status status);
   void onRead(boost::beast::error_code ec);
   void refuse(boost::beast::error_code ec);
@@ -86,8 +92,8 @@
   bool KeepAlive = true;
   bool IsHead = false;
   bool WaitPending = false;
-  /// Bytes reserved for the body of the present request.
-  std::uint64_t Reserved = 0;
+  /// Taken for the request that is read.
+  BodyMemory::Room RequestRoom;
 };
 
 } // namespace acaciaroad::net
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -11,6 +11,8 @@
 /// Room for a request to reach its upstream, and for clocks that differ.
 constexpr core::Duration KeyRequestRoom = std::chrono::milliseconds(900);
 
+constexpr double BytesPerMb = 1U << 20U;
+
 core::Endpoint endpointOf(std::string_view text) {
   return core::parseEndpoint(text).value_or(core::Endpoint{});
 }
@@ -137,6 +139,13 @@
         },
         "Time over which rate and burst of client accounts are measured; "
         "without it they are not limited. A change needs a restart."),
+    realField<SidecarSettings>(
+        "limits", "memory_mb", {64, 1'000'000}, 256,
+        [](SidecarSettings &it, double x) {
+          it.Limits.MemoryBytes = static_cast<std::uint64_t>(x * BytesPerMb);
+        },
+        "Memory that the process may take, in MB; a quarter of it holds the "
+        "bodies of requests. A change needs a restart."),
     realField<SidecarSettings>(
         "limits", "retry_ratio", {0, 1}, 0.1,
         [](SidecarSettings &it, double x) { it.Limits.RetryRatio = x; },
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAROAD_SETTINGS_SIDECARSETTINGS_H
 #define ACACIAROAD_SETTINGS_SIDECARSETTINGS_H
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -54,6 +55,8 @@
   double RetryAllowance = 0;
   /// A configuration is in force within this time after it was accepted.
   core::Duration Configuration{};
+  /// Memory that the process may take.
+  std::uint64_t MemoryBytes = std::uint64_t{256} << 20U;
   bool operator==(const SidecarLimits &) const = default;
 };
 
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -26,9 +26,15 @@
 /// needs a signal.
 constexpr core::Duration SettingsInterval = std::chrono::seconds(1);
 
-net::ServerLimits limitsOf(const routing::ClientLimits &from) {
+/// Part of the memory that holds the bodies of requests. Requests that are sent
+/// on to another node are copied, which takes as much again at most; the rest
+/// is for answers and the process itself.
+constexpr std::uint64_t BodyShare = 4;
+
+net::ServerLimits limitsOf(const routing::ClientLimits &from,
+                           const settings::SidecarLimits &settings) {
   return {from.HeaderBytes, from.BodyBytes, from.HeaderTimeout,
-          from.IdleTimeout};
+          from.IdleTimeout, settings.MemoryBytes / BodyShare};
 }
 
 /// Bytes of the header fields that a node adds to a request that it forwards:
@@ -37,8 +43,9 @@
 
 /// Limits for connections from other nodes. A node must accept every request
 /// that another node accepted from a caller. Timeouts keep their defaults.
-net::ServerLimits peerLimitsOf(const routing::ClientLimits &from) {
-  net::ServerLimits out = limitsOf(routing::ClientLimits());
+net::ServerLimits peerLimitsOf(const routing::ClientLimits &from,
+                               const settings::SidecarLimits &settings) {
+  net::ServerLimits out = limitsOf(routing::ClientLimits(), settings);
   out.HeaderBytes =
       std::max(out.HeaderBytes, from.HeaderBytes) + ForwardedHeaderBytes;
   out.BodyBytes = std::max(out.BodyBytes, from.BodyBytes);
@@ -82,9 +89,10 @@
 Sidecar::Sidecar(const settings::SidecarSettings &settings, DrainPlan drain,
                  SidecarDependencies dependencies,
                  std::shared_ptr<logging::Logger> logger)
-    : Settings(settings), Drain(drain), Dependencies(std::move(dependencies)),
-      Log(std::move(logger)), Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP),
-      DrainTimer(TrafficLoop), SettingsTimer(ControlLoop) {}
+    : Settings(settings), Limits(settings.Limits), Drain(drain),
+      Dependencies(std::move(dependencies)), Log(std::move(logger)),
+      Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP), DrainTimer(TrafficLoop),
+      SettingsTimer(ControlLoop) {}
 
 Sidecar::~Sidecar() = default;
 
@@ -92,7 +100,7 @@
 Sidecar::listen(const core::Endpoint &address, net::ExchangeHandler handler) {
   // Default limits apply until a configuration is known.
   return net::HttpServer::create(TrafficLoop, address,
-                                 limitsOf(routing::ClientLimits()),
+                                 limitsOf(routing::ClientLimits(), Limits),
                                  std::move(handler));
 }
 
@@ -133,6 +141,9 @@
       return tl::unexpected(it->error());
   CallerServer = std::move(*callers);
   PeerServer = std::move(*peers);
+  const auto bodies = std::make_shared<net::BodyMemory>();
+  CallerServer->shareMemory(bodies);
+  PeerServer->shareMemory(bodies);
   HealthServer = std::move(*health);
   logUnansweredRequests(*CallerServer, "callers");
   logUnansweredRequests(*PeerServer, "peers");
@@ -195,8 +206,8 @@
   if (view->Routes) {
     HasConfiguration = true;
     const auto &limits = view->Routes->configuration().Limits;
-    CallerServer->setLimits(limitsOf(limits));
-    PeerServer->setLimits(peerLimitsOf(limits));
+    CallerServer->setLimits(limitsOf(limits, Limits));
+    PeerServer->setLimits(peerLimitsOf(limits, Limits));
   }
   const routing::Service *service =
       view->Routes ? view->Routes->findService(Settings.Node.Service) : nullptr;
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -80,6 +80,8 @@
   /// Modified only by the control thread once it runs. The traffic thread reads
   /// only members that never change.
   settings::SidecarSettings Settings;
+  /// As at the start; for the traffic thread.
+  const settings::SidecarLimits Limits;
   DrainPlan Drain;
   SidecarDependencies Dependencies;
   std::shared_ptr<logging::Logger> Log;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <array>
+#include <cstdio>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -183,9 +186,9 @@
     {"a body above the limit",
      "POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", 0,
      "HTTP/1.1 413 Payload Too Large"},
-    {"a body beyond what is held",
+    {"a body beyond all that is held",
      "POST / HTTP/1.1\r\nContent-Length: 550000\r\n\r\n", 0,
-     "HTTP/1.1 503 Service Unavailable"},
+     "HTTP/1.1 413 Payload Too Large"},
     {"a body that breaks off",
      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", 0, ""},
 };
@@ -433,9 +436,9 @@
     {"a body above the limit",
      "POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n", 0,
      "HTTP/1.1 413 Payload Too Large"},
-    {"a body beyond what is held",
+    {"a body beyond all that is held",
      "POST / HTTP/1.1\r\nContent-Length: 550000\r\n\r\n", 0,
-     "HTTP/1.1 503 Service Unavailable"},
+     "HTTP/1.1 413 Payload Too Large"},
     {"no HTTP", "garbage\r\n\r\n", 0, "HTTP/1.1 400 Bad Request"},
     {"bytes behind the last request",
      "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", 1,
@@ -1828,3 +1831,102 @@
                "%s: %s after %zu bytes", row.Name, answer.c_str(), sent);
   cr_assert_leq(sent, SocketBuffers, "%s: %zu", row.Name, sent);
 }
+
+namespace {
+
+/// Clients that send a body each, all at once, to a server that answers none
+/// before all have sent theirs. The server holds 1 MiB.
+struct HeldBodyRow {
+  const char *Name;
+  int Clients;
+  std::size_t Bytes;
+  bool IsChunked;
+  /// Number of bodies that the server takes, and the first line for the others.
+  int MostTaken;
+  int LeastTaken;
+  const char *Refusal;
+};
+
+constexpr std::uint64_t HeldLimit = 1U << 20U;
+constexpr std::size_t ChunkLength = 16U << 10U;
+
+const HeldBodyRow HeldBodyRows[] = {
+    {"small bodies in chunks", 8, 50'000, true, 8, 8, ""},
+    {"more than fit, in chunks", 8, 400U << 10U, true, 2, 1,
+     "HTTP/1.1 503 Service Unavailable"},
+    {"more than fit, with their length", 8, 400U << 10U, false, 2, 2,
+     "HTTP/1.1 503 Service Unavailable"},
+    {"one that fits, in chunks", 1, 1'000'000, true, 1, 1, ""},
+    {"one that never fits, in chunks", 1, 2U << 20U, true, 0, 0,
+     "HTTP/1.1 413 Payload Too Large"},
+    {"one that never fits, with its length", 1, 2U << 20U, false, 0, 0,
+     "HTTP/1.1 413 Payload Too Large"},
+};
+
+std::string makeUpload(const HeldBodyRow &row) {
+  if (!row.IsChunked)
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(row.Bytes) +
+           "\r\n\r\n" + std::string(row.Bytes, 'x');
+  std::string out = ChunkedRequest;
+  for (std::size_t n = 0; n < row.Bytes; n += ChunkLength) {
+    const std::size_t length = std::min(ChunkLength, row.Bytes - n);
+    std::array<char, 16> head{};
+    const int size = std::snprintf(head.data(), head.size(), "%zx\r\n", length);
+    out.append(head.data(), static_cast<std::size_t>(size));
+    out += std::string(length, 'x') + "\r\n";
+  }
+  return out + "0\r\n\r\n";
+}
+
+} // namespace
+
+// However a body is sent, all that a server holds together stays below its
+// limit; what doesn't fit is refused, and what fits is taken.
+ACACIA_TABLE_TEST(HttpServer, BoundsTheBodiesItHolds, HeldBodyRows) {
+  boost::asio::io_context loop;
+  ServerLimits limits{4096, 4U << 20U, seconds(1), seconds(2)};
+  limits.HeldBytes = HeldLimit;
+  std::vector<std::shared_ptr<Exchange>> taken;
+  const auto server =
+      *HttpServer::create(loop, {"127.0.0.1", 0}, limits,
+                          [&](const auto &it) { taken.push_back(it); });
+  const std::string upload = makeUpload(row);
+  std::deque<tcp::socket> sockets;
+  std::deque<std::string> buffers;
+  std::vector<std::string> answers;
+  for (int n = 0; n < row.Clients; ++n) {
+    tcp::socket &socket = sockets.emplace_back(loop);
+    std::string &answer = buffers.emplace_back();
+    socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+    boost::asio::async_write(socket, boost::asio::buffer(upload),
+                             [](error_code, std::size_t) {});
+    boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer),
+                                  "\r\n", [&](error_code, std::size_t length) {
+                                    answers.push_back(answer.substr(0, length));
+                                  });
+  }
+  loop.run_for(milliseconds(700));
+  cr_assert_leq(static_cast<int>(taken.size()), row.MostTaken, "%s: %zu",
+                row.Name, taken.size());
+  cr_assert_geq(static_cast<int>(taken.size()), row.LeastTaken, "%s: %zu",
+                row.Name, taken.size());
+  for (const std::string &it : answers)
+    cr_assert_eq(it.substr(0, it.find("\r\n")), row.Refusal, "%s: %s", row.Name,
+                 it.c_str());
+  const std::size_t ended = answers.size() + taken.size();
+  cr_assert_eq(ended, static_cast<std::size_t>(row.Clients), "%s: %zu",
+               row.Name, ended);
+  // What the answered requests held is free again.
+  for (const auto &it : taken)
+    it->respond(HttpResponse(http::status::ok, 11));
+  taken.clear();
+  sockets.clear();
+  loop.run_for(milliseconds(600));
+  const std::string next = makeUpload({"", 1, 900'000, true, 1, 1, ""});
+  tcp::socket socket(loop);
+  socket.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+  boost::asio::async_write(socket, boost::asio::buffer(next),
+                           [](error_code, std::size_t) {});
+  loop.run_for(milliseconds(300));
+  cr_assert_eq(taken.size(), 1U, "%s: a later one", row.Name);
+}
--- a/Tests/Settings/SidecarSettingsTest.cpp
+++ b/Tests/Settings/SidecarSettingsTest.cpp
@@ -56,6 +56,9 @@
     {"an unknown field", "retry_ratio", "retries", "unknown field"},
     {"an unknown table", "[limits]", "[bounds]", "unknown table bounds"},
     {"a ratio above one", "= 0.2", "= 1.5", "limits.retry_ratio"},
+    {"too little memory", "retry_ratio", "memory_mb = 63\nretry_ratio",
+     "limits.memory_mb"},
+    {"a size of memory", "retry_ratio", "memory_mb = 160\nretry_ratio", ""},
     {"no TOML", "[node]", "[node", "sidecar.toml"},
 };
 
