--- a/Source/Proxy/ProxiedRequest.cpp
+++ b/Source/Proxy/ProxiedRequest.cpp
@@ -53,6 +53,8 @@
   if (!caller.ParentId.empty())
     if (const auto rank = Entry.Upstream.rankOfRunning(caller.ParentId))
       NestedRank = std::max(*rank, NestedCallRank) + NestedRankOffset;
+  if (NestedRank)
+    ++Entry.Counters.NestedCalls;
 }
 
 void ProxiedRequest::start() {
--- a/Source/Proxy/TrafficCounters.cpp
+++ b/Source/Proxy/TrafficCounters.cpp
@@ -44,6 +44,9 @@
   counter("acacia_retries_total", counters.Retries);
   counter("acacia_orders_sent_total", counters.OrdersSent);
   counter("acacia_upstream_connects_total", counters.UpstreamConnects);
+  counter("acacia_nested_calls_total", counters.NestedCalls);
+  counter("acacia_upstream_pauses_total", counters.UpstreamPauses);
+  counter("acacia_bandwidth_refusals_total", counters.BandwidthRefusals);
   fmt::format_to(to, "# TYPE acacia_errors_total counter\n");
   for (std::size_t n = 0; n < counters.Errors.size(); ++n)
     if (counters.Errors[n] != 0)
--- a/Source/Proxy/TrafficCounters.h
+++ b/Source/Proxy/TrafficCounters.h
@@ -24,6 +24,12 @@
   std::uint64_t Retries = 0;
   std::uint64_t OrdersSent = 0;
   std::uint64_t UpstreamConnects = 0;
+  /// Calls that the own upstream made for orders that it ran.
+  std::uint64_t NestedCalls = 0;
+  /// Pauses of the upstream's orders because it answered none.
+  std::uint64_t UpstreamPauses = 0;
+  /// Orders refused because the network can't carry their answers in time.
+  std::uint64_t BandwidthRefusals = 0;
   /// Errors that callers got, by core::ErrorKind.
   std::array<std::uint64_t, core::ErrorKindCount> Errors{};
   /// From the arrival of a request to its answer.
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -259,6 +259,7 @@
     return;
   }
   if (exceedsBandwidth(order, now)) {
+    ++Counters.BandwidthRefusals;
     refuse(id, ErrorKind::QueueFull);
     return;
   }
@@ -442,6 +443,7 @@
                  {{"upstream", run.Data.ExpectedUpstream}});
   } else if (run.Handler && !result.IsHeldBack && !result.IsTooLarge &&
              Breaker.failed(now)) {
+    ++Counters.UpstreamPauses;
     Log->write(
         logging::Level::Warning, "upstream_paused",
         {{"upstream", run.Data.ExpectedUpstream},
