A node that gets its processor late counts that against its orders

Cause: orders were admitted as if the loop ran on time; at a fifth of the speed a node worked on requests that it couldn't answer any more.

UpstreamService takes it off an order's deadline and target before OrderQueue decides, and shows it as acacia_loop_delay_seconds. The choice of peers and the reports to them don't know it yet (docs/design/processor-time.md).

--- a/Source/Proxy/TrafficCounters.cpp
+++ b/Source/Proxy/TrafficCounters.cpp
@@ -44,6 +44,11 @@
   counter("acacia_retries_total", counters.Retries);
   counter("acacia_orders_sent_total", counters.OrdersSent);
   counter("acacia_upstream_connects_total", counters.UpstreamConnects);
+  const std::chrono::duration<double> delay = counters.LoopDelay;
+  fmt::format_to(to,
+                 "# TYPE acacia_loop_delay_seconds gauge\n"
+                 "acacia_loop_delay_seconds {:.6f}\n",
+                 delay.count());
   fmt::format_to(to, "# TYPE acacia_errors_total counter\n");
   for (std::size_t n = 0; n < counters.Errors.size(); ++n)
     if (counters.Errors[n] != 0)
--- a/Source/Proxy/TrafficCounters.h
+++ b/Source/Proxy/TrafficCounters.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "Administration/LatencyHistogram.h"
+#include "Core/Clock.h"
 #include "Core/ErrorKind.h"
 #include "Net/HttpServer.h"
 
@@ -24,6 +25,8 @@
   std::uint64_t Retries = 0;
   std::uint64_t OrdersSent = 0;
   std::uint64_t UpstreamConnects = 0;
+  /// What the traffic loop's next turn has to expect (upstream::LoopDelay).
+  core::Duration LoopDelay{};
   /// Errors that callers got, by core::ErrorKind.
   std::array<std::uint64_t, core::ErrorKindCount> Errors{};
   /// From the arrival of a request to its answer.
--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -263,8 +263,12 @@
     return;
   }
   applyColdRate(now);
-  const upstream::Decision decision = Queue.offer(
-      {id, order.WorkClass, order.Rank, order.Deadline, order.Target}, now);
+  // The answer is read that much later than it comes.
+  const core::Duration delay = Delay.expected();
+  const upstream::Decision decision =
+      Queue.offer({id, order.WorkClass, order.Rank, order.Deadline - delay,
+                   order.Target - delay},
+                  now);
   if (decision.Status == upstream::AdmissionStatus::Start)
     send(id);
   else if (decision.Status == upstream::AdmissionStatus::Refused)
@@ -563,10 +567,12 @@
     return;
   NextTick = next;
   Timer.expires_after(length);
-  Timer.async_wait([this](error_code ec) {
+  Timer.async_wait([this, next](error_code ec) {
     if (ec)
       return;
     NextTick.reset();
+    Delay.timerRan(next, core::BootClock::now());
+    Counters.LoopDelay = Delay.expected();
     tick();
   });
 }
--- a/Source/Proxy/UpstreamService.h
+++ b/Source/Proxy/UpstreamService.h
@@ -26,6 +26,7 @@
 #include "Upstream/AnswerBandwidth.h"
 #include "Upstream/HandoverQueue.h"
 #include "Upstream/KeyLoad.h"
+#include "Upstream/LoopDelay.h"
 #include "Upstream/OrderQueue.h"
 #include "Upstream/UpstreamBreaker.h"
 
@@ -202,6 +203,7 @@
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer LoadTimer;
   core::TimePoint PrunedAt{};
+  upstream::LoopDelay Delay;
   /// When the timer is due, if it is set.
   std::optional<core::TimePoint> NextTick;
   bool Draining = false;
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -64,6 +64,20 @@
     {"with time left", milliseconds(10), milliseconds(2000), 0},
 };
 
+struct DelayRow {
+  const char *Name;
+  /// Timers run 400 ms late.
+  bool IsLate;
+  core::Duration TimeLeft;
+  std::size_t Refused;
+};
+
+const DelayRow DelayRows[] = {
+    {"on time", false, milliseconds(300), 0},
+    {"late", true, milliseconds(300), 1},
+    {"late, with time left", true, seconds(3), 0},
+};
+
 /// A node with one slot whose upstream answers only when told.
 class Fixture {
 public:
@@ -275,6 +289,24 @@
   cr_assert_eq(refused, row.Refused, "%s: %zu", row.Name, refused);
 }
 
+// A node that gets its processor late refuses what it couldn't answer in time.
+ACACIA_TABLE_TEST(UpstreamService, CountsTheDelayOfItsLoop, DelayRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  fixture.offer("runs", seconds(10));
+  for (int n = 0; n < 5; ++n) {
+    if (row.IsLate)
+      std::this_thread::sleep_for(milliseconds(500));
+    else
+      fixture.run();
+    fixture.Loop.restart();
+    fixture.Loop.poll();
+  }
+  fixture.offer("waits", row.TimeLeft);
+  cr_assert_eq(fixture.Results.size(), row.Refused, "%s: %zu", row.Name,
+               fixture.Results.size());
+}
+
 namespace {
 
 struct SenderRow {
