--- a/Source/Proxy/TrafficCounters.cpp
+++ b/Source/Proxy/TrafficCounters.cpp
@@ -47,6 +47,11 @@
   counter("acacia_nested_calls_total", counters.NestedCalls);
   counter("acacia_upstream_pauses_total", counters.UpstreamPauses);
   counter("acacia_bandwidth_refusals_total", counters.BandwidthRefusals);
+  const std::chrono::duration<double> delay = counters.LoopDelay;
+  fmt::format_to(to,
+                 "# TYPE acacia_loop_delay_seconds gauge\n"
+                 "acacia_loop_delay_seconds {:.6f}\n",
+                 delay.count());
   fmt::format_to(to, "# TYPE acacia_errors_total counter\n");
   for (std::size_t n = 0; n < counters.Errors.size(); ++n)
     if (counters.Errors[n] != 0)
--- a/Source/Proxy/TrafficCounters.h
+++ b/Source/Proxy/TrafficCounters.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "Administration/LatencyHistogram.h"
+#include "Core/Clock.h"
 #include "Core/ErrorKind.h"
 #include "Net/HttpServer.h"
 
@@ -30,6 +31,8 @@
   std::uint64_t UpstreamPauses = 0;
   /// Orders refused because the network can't carry their answers in time.
   std::uint64_t BandwidthRefusals = 0;
+  /// What the traffic loop's next turn has to expect (upstream::LoopDelay).
+  core::Duration LoopDelay{};
   /// Errors that callers got, by core::ErrorKind.
   std::array<std::uint64_t, core::ErrorKindCount> Errors{};
   /// From the arrival of a request to its answer.
