An order that was withdrawn before it is read doesn't run

Cause: after a pause, a node finds an order and the end of its sender's connection in the socket at once.

Change: PeerService asks the socket before it offers an order.

--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -54,6 +54,10 @@
     OnAbandoned = std::move(hook);
   }
 
+  /// Returns whether the client has ended its half of the connection by now,
+  /// which the session may see only later.
+  bool hasClientLeft() const;
+
   HttpRequest &request() { return Request; }
   bool isAnswered() const { return Answered; }
 
--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -50,6 +50,8 @@
   Session->respond(std::move(response));
 }
 
+bool Exchange::hasClientLeft() const { return Session->hasClientClosed(); }
+
 void Exchange::abandon() {
   if (std::exchange(Answered, true))
     return;
--- a/Source/Net/ServerSession.h
+++ b/Source/Net/ServerSession.h
@@ -33,6 +33,10 @@
   /// Whether bytes of a request have come that is still to be read.
   bool hasUnread() const;
 
+  /// Returns whether the client has ended its half of the connection, whatever
+  /// it sent before.
+  bool hasClientClosed();
+
   /// The server goes away; the session outlives it without using it.
   void detach();
 
@@ -51,9 +55,6 @@
   void waitReadable();
   void onReadable();
   void checkAbandoned();
-  /// Returns whether the client has ended its half of the connection, whatever
-  /// it sent before.
-  bool hasClientClosed();
   /// Closes the connection and cancels the request that is handled.
   void abandon();
   void read(Wanted when);
--- a/Source/Proxy/PeerService.cpp
+++ b/Source/Proxy/PeerService.cpp
@@ -86,6 +86,13 @@
   if (const upstream::Ticket permit = readPermit(request); permit != 0)
     Gate.finished(permit, core::BootClock::now());
   const CallerFields caller = Codec.ReadCaller(request);
+  // After a pause, an order and its withdrawal are there at once. The session
+  // ends the exchange.
+  if (exchange->hasClientLeft()) {
+    Log->write(logging::Level::Info, "order_withdrawn",
+               {{"request_id", caller.RequestId}});
+    return;
+  }
   const ForwardFields forward = readForward(request);
   const OrderFields fields = Codec.ReadOrder(request);
   Order order;
--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -8,6 +8,8 @@
 
 #include "Net/HttpServer.h"
 #include "Proxy/FieldCodec.h"
+#include "Proxy/PeerClients.h"
+#include "Proxy/PeerService.h"
 #include "Support/ByteServer.h"
 #include "Support/Table.h"
 
@@ -391,3 +393,61 @@
   cr_assert(fixture.Lines.find(row.Status) != std::string::npos, "%s: %s",
             row.Name, fixture.Lines.c_str());
 }
+
+namespace {
+
+struct WithdrawalRow {
+  const char *Name;
+  /// Whether the sender withdraws the order while the receiver stands still.
+  bool IsWithdrawn;
+  std::size_t Sent;
+};
+
+const WithdrawalRow WithdrawalRows[] = {
+    {"the sender waits", false, 1},
+    {"the sender withdraws it", true, 0},
+};
+
+} // namespace
+
+// After a pause, a node finds an order and its withdrawal at once. It used to
+// send the order to its upstream before it saw the withdrawal.
+ACACIA_TABLE_TEST(PeerService, SendsNothingThatWasWithdrawnDuringAPause,
+                  WithdrawalRows) {
+  Fixture fixture;
+  fixture.setView({true, "here"});
+  fixture.offer("first"); // Makes the connection to the upstream.
+  fixture.run();
+  fixture.answerAll();
+  fixture.run();
+  logging::LoggerOptions options;
+  options.Sink = [](std::string_view) {};
+  PeerService service(fixture.Loop, tests::makeHeaderCodec(), *fixture.Upstream,
+                      *logging::Logger::create(std::move(options)));
+  const auto server = *net::HttpServer::create(
+      fixture.Loop, {"127.0.0.1", 0}, {4096, 4096, seconds(1), seconds(5)},
+      [&](const auto &it) { service.handle(it); });
+  fixture.run();
+
+  boost::asio::io_context senderLoop;
+  PeerClients sender(senderLoop, net::AnswerMemory::create(1U << 20U));
+  const HeaderCodec codec = tests::makeHeaderCodec();
+  Order order;
+  order.Request = {net::http::verb::get, "/", 11};
+  order.Request.set("id", "second");
+  order.RequestId = "second";
+  order.Service = "service";
+  order.Deadline = core::BootClock::now() + seconds(3);
+  order.Target = order.Deadline;
+  order.ExpectedUpstream = tests::UpstreamId;
+  order.Key = tests::RequestKey;
+  const auto call = sender.send({"127.0.0.1", server->port()}, std::move(order),
+                                codec, [](OrderResult) {});
+  senderLoop.run_for(milliseconds(100));
+  if (row.IsWithdrawn)
+    call->cancel();
+  senderLoop.run_for(milliseconds(50));
+  fixture.run();
+  cr_assert_eq(fixture.Open.size(), row.Sent, "%s: %zu", row.Name,
+               fixture.Open.size());
+}
