Records and messages of roll-outs; the version of an upstream in its node's record

Nodes keep the version of a heartbeat in an optional field of their record, which earlier releases skip. The fleet's log gets the records of decisions, datagrams carry counts, and the adapter decodes orders and encodes their status.

--- a/Source/Codec/FleetRecords.cpp
+++ b/Source/Codec/FleetRecords.cpp
@@ -1,5 +1,9 @@
 #include "Codec/FleetRecords.h"
 
+#include <cstddef>
+#include <optional>
+#include <utility>
+
 #include <fmt/format.h>
 #include <google/protobuf/stubs/logging.h>
 
@@ -12,6 +16,16 @@
 
 constexpr std::string_view NodePrefix = "node/";
 constexpr std::string_view HoldingsPrefix = "keys/";
+constexpr std::string_view RolloutPrefix = "rollouts/";
+
+/// Routes in a datagram of counts; a few kilobytes at most.
+constexpr int MaxRoutes = 16;
+
+/// Longest time of an order; a larger age would overflow a time.
+constexpr core::Duration MaxAge = std::chrono::hours(24 * 30);
+
+/// Counts up to this can be added for all nodes.
+constexpr std::uint64_t MaxCount = std::uint64_t{1} << 40U;
 
 tl::unexpected<core::Error> corrupt(std::string detail) {
   return core::fail(core::ErrorKind::CorruptMessage, std::move(detail));
@@ -52,6 +66,66 @@
           row.handover()};
 }
 
+void writeCounts(const rollouts::AnswerCounts &from,
+                 pb::FleetAnswerCounts &to) {
+  to.set_failures(from.Failures);
+  std::size_t used = rollouts::LatencyBins;
+  while (used > 0 && from.Latency[used - 1] == 0)
+    --used;
+  for (std::size_t n = 0; n < used; ++n)
+    to.add_latency(from.Latency[n]);
+}
+
+/// Returns nothing if a number is out of range.
+std::optional<rollouts::AnswerCounts>
+readCounts(const pb::FleetAnswerCounts &from) {
+  rollouts::AnswerCounts out;
+  if (from.latency_size() > static_cast<int>(rollouts::LatencyBins))
+    return std::nullopt;
+  for (int n = 0; n < from.latency_size(); ++n) {
+    if (from.latency(n) > MaxCount)
+      return std::nullopt;
+    out.Latency[static_cast<std::size_t>(n)] = from.latency(n);
+  }
+  out.Failures = from.failures();
+  if (out.Failures > out.answers())
+    return std::nullopt;
+  return out;
+}
+
+void writeReport(const rollouts::CountReport &from, pb::FleetCounts &to) {
+  to.set_node(from.Node);
+  to.set_incarnation(from.Incarnation);
+  to.set_service(from.Service);
+  to.set_version(from.Version);
+  to.set_age(from.Age.count());
+  for (const rollouts::RouteCounts &it : from.Routes) {
+    if (to.routes_size() == MaxRoutes)
+      break;
+    pb::FleetRouteCounts &route = *to.add_routes();
+    route.set_route(it.Route);
+    writeCounts(it.Former, *route.mutable_former());
+    writeCounts(it.Next, *route.mutable_next());
+  }
+}
+
+core::Result<rollouts::CountReport> readReport(const pb::FleetCounts &from) {
+  rollouts::CountReport out{
+      from.node(),    from.incarnation(),         from.service(),
+      from.version(), core::Duration(from.age()), {}};
+  if (from.age() < 0 || from.age() > MaxAge.count() ||
+      from.routes_size() > MaxRoutes)
+    return corrupt("a report of counts has a number out of range");
+  for (const pb::FleetRouteCounts &it : from.routes()) {
+    const auto former = readCounts(it.former());
+    const auto next = readCounts(it.next());
+    if (!former || !next)
+      return corrupt("a report of counts has a number out of range");
+    out.Routes.push_back({it.route(), *former, *next});
+  }
+  return out;
+}
+
 } // namespace
 
 void silenceLibrary() { google::protobuf::SetLogHandler(nullptr); }
@@ -64,7 +138,14 @@
   return fmt::format("{}{}/{}", HoldingsPrefix, service, part);
 }
 
+std::string rolloutKey(std::string_view service) {
+  return std::string(RolloutPrefix).append(service);
+}
+
 FleetKey parseFleetKey(std::string_view key) {
+  if (key.starts_with(RolloutPrefix))
+    return {FleetKey::Kind::Rollout,
+            std::string(key.substr(RolloutPrefix.size())), 0};
   if (key.starts_with(NodePrefix))
     return {FleetKey::Kind::Node, std::string(key.substr(NodePrefix.size())),
             0};
@@ -94,6 +175,7 @@
   out.set_slots(record.Slots);
   out.set_stopping(record.IsStopping);
   out.set_generation(record.Generation);
+  out.set_version(record.Version);
   return out.SerializeAsString();
 }
 
@@ -122,6 +204,7 @@
   out.Slots = in.slots();
   out.IsStopping = in.stopping();
   out.Generation = in.generation();
+  out.Version = in.version();
   return out;
 }
 
@@ -164,6 +247,43 @@
   return out;
 }
 
+std::string encodeRollout(const rollouts::Rollout &record) {
+  pb::FleetRollout out;
+  out.set_service(record.Request.Service);
+  out.set_version(record.Request.Version);
+  out.set_length(record.Request.Length.count());
+  out.set_phase(static_cast<std::uint32_t>(record.Current));
+  for (const std::string &it : record.FormerVersions)
+    out.add_former_versions(it);
+  for (const std::string &it : record.RejectedVersions)
+    out.add_rejected_versions(it);
+  out.set_phase_began(record.PhaseBegan.count());
+  out.set_cause(record.Cause);
+  return out.SerializeAsString();
+}
+
+core::Result<rollouts::Rollout> decodeRollout(std::string_view value,
+                                              std::string_view service) {
+  pb::FleetRollout in;
+  if (!in.ParseFromArray(value.data(), static_cast<int>(value.size())))
+    return corrupt("a record of a roll-out can't be parsed");
+  if (in.service() != service)
+    return corrupt("the service in the record differs from its key");
+  const auto isAge = [](std::int64_t ns) {
+    return ns >= 0 && ns <= MaxAge.count();
+  };
+  if (in.phase() >= rollouts::PhaseCount || !isAge(in.length()) ||
+      !isAge(in.phase_began()))
+    return corrupt("a record of a roll-out has a number out of range");
+  return rollouts::Rollout{
+      {in.service(), in.version(), core::Duration(in.length())},
+      static_cast<rollouts::Phase>(in.phase()),
+      {in.former_versions().begin(), in.former_versions().end()},
+      {in.rejected_versions().begin(), in.rejected_versions().end()},
+      core::Duration(in.phase_began()),
+      in.cause()};
+}
+
 std::string encodeDatagram(const FleetDatagram &datagram) {
   pb::FleetDatagram out;
   if (const auto *hint = std::get_if<FleetHint>(&datagram)) {
@@ -173,6 +293,8 @@
     to.set_utilization(hint->Load.Utilization);
     to.set_cost(hint->Load.Cost);
   }
+  if (const auto *report = std::get_if<rollouts::CountReport>(&datagram))
+    writeReport(*report, *out.mutable_counts());
   if (const auto *notice = std::get_if<holdings::ReleaseNotice>(&datagram)) {
     pb::FleetRelease &to = *out.mutable_release();
     to.set_node(notice->Node);
@@ -197,6 +319,12 @@
       return corrupt("a hint has a load out of range");
     return FleetHint{hint.node(), hint.fleet_end(), load};
   }
+  if (in.has_counts()) {
+    auto report = readReport(in.counts());
+    if (!report)
+      return tl::unexpected(report.error());
+    return std::move(*report);
+  }
   if (!in.has_release())
     return corrupt("a datagram is empty");
   holdings::ReleaseNotice out{
--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -17,6 +17,7 @@
 #include "Holdings/HoldingTypes.h"
 #include "Holdings/LoadMove.h"
 #include "Holdings/ReleaseInbox.h"
+#include "Rollouts/RolloutTypes.h"
 
 namespace acaciaroad::codec {
 
@@ -26,7 +27,7 @@
 
 /// What a record of the fleet's log is about.
 struct FleetKey {
-  enum class Kind { Unknown, Node, Holdings };
+  enum class Kind { Unknown, Node, Holdings, Rollout };
   Kind What = Kind::Unknown;
   /// Name of the node or of the service.
   std::string Name;
@@ -36,6 +37,7 @@
 
 std::string nodeKey(std::string_view node);
 std::string holdingsKey(std::string_view service, holdings::Key part);
+std::string rolloutKey(std::string_view service);
 FleetKey parseFleetKey(std::string_view key);
 
 std::string encodeNode(const holdings::NodeRecord &record);
@@ -54,6 +56,11 @@
 core::Result<holdings::HoldingPart>
 decodeHoldings(std::string_view value, holdings::Key part, core::Offset logEnd);
 
+std::string encodeRollout(const rollouts::Rollout &record);
+/// Fails with CorruptMessage, also for the record of another service.
+core::Result<rollouts::Rollout> decodeRollout(std::string_view value,
+                                              std::string_view service);
+
 /// What nodes tell each other often; a lost one is replaced by the next.
 struct FleetHint {
   std::string Node;
@@ -63,7 +70,8 @@
 };
 
 /// What one datagram between nodes carries.
-using FleetDatagram = std::variant<FleetHint, holdings::ReleaseNotice>;
+using FleetDatagram =
+    std::variant<FleetHint, holdings::ReleaseNotice, rollouts::CountReport>;
 
 std::string encodeDatagram(const FleetDatagram &datagram);
 /// Fails with CorruptMessage.
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -133,6 +133,7 @@
   LastHeartbeatAt = now;
   HeartbeatSequence = heartbeat.Sequence;
   Slots = heartbeat.Slots;
+  Version = heartbeat.Version;
   IsProcessLeaving =
       IsProcessLeaving || heartbeat.State == UpstreamState::Leaving;
   State = IsProcessLeaving ? UpstreamState::Leaving : heartbeat.State;
@@ -217,6 +218,7 @@
   out.State = State;
   out.Slots = Slots;
   out.IsStopping = Draining;
+  out.Version = Version;
   return out;
 }
 
--- a/Source/Holdings/HoldingAgent.h
+++ b/Source/Holdings/HoldingAgent.h
@@ -246,6 +246,7 @@
   UpstreamState State = UpstreamState::Absent;
   std::uint64_t HeartbeatSequence = 0;
   std::uint32_t Slots = 0;
+  std::string Version;
   bool HasHeartbeat = false;
   bool Draining = false;
   /// The current upstream process has announced that it shuts down.
--- a/Source/Holdings/HoldingTypes.h
+++ b/Source/Holdings/HoldingTypes.h
@@ -112,6 +112,8 @@
   /// Orders the incarnations of the node: each start has a higher number than
   /// all earlier ones. 0 in records of earlier releases.
   std::uint64_t Generation = 0;
+  /// Version of the upstream's software; empty in records of earlier releases.
+  std::string Version{};
   bool operator==(const NodeRecord &) const = default;
 };
 
@@ -132,6 +134,8 @@
   UpstreamProcess Process;
   std::string Service;
   std::string DataCentre;
+  /// Version of the upstream's software; empty if it isn't known.
+  std::string Version;
   core::Endpoint Address;
   UpstreamState State = UpstreamState::Ready;
   std::uint32_t Slots = 0;
--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -19,6 +19,7 @@
 #include "platform/ConfigurationDecoder.h"
 #include "platform/HeaderCodec.h"
 #include "platform/HeartbeatCodec.h"
+#include "platform/RolloutCodec.h"
 #include "platform/StoreClient.h"
 
 DEFINE_string(settings, "", "Path of the TOML settings file.");
@@ -55,13 +56,15 @@
 sidecar::SidecarDependencies makeParts() {
   sidecar::SidecarDependencies out;
   out.HeaderCodec = adapter::makeHeaderCodec();
-  out.Codec = {adapter::parseUpstreamCall, adapter::decodeHeartbeat,
-               adapter::encodeGrant, adapter::parseOperatorKey,
-               adapter::decodeConfiguration};
+  out.Codec = {adapter::parseUpstreamCall,   adapter::decodeHeartbeat,
+               adapter::encodeGrant,         adapter::parseOperatorKey,
+               adapter::decodeConfiguration, adapter::decodeRolloutOrder,
+               adapter::encodeRolloutStatus};
   out.MakeLogs = [](boost::asio::io_context &loop,
                     const core::Endpoint &address) {
     const auto store = adapter::StoreClient::create(loop, address);
-    return sidecar::ControlLogs{store->operatorLog(), store->fleetLog()};
+    return sidecar::ControlLogs{store->operatorLog(), store->fleetLog(),
+                                store->statusLog()};
   };
   out.ReadSettings = [] {
     return settings::loadSidecarSettings(FLAGS_settings);
--- a/Source/Rollouts/RolloutTypes.h
+++ b/Source/Rollouts/RolloutTypes.h
@@ -15,6 +15,10 @@
 
 namespace acaciaroad::rollouts {
 
+/// Longest version that can be ordered. It is stored in the records of nodes;
+/// a longer one counts as unknown, which is the empty one.
+inline constexpr std::size_t MaxVersionBytes = 64;
+
 /// An operator's order to move the traffic of a service to a version.
 struct Order {
   std::string Service;
--- a/Source/Settings/SidecarFields.cpp
+++ b/Source/Settings/SidecarFields.cpp
@@ -145,6 +145,23 @@
         "limits", "retry_allowance", {0, 100'000}, 10,
         [](SidecarSettings &it, double x) { it.Limits.RetryAllowance = x; },
         "Further attempts of the whole fleet beyond the ratio."),
+    realField<SidecarSettings>(
+        "rollout", "share", {0, 0.5}, 0,
+        [](SidecarSettings &it, double x) { it.Rollout.Share = x; },
+        "Share of a service's requests that a version may get while it is "
+        "compared with the former one; 0 where orders to move a service to a "
+        "version are not carried out. A change needs a restart."),
+    realField<SidecarSettings>(
+        "rollout", "slack", {0, 100'000}, 0,
+        [](SidecarSettings &it, double x) { it.Rollout.Slack = x; },
+        "Requests that the version may get beyond the share."),
+    textField<SidecarSettings>(
+        "rollout", "rollback", TextKind::Duration, "5s",
+        [](SidecarSettings &it, std::string_view s) {
+          it.Rollout.RollBack = durationOf(s);
+        },
+        "A version that has given bad answers gets no request later than "
+        "this."),
     textField<SidecarSettings>(
         "logging", "level", TextKind::Level, "info",
         [](SidecarSettings &it, std::string_view s) {
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -57,6 +57,17 @@
   bool operator==(const SidecarLimits &) const = default;
 };
 
+/// Bounds of roll-outs by version.
+struct RolloutSettings {
+  /// Share of a service's requests for a version before it is taken. 0 where
+  /// roll-outs are not carried out.
+  double Share = 0;
+  /// Requests beyond the share.
+  double Slack = 0;
+  /// Time from bad answers to the last request to the version.
+  core::Duration RollBack{};
+};
+
 /// All settings of a sidecar, checked.
 struct SidecarSettings {
   SidecarIdentity Node;
@@ -70,6 +81,7 @@
   UpstreamSettings Upstream;
   StoreSettings Store;
   SidecarLimits Limits;
+  RolloutSettings Rollout;
   logging::Level LogLevel = logging::Level::Info;
 };
 
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -299,6 +299,7 @@
     else
       logRecordError(part.error());
     return;
+  case codec::FleetKey::Kind::Rollout:
   case codec::FleetKey::Kind::Unknown:
     return;
   }
--- a/Source/Sidecar/SidecarTypes.h
+++ b/Source/Sidecar/SidecarTypes.h
@@ -13,6 +13,7 @@
 #include "Feed/FeedTypes.h"
 #include "Holdings/HoldingTypes.h"
 #include "Net/HttpMessage.h"
+#include "Rollouts/RolloutTypes.h"
 #include "Routing/RoutingTypes.h"
 
 namespace acaciaroad::sidecar {
@@ -26,10 +27,12 @@
 
 /// The parsed key of a record in the operators' log.
 struct OperatorKey {
-  enum class Kind { Unknown, Configuration, DataCentreOut };
+  enum class Kind { Unknown, Configuration, DataCentreOut, Rollout };
   Kind What = Kind::Unknown;
   /// Name of the data centre, for DataCentreOut.
   std::string DataCentre;
+  /// Name of the service, for Rollout.
+  std::string Service;
 };
 
 /// Encodes and decodes the platform's message formats.
@@ -43,6 +46,13 @@
   std::function<OperatorKey(std::string_view)> ParseOperatorKey;
   std::function<core::Result<routing::Configuration>(std::string_view)>
       DecodeConfiguration;
+  /// Decodes an order for the service of the record's key.
+  std::function<core::Result<rollouts::Order>(std::string_view service,
+                                              std::string_view value)>
+      DecodeOrder;
+  /// Returns the record that tells operators of a decision.
+  std::function<feed::KeyedRecord(const rollouts::Rollout &)>
+      EncodeRolloutStatus;
 };
 
 /// The platform's logs.
@@ -51,6 +61,9 @@
   feed::KeyedLog Operators;
   /// Node and holdings records, written by the nodes.
   feed::KeyedLog Fleet;
+  /// State of orders, written by the nodes for operators. Without operations if
+  /// there is no such log.
+  feed::KeyedLog Status{};
 };
 
 } // namespace acaciaroad::sidecar
--- a/Tests/Adapter/AdapterTest.cpp
+++ b/Tests/Adapter/AdapterTest.cpp
@@ -250,6 +250,57 @@
      CallKind::Unknown},
 };
 
+struct OrderRow {
+  const char *Name;
+  const char *Text;
+  bool IsValid;
+};
+
+const OrderRow OrderRows[] = {
+    {"as in the specification",
+     R"({"service":"s","toVersion":"v2","duration":"40s"})", true},
+    {"another service", R"({"service":"t","toVersion":"v2","duration":"40s"})",
+     false},
+    {"no version", R"({"service":"s","duration":"40s"})", false},
+    {"a version without end",
+     R"({"service":"s","toVersion":"0123456789012345678901234567890123456789)"
+     R"(0123456789012345678901234","duration":"40s"})",
+     false},
+    {"an empty version", R"({"service":"s","toVersion":"","duration":"40s"})",
+     false},
+    {"no time", R"({"service":"s","toVersion":"v2"})", false},
+    {"a time of nothing", R"({"service":"s","toVersion":"v2","duration":"0s"})",
+     false},
+    {"malformed JSON", "{", false},
+};
+
+struct StatusRow {
+  rollouts::Phase Current;
+  const char *State;
+};
+
+const StatusRow StatusRows[] = {
+    {rollouts::Phase::Warming, "running"},
+    {rollouts::Phase::Comparing, "running"},
+    {rollouts::Phase::Settling, "running"},
+    {rollouts::Phase::Complete, "complete"},
+    {rollouts::Phase::RolledBack, "rolled_back"},
+};
+
+struct OperatorKeyRow {
+  const char *Key;
+  sidecar::OperatorKey::Kind What;
+  const char *Service;
+};
+
+using KeyKind = sidecar::OperatorKey::Kind;
+const OperatorKeyRow OperatorKeyRows[] = {
+    {"config", KeyKind::Configuration, ""},
+    {"evacuate/a", KeyKind::DataCentreOut, ""},
+    {"rollout/s", KeyKind::Rollout, "s"},
+    {"rollout/", KeyKind::Unknown, ""},
+};
+
 struct LoadRow {
   const char *Name;
   const char *Text;
@@ -309,10 +360,18 @@
   cr_assert_eq(decoded->Process.StartUnixMs, 17);
   cr_assert_eq(decoded->ColdRemaining.count(),
                core::Duration(milliseconds(1500)).count());
+  cr_assert_eq(decoded->Version, "v1");
   cr_assert_eq(decoded->Holds.at(0).Token, 7U);
   cr_assert_eq(decoded->Freed.at(0).Handover, "abc");
 }
 
+Test(Adapter, TakesALongVersionForUnknown) {
+  const auto decoded = decodeHeartbeat(
+      "i-1", replaced(HeartbeatText, "v1", std::string(65, 'v')));
+  cr_assert(decoded.has_value());
+  cr_assert_eq(decoded->Version, "");
+}
+
 Test(Adapter, EncodesGrants) {
   cr_assert_eq(encodeGrant(std::nullopt), "{}");
   holdings::Grant grant;
@@ -327,6 +386,29 @@
   cr_assert(parseUpstreamCall(request).What == row.What, "%s", row.Name);
 }
 
+ACACIA_TABLE_TEST(Adapter, DecodesOrders, OrderRows) {
+  const auto order = decodeRolloutOrder("s", row.Text);
+  cr_assert_eq(order.has_value(), row.IsValid, "%s", row.Name);
+  if (order)
+    cr_assert(*order == rollouts::Order({"s", "v2", std::chrono::seconds(40)}));
+}
+
+ACACIA_TABLE_TEST(Adapter, TellsTheStateOfRollouts, StatusRows) {
+  const auto record = encodeRolloutStatus(
+      {{"s", "v2", std::chrono::seconds(40)}, row.Current, {}, {}, {}, ""});
+  cr_assert_eq(record.Key, "rollout/s");
+  cr_assert_eq(*record.Value,
+               fmt::format(R"({{"service":"s","state":"{}","toVersion":"v2"}})",
+                           row.State),
+               "%s: %s", row.State, record.Value->c_str());
+}
+
+ACACIA_TABLE_TEST(Adapter, ParsesOperatorKeys, OperatorKeyRows) {
+  const auto key = parseOperatorKey(row.Key);
+  cr_assert(key.What == row.What, "%s", row.Key);
+  cr_assert_eq(key.Service, row.Service, "%s", row.Key);
+}
+
 ACACIA_TABLE_TEST(Adapter, ReadsLoads, LoadRows) {
   net::HttpFields fields;
   if (row.Text[0] != '\0')
--- a/Tests/Adapter/Headers.h
+++ b/Tests/Adapter/Headers.h
@@ -10,5 +10,6 @@
 #include "platform/HeartbeatCodec.h"
 #include "platform/NewestPage.h"
 #include "platform/RecordFraming.h"
+#include "platform/RolloutCodec.h"
 
 #endif
--- a/Tests/Adapter/MutationTest.cpp
+++ b/Tests/Adapter/MutationTest.cpp
@@ -51,7 +51,29 @@
   return out + frameRecord({"node/a", "value"}) + frameRecord({"b", {}});
 }
 
+rollouts::CountReport makeReport() {
+  rollouts::CountReport out{"node", 1, "s", "v2", core::Duration(5), {}};
+  out.Routes.push_back({"r", {}, {}});
+  out.Routes[0].Former.add(true, core::Duration(5));
+  return out;
+}
+
 const ParserRow ParserRows[] = {
+    {"order of a roll-out",
+     {R"({"service":"s","toVersion":"v2","duration":"40s"})"},
+     [](std::string_view text) {
+       return decodeRolloutOrder("s", text).has_value();
+     }},
+    {"roll-out record",
+     {codec::encodeRollout({{"s", "v2", core::Duration(9)},
+                            rollouts::Phase::Comparing,
+                            {"v1"},
+                            {"v0"},
+                            core::Duration(5),
+                            "cause"})},
+     [](std::string_view bytes) {
+       return codec::decodeRollout(bytes, "s").has_value();
+     }},
     {"configuration",
      {Configuration},
      [](std::string_view text) {
@@ -83,7 +105,10 @@
                          2,
                          {"u", 3},
                          holdings::UpstreamState::Ready,
-                         18})},
+                         18,
+                         false,
+                         7,
+                         "v1"})},
      [](std::string_view bytes) {
        return codec::decodeNode(bytes).has_value();
      }},
@@ -100,7 +125,8 @@
     {"datagram between nodes",
      {codec::encodeDatagram(codec::FleetHint{"node", 9, {0.5, 0.01}}),
       codec::encodeDatagram(
-          holdings::ReleaseNotice{"node", 1, {{makeHolding(), "target"}}})},
+          holdings::ReleaseNotice{"node", 1, {{makeHolding(), "target"}}}),
+      codec::encodeDatagram(makeReport())},
      [](std::string_view bytes) {
        return codec::decodeDatagram(bytes).has_value();
      }},
@@ -124,7 +150,7 @@
        return proxy::readOutcome(fields).RetryAfter.count() > 0;
      }},
     {"record key",
-     {"node/a", "keys/s/63"},
+     {"node/a", "keys/s/63", "rollouts/s"},
      [](std::string_view text) {
        const auto key = codec::parseFleetKey(text);
        cr_assert_lt(key.Part, holdings::PartCount);
--- a/Tests/Codec/FleetRecordsTest.cpp
+++ b/Tests/Codec/FleetRecordsTest.cpp
@@ -99,6 +99,68 @@
     {"all addresses", {"255.255.255.255", 80}, false},
 };
 
+rollouts::Rollout goodRollout() {
+  return {{"s", "v2", std::chrono::seconds(40)},
+          rollouts::Phase::Comparing,
+          {"v1"},
+          {"v0"},
+          std::chrono::seconds(5),
+          "warm"};
+}
+
+struct RolloutRow {
+  const char *Name;
+  void (*Change)(rollouts::Rollout &);
+  bool IsGood;
+};
+
+using Rollout = rollouts::Rollout;
+const RolloutRow RolloutRows[] = {
+    {"as a node writes it", [](Rollout &) {}, true},
+    {"another service", [](Rollout &it) { it.Request.Service = "t"; }, false},
+    {"an unknown phase",
+     [](Rollout &it) {
+       it.Current = static_cast<rollouts::Phase>(rollouts::PhaseCount);
+     },
+     false},
+    {"a negative age",
+     [](Rollout &it) { it.PhaseBegan = -std::chrono::seconds(1); }, false},
+    {"an age that overflows",
+     [](Rollout &it) { it.PhaseBegan = core::Duration::max(); }, false},
+    {"a time without bound",
+     [](Rollout &it) { it.Request.Length = core::Duration::max(); }, false},
+    {"a version that isn't text",
+     [](Rollout &it) { it.Request.Version = "\xff"; }, false},
+};
+
+rollouts::CountReport goodReport() {
+  rollouts::CountReport out{"n", 7, "s", "v2", std::chrono::seconds(9), {{}}};
+  out.Routes[0].Route = "r";
+  out.Routes[0].Former.add(false, std::chrono::milliseconds(100));
+  out.Routes[0].Next.add(true, std::chrono::hours(1));
+  return out;
+}
+
+struct ReportRow {
+  const char *Name;
+  void (*Change)(rollouts::CountReport &);
+  bool IsGood;
+};
+
+using Report = rollouts::CountReport;
+const ReportRow ReportRows[] = {
+    {"as a node sends it", [](Report &) {}, true},
+    {"no routes yet", [](Report &it) { it.Routes.clear(); }, true},
+    {"a negative age", [](Report &it) { it.Age = core::Duration(-1); }, false},
+    {"an age that overflows",
+     [](Report &it) { it.Age = core::Duration::max(); }, false},
+    {"more failures than answers",
+     [](Report &it) { it.Routes[0].Next.Failures = 2; }, false},
+    {"a count whose sum overflows",
+     [](Report &it) { it.Routes[0].Former.Latency[3] = ~std::uint64_t{0}; },
+     false},
+};
+
 /// End of the log.
 constexpr core::Offset End = 9;
 
@@ -112,6 +174,35 @@
                row.Name);
 }
 
+ACACIA_TABLE_TEST(FleetRecords, DecodesRollouts, RolloutRows) {
+  silenceLibrary();
+  rollouts::Rollout record = goodRollout();
+  row.Change(record);
+  const auto decoded = decodeRollout(encodeRollout(record), "s");
+  cr_assert_eq(decoded.has_value(), row.IsGood, "%s", row.Name);
+  if (decoded)
+    cr_assert(*decoded == record, "%s", row.Name);
+}
+
+ACACIA_TABLE_TEST(FleetRecords, DecodesReports, ReportRows) {
+  silenceLibrary();
+  rollouts::CountReport report = goodReport();
+  row.Change(report);
+  const auto decoded = decodeDatagram(encodeDatagram(report));
+  cr_assert_eq(decoded.has_value(), row.IsGood, "%s", row.Name);
+  if (decoded)
+    cr_assert(std::get<rollouts::CountReport>(*decoded) == report, "%s",
+              row.Name);
+}
+
+// Records of earlier releases have no version.
+Test(FleetRecords, KeepTheVersionOfANode) {
+  holdings::NodeRecord record = goodNode();
+  cr_assert_eq(decodeNode(encodeNode(record))->Version, "");
+  record.Version = "v2";
+  cr_assert_eq(decodeNode(encodeNode(record))->Version, "v2");
+}
+
 ACACIA_TABLE_TEST(FleetRecords, DecodesHoldings, HoldingRows) {
   silenceLibrary();
   const auto part = decodeHoldings(encodeHoldings({{row.Row}}), 0, End);
