The entry chooses the version before the instance while a roll-out runs

Each node divides its requests by the share (rollouts::VersionTraffic), balances each version by itself and counts first answers by route and version. Further attempts go to the former version until the new one is taken, and only to the new one then.

--- a/Source/Proxy/EntryService.cpp
+++ b/Source/Proxy/EntryService.cpp
@@ -59,7 +59,10 @@
       Codec(std::move(codec)), Log(std::move(logger)), Counters(counters),
       Upstream(own), Peers(loop, own.answerMemory()),
       View(std::make_shared<const TrafficView>()),
-      Shares(limits.AccountWindow.value_or(core::Duration{})) {}
+      Shares(limits.AccountWindow.value_or(core::Duration{})), Versions([] {
+        constexpr double Range = 0x1p64;
+        return static_cast<double>(core::randomId()) / Range;
+      }) {}
 
 void EntryService::setView(std::shared_ptr<const TrafficView> view) {
   View = std::move(view);
@@ -82,14 +85,9 @@
 
 void EntryService::refreshCandidates(core::TimePoint now) {
   for (const auto &[name, service] : View->Services) {
-    std::vector<requests::Candidate> open;
-    for (const Peer &it : service.Peers)
-      if (it.IsOpen)
-        open.push_back({it.Id, it.DataCentre});
     auto found = Services.find(name);
     if (found == Services.end()) {
-      auto choice = requests::LoadBalancer::create(
-          Identity.DataCentre, [] { return core::randomId(); });
+      auto choice = makeBalancer();
       const double share =
           Limits.RetryAllowance * AllowanceShare /
           static_cast<double>(std::max<std::size_t>(1, View->Nodes.size()));
@@ -97,11 +95,47 @@
           Limits.RetryRatio * RatioShare, now, {0, share, share});
       if (!choice || !budget)
         continue; // Not reached: both accept the arguments above.
-      found = Services.emplace(name, ServiceState{std::move(*choice), *budget})
+      found = Services
+                  .emplace(name, ServiceState{std::move(*choice), std::nullopt,
+                                              false, *budget})
                   .first;
     }
-    found->second.Choice.setCandidates(open);
+    setCandidates(found->second, name, service);
+  }
+}
+
+core::Result<requests::LoadBalancer> EntryService::makeBalancer() const {
+  return requests::LoadBalancer::create(Identity.DataCentre,
+                                        [] { return core::randomId(); });
+}
+
+void EntryService::setCandidates(ServiceState &state, std::string_view name,
+                                 const ServiceView &service) {
+  const auto &rollout = service.Rollout;
+  std::vector<requests::Candidate> former;
+  std::vector<requests::Candidate> next;
+  for (const Peer &it : service.Peers) {
+    if (!it.IsOpen)
+      continue;
+    if (!rollout || it.Version != rollout->Version)
+      former.push_back({it.Id, it.DataCentre});
+    else if (std::binary_search(rollout->Nodes.begin(), rollout->Nodes.end(),
+                                it.Name))
+      next.push_back({it.Id, it.DataCentre});
   }
+  // A version that was taken serves the service from now on.
+  if (!rollout && state.Next && state.IsNextTaken)
+    state.Choice = std::move(*state.Next);
+  if (!rollout)
+    state.Next.reset();
+  else if (!state.Next)
+    if (auto balancer = makeBalancer())
+      state.Next = std::move(*balancer);
+  state.IsNextTaken = rollout && rollout->IsTaken;
+  state.Choice.setCandidates(former);
+  if (state.Next)
+    state.Next->setCandidates(next);
+  Versions.setShare(name, rollout);
 }
 
 EntryService::ServiceState *EntryService::stateOf(std::string_view service) {
--- a/Source/Proxy/EntryService.h
+++ b/Source/Proxy/EntryService.h
@@ -25,6 +25,7 @@
 #include "Requests/LoadBalancer.h"
 #include "Requests/RetryBudget.h"
 #include "Requests/StoppingNodes.h"
+#include "Rollouts/VersionTraffic.h"
 #include "Routing/TrafficSplit.h"
 
 namespace acaciaroad::proxy {
@@ -94,12 +95,20 @@
   /// with InvalidArgument if the address cannot be bound.
   core::Result<void> openCreditExchange(const core::Endpoint &listen);
 
+  /// Requests divided between the versions of services.
+  const rollouts::VersionTraffic &versions() const { return Versions; }
+
 private:
   friend class ProxiedRequest;
 
   /// Load-balancing and retry state of one service.
   struct ServiceState {
+    /// Of all instances, or of the former versions while a roll-out runs.
     requests::LoadBalancer Choice;
+    /// Of the new version while a roll-out runs.
+    std::optional<requests::LoadBalancer> Next;
+    /// Next gets all requests.
+    bool IsNextTaken = false;
     requests::RetryBudget Budget;
   };
 
@@ -126,6 +135,10 @@
            const routing::Route &route, const routing::ClientAccount *account);
   ServiceState *stateOf(std::string_view service);
   void refreshCandidates(core::TimePoint now);
+  /// Sets the candidates of both versions of \p service, or of all instances.
+  void setCandidates(ServiceState &state, std::string_view name,
+                     const ServiceView &service);
+  core::Result<requests::LoadBalancer> makeBalancer() const;
 
   boost::asio::io_context &Loop;
   EntryIdentity Identity;
@@ -146,6 +159,7 @@
   routing::TrafficSplit Split;
   requests::StoppingNodes Stopping;
   std::map<std::string, ServiceState, std::less<>> Services;
+  rollouts::VersionTraffic Versions;
 };
 
 } // namespace acaciaroad::proxy
--- a/Source/Proxy/ProxiedRequest.cpp
+++ b/Source/Proxy/ProxiedRequest.cpp
@@ -68,7 +68,7 @@
   EntryService::ServiceState *state = Entry.stateOf(Service);
   if (state == nullptr)
     return nullptr;
-  const auto id = state->Choice.choose(Tried, now);
+  const auto id = chooseInstance(*state, now);
   if (!id)
     return nullptr;
   for (const Peer &it : service->second.Peers)
@@ -77,6 +77,43 @@
   return nullptr;
 }
 
+std::optional<core::InstanceId>
+ProxiedRequest::chooseInstance(EntryService::ServiceState &state,
+                               core::TimePoint now) {
+  IsNextVersion = false;
+  if (!state.Next)
+    return state.Choice.choose(Tried, now);
+  // A further attempt goes to the version that is known to be good.
+  IsNextVersion =
+      Attempt == 0 ? Entry.Versions.takesNext(Service, now) : state.IsNextTaken;
+  if (IsNextVersion) {
+    const auto id = state.Next->choose(Tried, now);
+    // A further attempt doesn't go to the version that is being left.
+    if (id || Attempt > 0)
+      return id;
+  }
+  IsNextVersion = false;
+  if (const auto id = state.Choice.choose(Tried, now))
+    return id;
+  IsNextVersion = state.IsNextTaken;
+  return IsNextVersion ? state.Next->choose(Tried, now) : std::nullopt;
+}
+
+requests::LoadBalancer &
+ProxiedRequest::balancerOf(EntryService::ServiceState &state) const {
+  return IsNextVersion && state.Next ? *state.Next : state.Choice;
+}
+
+void ProxiedRequest::countForVersion(AttemptOutcome outcome, unsigned status,
+                                     core::TimePoint now) {
+  constexpr unsigned FirstFailure = 500;
+  const bool isAnswered = outcome == AttemptOutcome::Answered;
+  if (Attempt != 1 || (!isAnswered && outcome != AttemptOutcome::SentNoAnswer))
+    return;
+  Entry.Versions.answered(Service, Route.Name, IsNextVersion,
+                          !isAnswered || status >= FirstFailure, now - SentAt);
+}
+
 Order ProxiedRequest::makeOrder(const Peer &peer) {
   Order out;
   out.Request = Exchange->request();
@@ -128,7 +165,7 @@
   Tried.push_back(TargetInstance);
   SentAt = now;
   if (auto *state = Entry.stateOf(Service))
-    state->Choice.sent(TargetInstance);
+    balancerOf(*state).sent(TargetInstance);
   const std::uint64_t number = ++Attempt;
   Entry.Log->write(logging::Level::Debug, "attempt",
                    {{"request_id", RequestId},
@@ -184,10 +221,11 @@
     fail(outcome.Reason);
     return;
   }
-  state->Choice.ended(TargetInstance, outcome.Outcome, now - SentAt, now);
+  balancerOf(*state).ended(TargetInstance, outcome.Outcome, now - SentAt, now);
+  countForVersion(outcome.Outcome, result.Answer.result_int(), now);
   if (outcome.Outcome == AttemptOutcome::Answered ||
       outcome.Outcome == AttemptOutcome::RefusedNotRun)
-    state->Choice.reported(TargetInstance, outcome.Load, now);
+    balancerOf(*state).reported(TargetInstance, outcome.Load, now);
   RetryAfter = outcome.RetryAfter;
   if (Key && outcome.Outcome == AttemptOutcome::RefusedNotRun &&
       outcome.Reason == ErrorKind::NodeStopping) {
@@ -277,7 +315,7 @@
     Entry.Upstream.abandon(*Ticket);
   if (Call || Ticket)
     if (auto *state = Entry.stateOf(Service))
-      state->Choice.abandoned(TargetInstance);
+      balancerOf(*state).abandoned(TargetInstance);
 }
 
 void ProxiedRequest::onDeadline() {
@@ -294,9 +332,11 @@
   const requests::Step step = Plan.timedOut();
   const auto now = core::BootClock::now();
   auto *state = Entry.stateOf(Service);
-  if (state != nullptr && (Call || Ticket))
-    state->Choice.ended(TargetInstance, AttemptOutcome::SentNoAnswer,
-                        now - SentAt, now);
+  if (state != nullptr && (Call || Ticket)) {
+    balancerOf(*state).ended(TargetInstance, AttemptOutcome::SentNoAnswer,
+                             now - SentAt, now);
+    countForVersion(AttemptOutcome::SentNoAnswer, 0, now);
+  }
   const auto late = Call;
   fail(step.Error);
   if (late)
--- a/Source/Proxy/ProxiedRequest.h
+++ b/Source/Proxy/ProxiedRequest.h
@@ -37,6 +37,14 @@
 private:
   void attempt();
   const Peer *choosePeer(core::TimePoint now);
+  /// Chooses the version and an instance of it; sets IsNextVersion.
+  std::optional<core::InstanceId>
+  chooseInstance(EntryService::ServiceState &state, core::TimePoint now);
+  /// Returns the balancer of the version that the latest attempt went to.
+  requests::LoadBalancer &balancerOf(EntryService::ServiceState &state) const;
+  /// Counts the outcome of the first attempt for the version it went to.
+  void countForVersion(requests::AttemptOutcome outcome, unsigned status,
+                       core::TimePoint now);
   Order makeOrder(const Peer &peer);
   void onAttemptEnded(std::uint64_t number, OrderResult result);
   bool mayTryElsewhere(const ForwardOutcome &outcome) const;
@@ -77,6 +85,8 @@
   std::vector<core::InstanceId> Tried;
   /// Number of the latest attempt; 0 before the first.
   std::uint64_t Attempt = 0;
+  /// The latest attempt goes to the new version of a roll-out.
+  bool IsNextVersion = false;
   core::InstanceId TargetInstance;
   std::string TargetNode;
   /// Node that holds the key now, as its former holder reported; may be empty.
--- a/Source/Proxy/TrafficCounters.cpp
+++ b/Source/Proxy/TrafficCounters.cpp
@@ -55,4 +55,32 @@
   return out;
 }
 
+std::string render(const rollouts::VersionTraffic &versions) {
+  const auto reports = versions.reports();
+  if (reports.empty())
+    return {};
+  std::string out = "# TYPE acacia_rollout_share gauge\n";
+  const auto to = std::back_inserter(out);
+  for (const rollouts::CountReport &it : reports)
+    fmt::format_to(to,
+                   "acacia_rollout_share{{service=\"{}\",version=\"{}\"}} {}\n",
+                   it.Service, it.Version,
+                   versions.find(it.Service)->shareAt(core::BootClock::now()));
+  const auto renderCounts = [&](std::string_view name, auto valueOf) {
+    fmt::format_to(to, "# TYPE {} counter\n", name);
+    for (const rollouts::CountReport &report : reports)
+      for (const rollouts::RouteCounts &it : report.Routes)
+        for (const bool isNext : {false, true})
+          fmt::format_to(
+              to, "{}{{service=\"{}\",route=\"{}\",version=\"{}\"}} {}\n", name,
+              report.Service, it.Route, isNext ? report.Version : "former",
+              valueOf(isNext ? it.Next : it.Former));
+  };
+  renderCounts("acacia_rollout_answers_total",
+               [](const auto &it) { return it.answers(); });
+  renderCounts("acacia_rollout_failures_total",
+               [](const auto &it) { return it.Failures; });
+  return out;
+}
+
 } // namespace acaciaroad::proxy
--- a/Source/Proxy/TrafficCounters.h
+++ b/Source/Proxy/TrafficCounters.h
@@ -11,6 +11,7 @@
 #include "Administration/LatencyHistogram.h"
 #include "Core/ErrorKind.h"
 #include "Net/HttpServer.h"
+#include "Rollouts/VersionTraffic.h"
 
 namespace acaciaroad::proxy {
 
@@ -35,6 +36,10 @@
 /// Returns the counters in the Prometheus text format.
 std::string render(const TrafficCounters &counters);
 
+/// Returns the shares and the answers of the versions of services with a
+/// roll-out in the Prometheus text format; empty without one.
+std::string render(const rollouts::VersionTraffic &versions);
+
 } // namespace acaciaroad::proxy
 
 #endif
--- a/Source/Proxy/TrafficView.h
+++ b/Source/Proxy/TrafficView.h
@@ -17,6 +17,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Identifiers.h"
 #include "Holdings/HoldingTypes.h"
+#include "Rollouts/VersionTraffic.h"
 #include "Routing/RouteTable.h"
 
 namespace acaciaroad::proxy {
@@ -32,6 +33,8 @@
   bool IsOpen = false;
   /// The node stops within seconds; connections to it are not kept.
   bool IsStopping = false;
+  /// Version of the upstream's software; empty if it isn't known.
+  std::string Version{};
 };
 
 /// One service as entry nodes see it.
@@ -39,6 +42,8 @@
   std::vector<Peer> Peers;
   /// Sorted by key; empty unless the service is keyed.
   std::vector<holdings::Holding> Holdings;
+  /// Set while a roll-out of the service runs.
+  std::optional<rollouts::VersionShare> Rollout;
 };
 
 /// The upstream of this node.
--- a/Source/Rollouts/RolloutAgent.cpp
+++ b/Source/Rollouts/RolloutAgent.cpp
@@ -38,6 +38,7 @@
 
 void RolloutAgent::orderRead(const Order &order, core::TimePoint now) {
   ServiceState &state = Services[order.Service];
+  updateRankings();
   const bool isKnown = state.Ordered && state.Ordered->Request == order &&
                        !state.Ordered->IsWithdrawn;
   if (isKnown)
@@ -61,8 +62,17 @@
   return out;
 }
 
+bool RolloutAgent::isBusy() const {
+  return std::any_of(Services.begin(), Services.end(), [](const auto &it) {
+    const ServiceState &state = it.second;
+    return isCurrent(state) ? !isFinal(state.Record->Current)
+                            : state.Ordered && !state.Ordered->IsWithdrawn;
+  });
+}
+
 void RolloutAgent::recordRead(const Rollout &record, core::TimePoint now) {
   ServiceState &state = Services[record.Request.Service];
+  updateRankings();
   const bool isSameOrder =
       state.Record && state.Record->Request == record.Request;
   if (isSameOrder && state.Record->Current == record.Current)
@@ -90,7 +100,11 @@
                             std::vector<std::string> nodes,
                             core::TimePoint now) {
   Instances = std::move(instances);
-  Nodes = std::move(nodes);
+  if (nodes != Nodes) {
+    Nodes = std::move(nodes);
+    Rankings.clear();
+    updateRankings();
+  }
   std::map<std::string, Sighting, std::less<>> sightings;
   std::map<std::pair<std::string, std::string>, core::TimePoint> versions;
   for (const Instance &it : Instances) {
@@ -100,10 +114,17 @@
     sightings[it.Node] = isSame ? known->second : Sighting{it.Process, now};
     const std::pair version(it.Service, it.Version);
     const auto seen = Versions.find(version);
-    versions.emplace(version, seen == Versions.end() ? now : seen->second);
+    const auto since = HasFleet ? now : core::TimePoint::min();
+    versions.emplace(version, seen == Versions.end() ? since : seen->second);
   }
   Sightings = std::move(sightings);
   Versions = std::move(versions);
+  HasFleet = true;
+}
+
+bool RolloutAgent::awaitsOrders() const {
+  return std::any_of(Versions.begin(), Versions.end(),
+                     [this](const auto &it) { return OrdersAt < it.second; });
 }
 
 void RolloutAgent::receive(const CountReport &report, core::TimePoint now) {
@@ -137,17 +158,27 @@
   return now - state.Ordered->Since;
 }
 
-std::vector<std::string> RolloutAgent::ranking(std::string_view service) const {
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  const std::uint64_t seed = core::hashOf(service);
-  for (const std::string &it : Nodes)
-    ranked.emplace_back(core::hashOf(it, seed), it);
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> out;
-  out.reserve(ranked.size());
-  for (auto &[hash, name] : ranked)
-    out.push_back(std::move(name));
-  return out;
+void RolloutAgent::updateRankings() {
+  for (const auto &[service, state] : Services) {
+    if (Rankings.contains(service))
+      continue;
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.reserve(Nodes.size());
+    const std::uint64_t seed = core::hashOf(service);
+    for (const std::string &it : Nodes)
+      ranked.emplace_back(core::hashOf(it, seed), it);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> &out = Rankings[service];
+    out.reserve(ranked.size());
+    for (auto &[hash, name] : ranked)
+      out.push_back(std::move(name));
+  }
+}
+
+std::span<const std::string>
+RolloutAgent::ranking(std::string_view service) const {
+  const auto it = Rankings.find(service);
+  return it == Rankings.end() ? std::span<const std::string>() : it->second;
 }
 
 RolloutAgent::Rank RolloutAgent::rankOf(std::string_view service) const {
@@ -160,9 +191,7 @@
 bool RolloutAgent::isReporter(std::string_view service) const {
   if (Nodes.size() <= MaxReporters)
     return true;
-  const auto nodes = ranking(service);
-  const auto end = nodes.begin() + MaxReporters;
-  return std::find(nodes.begin(), end, Node) != end;
+  return contains(ranking(service).first(MaxReporters), Node);
 }
 
 std::vector<std::string>
@@ -171,9 +200,9 @@
   if (it == Services.end() || !isCurrent(it->second) ||
       !isReversible(it->second.Record->Current))
     return {};
-  auto out = ranking(service);
-  out.resize(std::min(out.size(), ReceiverCount));
-  return out;
+  const auto nodes = ranking(service);
+  const auto first = nodes.first(std::min(nodes.size(), ReceiverCount));
+  return {first.begin(), first.end()};
 }
 
 bool RolloutAgent::isWarm(const Instance &instance, core::TimePoint now) const {
@@ -239,7 +268,8 @@
 
 std::optional<Proposal> RolloutAgent::proposal(core::TimePoint now) const {
   for (const auto &[service, state] : Services) {
-    if (!state.Ordered || factsOf(service).IsKeyed)
+    if (!state.Ordered || factsOf(service).IsKeyed ||
+        (isCurrent(state) && isFinal(state.Record->Current)))
       continue;
     const Rank rank = rankOf(service);
     if (rank == Rank::Other)
@@ -263,10 +293,15 @@
 
 std::vector<Rollout> RolloutAgent::untoldDecisions() const {
   std::vector<Rollout> out;
-  for (const auto &[service, state] : Services)
-    if (state.Record && state.Record != state.Told &&
-        rankOf(service) == Rank::First)
+  for (const auto &[service, state] : Services) {
+    if (!state.Record || state.Record == state.Told)
+      continue;
+    // The second node may have rolled back for a first one that has failed.
+    const Rank rank = rankOf(service);
+    const bool isRolledBack = state.Record->Current == Phase::RolledBack;
+    if (rank == Rank::First || (rank == Rank::Second && isRolledBack))
       out.push_back(*state.Record);
+  }
   return out;
 }
 
@@ -298,6 +333,8 @@
   const Rollout &record = *state.Record;
   if (isFinal(record.Current))
     return std::nullopt;
+  if (state.Ordered->IsWithdrawn && isReversible(record.Current))
+    return out;
   out.IsTaken = record.Current == Phase::Settling;
   const bool needsWarm = record.Current == Phase::Comparing;
   out.Nodes = nodesOf(service, out.Version, needsWarm, now);
@@ -322,15 +359,31 @@
   return out;
 }
 
+std::map<std::string, VersionShare, std::less<>>
+RolloutAgent::shares(core::TimePoint now) const {
+  std::map<std::string, VersionShare, std::less<>> out;
+  for (const auto &[service, state] : Services)
+    if (auto it = share(service, now))
+      out.emplace(service, std::move(*it));
+  return out;
+}
+
 bool RolloutAgent::isUsable(const Instance &instance) const {
   if (factsOf(instance.Service).IsKeyed)
     return true;
   const auto seen = Versions.find({instance.Service, instance.Version});
   if (seen == Versions.end() || OrdersAt < seen->second)
     return false;
+  const auto service = Services.find(instance.Service);
   const Rollout *record = find(instance.Service);
   if (record == nullptr)
     return true;
+  const auto &ordered = service->second.Ordered;
+  // A version whose order was replaced is not taken any more.
+  if (ordered && !ordered->IsWithdrawn && !isCurrent(service->second) &&
+      record->Current != Phase::Complete &&
+      instance.Version == record->Request.Version)
+    return instance.Version == ordered->Request.Version;
   if (contains(record->RejectedVersions, instance.Version))
     return false;
   if (record->Current == Phase::RolledBack)
--- a/Source/Rollouts/RolloutAgent.h
+++ b/Source/Rollouts/RolloutAgent.h
@@ -17,6 +17,7 @@
 #include "Rollouts/CountLedger.h"
 #include "Rollouts/RolloutPlan.h"
 #include "Rollouts/RolloutTypes.h"
+#include "Rollouts/VersionTraffic.h"
 
 namespace acaciaroad::rollouts {
 
@@ -39,23 +40,6 @@
   core::Duration LongestRequest{};
 };
 
-/// How a service's requests are divided between the versions of a roll-out that
-/// has not ended.
-struct VersionShare {
-  std::string Version;
-  /// Part of the requests that goes to the version.
-  double Share = 0;
-  /// The share is 0 from then on.
-  core::TimePoint Until{};
-  /// The version is taken: further attempts go to it too.
-  bool IsTaken = false;
-  /// Nodes whose instances of the version may be used, sorted.
-  std::vector<std::string> Nodes;
-
-  double shareAt(core::TimePoint now) const { return now < Until ? Share : 0; }
-  bool operator==(const VersionShare &) const = default;
-};
-
 /// A record that is to be appended to the fleet's log, only if it still ends
 /// where it has been read.
 struct Proposal {
@@ -75,6 +59,8 @@
   void orderWithdrawn(std::string_view service);
   /// Services that have orders which are not withdrawn.
   std::vector<std::string> orderedServices() const;
+  /// Returns whether a roll-out has not ended.
+  bool isBusy() const;
 
   /// Takes a decision that was read from the fleet's log.
   void recordRead(const Rollout &record, core::TimePoint now);
@@ -87,7 +73,9 @@
   void setFacts(std::map<std::string, ServiceFacts, std::less<>> facts) {
     Facts = std::move(facts);
   }
-  /// Sets the instances of all services, and the nodes that are in touch.
+  /// Sets the instances of all services, and the nodes that are in touch. The
+  /// versions of the first call are taken for known: a node that starts must
+  /// not wait for another read of the operators' log.
   void setFleet(std::vector<Instance> instances, std::vector<std::string> nodes,
                 core::TimePoint now);
 
@@ -114,12 +102,19 @@
   /// Returns how requests are divided while a roll-out of \p service runs.
   std::optional<VersionShare> share(std::string_view service,
                                     core::TimePoint now) const;
+  /// Returns the shares of all services with a roll-out that runs.
+  std::map<std::string, VersionShare, std::less<>>
+  shares(core::TimePoint now) const;
 
   /// Returns whether \p instance may get requests at all: not if it runs a
   /// version that was rolled back or replaced, or one that an order may be for
   /// which isn't known yet.
   bool isUsable(const Instance &instance) const;
 
+  /// Returns whether a version was seen for which an order may be that isn't
+  /// known yet.
+  bool awaitsOrders() const;
+
   /// Returns the decision about \p service, or null.
   const Rollout *find(std::string_view service) const;
   /// Returns the counts of the current phase.
@@ -149,7 +144,8 @@
 
   const ServiceFacts &factsOf(std::string_view service) const;
   /// Returns the nodes in touch in the order in which they decide.
-  std::vector<std::string> ranking(std::string_view service) const;
+  std::span<const std::string> ranking(std::string_view service) const;
+  void updateRankings();
   Rank rankOf(std::string_view service) const;
   bool isReporter(std::string_view service) const;
   static bool isCurrent(const ServiceState &state);
@@ -170,10 +166,13 @@
   std::map<std::string, ServiceState, std::less<>> Services;
   std::vector<Instance> Instances;
   std::vector<std::string> Nodes;
+  /// Nodes in the order in which they decide, by service.
+  std::map<std::string, std::vector<std::string>, std::less<>> Rankings;
   /// Since when each node's upstream is known, by node.
   std::map<std::string, Sighting, std::less<>> Sightings;
   /// When each version of a service was seen first, by service and version.
   std::map<std::pair<std::string, std::string>, core::TimePoint> Versions;
+  bool HasFleet = false;
   core::TimePoint OrdersAt{};
   core::TimePoint RecordsAt{};
 };
--- a/Tests/Proxy/EntryServiceTest.cpp
+++ b/Tests/Proxy/EntryServiceTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
 
 #include "Proxy/FieldCodec.h"
 #include "Proxy/PeerService.h"
@@ -170,6 +171,9 @@
                                                  core::InstanceId{2},
                                                  {UpstreamId, 1},
                                                  true});
+    view->Services["service"].Peers[0].Version = "v1";
+    view->Services["service"].Peers[1].Version = "v2";
+    view->Services["service"].Rollout = Rollout;
     const auto *service =
         view->Routes ? view->Routes->findService("service") : nullptr;
     if (view->Routes)
@@ -213,6 +217,8 @@
   /// If set before setView, the other node accepts requests on this port.
   std::uint16_t PeerPort = 0;
   std::uint32_t Slots = 2;
+  /// This node's upstream runs version v1, the other node's v2.
+  std::optional<rollouts::VersionShare> Rollout;
   /// Whether this node's upstream accepts requests.
   bool IsOpen = true;
 
@@ -1016,3 +1022,74 @@
                answer.result_int());
   cr_assert_eq(runs, row.Runs, "%s: %d", row.Name, runs);
 }
+
+namespace {
+
+struct RolloutRow {
+  const char *Name;
+  /// Of version v2.
+  std::optional<rollouts::VersionShare> Rollout;
+  /// Whether the former version's upstream accepts connections.
+  bool IsFormerUp;
+  /// Requests of 20 that version v2 runs.
+  int LeastNext;
+  int MostNext;
+};
+
+constexpr auto Never = core::TimePoint::max();
+const RolloutRow RolloutRows[] = {
+    {"no roll-out, the own data centre first", std::nullopt, true, 0, 0},
+    {"no roll-out, the other version takes over", std::nullopt, false, 20, 20},
+    {"a share", {{"v2", 0.2, Never, false, {"peer"}}}, true, 3, 5},
+    {"a share that has run out",
+     {{"v2", 0.2, core::TimePoint(), false, {"peer"}}},
+     true,
+     0,
+     0},
+    {"an instance that has no turn",
+     {{"v2", 0.2, Never, false, {}}},
+     true,
+     0,
+     0},
+    {"no further attempt at a version that isn't taken",
+     {{"v2", 0, Never, false, {"peer"}}},
+     false,
+     0,
+     0},
+    {"taken", {{"v2", 1, Never, true, {"peer"}}}, true, 20, 20},
+    {"a further attempt at a version that is taken",
+     {{"v2", 0, Never, true, {"peer"}}},
+     false,
+     20,
+     20},
+};
+
+} // namespace
+
+ACACIA_TABLE_TEST(EntryService, DividesRequestsBetweenVersions, RolloutRows) {
+  constexpr int Requests = 20;
+  Fixture fixture([](const std::shared_ptr<net::Exchange> &exchange) {
+    HttpResponse out(net::http::status::ok, 11);
+    out.set("id", exchange->request()["id"]);
+    out.set("signed", "1");
+    exchange->respond(std::move(out));
+  });
+  if (!row.IsFormerUp)
+    fixture.useUpstream(1); // Nothing listens there.
+  fixture.startPeer();
+  fixture.Rollout = row.Rollout;
+  fixture.setView(makeRouteTable(seconds(2)));
+  for (int n = 0; n < Requests; ++n)
+    fixture.ask("/open/x", "", fmt::format("r-{}", n));
+  cr_assert(fixture.PeerRuns >= row.LeastNext &&
+                fixture.PeerRuns <= row.MostNext,
+            "%s: %d", row.Name, fixture.PeerRuns);
+  std::uint64_t next = 0;
+  for (const rollouts::CountReport &it : fixture.Entry->versions().reports())
+    for (const rollouts::RouteCounts &route : it.Routes)
+      next += route.Next.answers();
+  // A further attempt isn't counted.
+  const bool isCounted = row.Rollout && row.IsFormerUp;
+  cr_assert_eq(next, isCounted ? fixture.PeerRuns : 0, "%s: %lu", row.Name,
+               next);
+}
