Roll-outs on the control thread: orders, decisions, counts and status

RolloutControl connects the decisions with the logs, datagrams and views: orders from the operators' log, decisions by conditional appends to the fleet's log, the state in the status log at the end that was read, so that a late write replaces no verdict.

--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -89,7 +89,12 @@
       Logs(std::move(logs)), Log(std::move(logger)), Hooks(std::move(hooks)),
       Timer(loop), Readers(Options.Agent.Name, Options.Agent.DataCentre),
       Renewals(Logs.Fleet, Log, core::BootClock::now()),
-      Agent(Options.Agent, Options.Timing, core::BootClock::now()) {}
+      Agent(Options.Agent, Options.Timing, core::BootClock::now()) {
+  if (Options.Rollouts)
+    Rollouts.emplace(
+        RolloutIdentity{Options.Agent.Name, Options.Agent.Incarnation},
+        *Options.Rollouts, Codec, Logs.Status, Log, rolloutHooks());
+}
 
 core::Result<void> Control::start() {
   auto server = net::HttpServer::create(
@@ -144,13 +149,13 @@
              core::TimePoint requestedAt) {
         Relay->buffer(RelayedLog::Operators).reset(end, requestedAt);
         applyOperators(records, true);
-        Hooks.OnConfigurationConfirmed(requestedAt);
+        onOperatorsConfirmed(requestedAt);
       },
       [this](const std::vector<feed::KeyedRecord> &records, core::Offset end,
              core::TimePoint requestedAt) {
         Relay->buffer(RelayedLog::Operators).add(records, end, requestedAt);
         applyOperators(records, false);
-        Hooks.OnConfigurationConfirmed(requestedAt);
+        onOperatorsConfirmed(requestedAt);
       },
       [this](bool isReachable, std::string_view detail) {
         logReachability("operators", isReachable, detail);
@@ -162,11 +167,15 @@
   return {[this](const std::vector<feed::KeyedRecord> &records,
                  core::Offset end, core::TimePoint requestedAt) {
             Relay->buffer(RelayedLog::Fleet).reset(end, requestedAt);
+            if (Rollouts)
+              Rollouts->recordsConfirmed(requestedAt);
             applyFleet(records, end, true);
           },
           [this](const std::vector<feed::KeyedRecord> &records,
                  core::Offset end, core::TimePoint requestedAt) {
             Relay->buffer(RelayedLog::Fleet).add(records, end, requestedAt);
+            if (Rollouts)
+              Rollouts->recordsConfirmed(requestedAt);
             applyFleet(records, end, false);
           },
           [this](bool isReachable, std::string_view detail) {
@@ -189,6 +198,7 @@
 
 void Control::applyOperators(const std::vector<feed::KeyedRecord> &records,
                              bool isSnapshot) {
+  std::set<std::string, std::less<>> ordered;
   if (isSnapshot)
     DataCentresOut.clear();
   for (const feed::KeyedRecord &it : records) {
@@ -203,8 +213,13 @@
         DataCentresOut.insert(key.DataCentre);
       else
         DataCentresOut.erase(key.DataCentre);
+    } else if (key.What == OperatorKey::Kind::Rollout && Rollouts) {
+      Rollouts->applyOrder(key.Service, it.Value, core::BootClock::now());
+      ordered.insert(key.Service);
     }
   }
+  if (isSnapshot && Rollouts)
+    Rollouts->keepOrders(ordered);
   if (records.empty() && !isSnapshot)
     return;
   Ledger.setDataCentresOut(DataCentresOut);
@@ -244,6 +259,17 @@
                     {"kind", it.UnknownKind},
                     {"version", version}});
   Routes = std::move(*table);
+  if (Rollouts)
+    Rollouts->setRoutes(*Routes);
+}
+
+void Control::onOperatorsConfirmed(core::TimePoint requestedAt) {
+  Hooks.OnConfigurationConfirmed(requestedAt);
+  if (!Rollouts)
+    return;
+  const bool hasAwaited = Rollouts->awaitsOrders();
+  Rollouts->ordersConfirmed(requestedAt);
+  IsViewStale = IsViewStale || (hasAwaited && !Rollouts->awaitsOrders());
 }
 
 void Control::applyFleet(const std::vector<feed::KeyedRecord> &records,
@@ -267,6 +293,12 @@
     sendHints(true);
   IsFleetLoaded = true;
   IsViewStale = IsViewStale || !records.empty();
+  if (Rollouts) {
+    Rollouts->setFleet(Ledger, now);
+    // An order for a version that was just seen must be known before its use.
+    if (Rollouts->awaitsOrders())
+      Operators->readNow();
+  }
   Agent.ledgerChanged(Ledger, now);
   updateReaders(now);
   answerDeferredHeartbeats(now);
@@ -300,6 +332,9 @@
       logRecordError(part.error());
     return;
   case codec::FleetKey::Kind::Rollout:
+    if (Rollouts)
+      Rollouts->applyDecision(key.Name, record.Value, now);
+    return;
   case codec::FleetKey::Kind::Unknown:
     return;
   }
@@ -464,8 +499,12 @@
           },
           [this](StoreCallCause cause) { countStoreCall(cause); },
           [this](StoreCallCause cause) {
-            if (cause == StoreCallCause::ProposalRead)
-              Agent.proposalReadFailed(core::BootClock::now());
+            if (cause != StoreCallCause::ProposalRead)
+              return;
+            const auto now = core::BootClock::now();
+            Agent.proposalReadFailed(now);
+            if (Rollouts)
+              Rollouts->proposalEnded(false, now);
           },
           [this](const feed::KeyedRecord &record,
                  holdings::RenewalBatch::DoneHook onDone) {
@@ -479,6 +518,10 @@
   if (log == RelayedLog::Fleet && isKeyed() &&
       Agent.hasChangeToPropose(Ledger, now))
     return {{}, StoreCallCause::ProposalRead};
+  if (log == RelayedLog::Fleet && Rollouts && Rollouts->hasProposal(now))
+    return {{}, StoreCallCause::ProposalRead};
+  if (log == RelayedLog::Operators && Rollouts && Rollouts->awaitsOrders())
+    return {{}, StoreCallCause::Poll};
   const core::Duration maxAge = log == RelayedLog::Operators
                                     ? Options.OperatorReads.Relayed.MaxAge
                                     : MaxFleetRelayAge;
@@ -527,6 +570,11 @@
     appendPending(now);
     return;
   }
+  if (const auto *report = std::get_if<rollouts::CountReport>(&*datagram)) {
+    if (Rollouts)
+      Rollouts->receive(*report, now);
+    return;
+  }
   const auto *hint = std::get_if<codec::FleetHint>(&*datagram);
   if (hint == nullptr)
     return;
@@ -583,6 +631,23 @@
                codec::encodeDatagram(notice->Notice));
 }
 
+void Control::setVersionCounts(std::vector<rollouts::CountReport> counts) {
+  if (Rollouts)
+    Rollouts->setCounts(std::move(counts));
+}
+
+RolloutHooks Control::rolloutHooks() {
+  return {[this](std::string_view node, std::string_view bytes) {
+            sendToNode(node, bytes);
+          },
+          [this] { countStoreCall(StoreCallCause::RolloutStatus); }};
+}
+
+void Control::sendToNode(std::string_view node, std::string_view bytes) {
+  if (const auto *to = Ledger.findMember(node))
+    Gossip->send({to->Record.Peer.Host, Options.Gossip.Port}, bytes);
+}
+
 void Control::tick() {
   const auto now = core::BootClock::now();
   if (isKeyed() && now - HintsSentAt >= HintInterval)
@@ -590,6 +655,13 @@
   Agent.ledgerChanged(Ledger, now);
   answerDeferredHeartbeats(now);
   sendReleaseNotice(now);
+  if (Rollouts && IsFleetLoaded) {
+    // Nodes lapse without a record.
+    if (Rollouts->isBusy())
+      Rollouts->setFleet(Ledger, now);
+    Rollouts->tick(now);
+    IsViewStale = IsViewStale || Rollouts->isViewStale(now);
+  }
   appendPending(now);
   if (Renewals.appendDue(Ledger, now))
     countStoreCall(StoreCallCause::Renewal);
@@ -614,12 +686,22 @@
     if (IsAppending)
       return;
   }
-  if (!isKeyed() || !Agent.hasChangeToPropose(Ledger, now))
+  const bool hasDecision = Rollouts && Rollouts->hasProposal(now);
+  const bool hasChange = isKeyed() && Agent.hasChangeToPropose(Ledger, now);
+  if (!hasDecision && !hasChange)
     return;
   if (now >= ProposalDeadline) {
     Fleet->readNow();
     return;
   }
+  const auto decision =
+      hasDecision ? Rollouts->nextProposal(now) : std::nullopt;
+  if (decision) {
+    appendRolloutDecision(*decision);
+    return;
+  }
+  if (!hasChange)
+    return;
   if (const auto change = Agent.nextChange(Ledger, now))
     appendHoldingChange(*change);
 }
@@ -706,6 +788,25 @@
   Log->write(logging::Level::Info, "store_calls", fields);
 }
 
+void Control::appendRolloutDecision(const feed::KeyedRecord &record) {
+  IsAppending = true;
+  const std::vector<feed::KeyedRecord> records{record};
+  const auto sent = core::BootClock::now();
+  Logs.Fleet.Append(
+      records, Ledger.end(),
+      [this, records, sent](const core::Result<core::Offset> &result) {
+        IsAppending = false;
+        countStoreCall(result ? StoreCallCause::ChangeAccepted
+                              : StoreCallCause::ChangeRefused);
+        Rollouts->proposalEnded(result.has_value(), core::BootClock::now());
+        HasUnannouncedChange = HasUnannouncedChange || result.has_value();
+        if (result)
+          Fleet->appended(records, *result, sent);
+        else
+          Fleet->readNow();
+      });
+}
+
 void Control::appendHoldingChange(const holdings::HoldingChange &change) {
   IsAppending = true;
   Log->write(logging::Level::Info, "holdings_proposed",
@@ -807,7 +908,7 @@
          core::InstanceId{core::hashOf(name)}, it.Record.Process,
          it.Record.State == holdings::UpstreamState::Ready &&
              !Ledger.isDataCentreOut(it.Record.DataCentre),
-         it.Record.IsStopping});
+         it.Record.IsStopping, it.Record.Version});
   }
   if (Routes)
     for (const routing::Service &it : Routes->configuration().Services) {
@@ -816,6 +917,8 @@
       if (it.IsKeyed)
         service.Holdings.assign(rows.begin(), rows.end());
     }
+  if (Rollouts)
+    Rollouts->describe(*view, now);
   // Adds this node, whose own record may not have been read yet.
   const auto self = std::lower_bound(view->Nodes.begin(), view->Nodes.end(),
                                      Options.Agent.Name);
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -27,6 +27,7 @@
 #include "Proxy/TrafficView.h"
 #include "Sidecar/LogRelay.h"
 #include "Sidecar/RenewalCollector.h"
+#include "Sidecar/RolloutControl.h"
 #include "Sidecar/SidecarTypes.h"
 #include "Sidecar/StoreCalls.h"
 
@@ -52,6 +53,8 @@
   core::Endpoint Relay;
   /// Reads of the operators' log.
   feed::RelayTiming OperatorReads;
+  /// Absent where roll-outs are not carried out.
+  std::optional<rollouts::Bounds> Rollouts{};
 };
 
 /// Owns all control state. All members must be called on its event loop.
@@ -74,6 +77,9 @@
   /// Sets the load of the local upstream, as measured by the traffic thread.
   void setLoad(holdings::KeyedLoad load);
 
+  /// Sets the counts of answers by version, as the traffic thread has them.
+  void setVersionCounts(std::vector<rollouts::CountReport> counts);
+
 private:
   using ExchangePointer = std::shared_ptr<net::Exchange>;
 
@@ -82,6 +88,7 @@
   void applyOperators(const std::vector<feed::KeyedRecord> &records,
                       bool isSnapshot);
   void applyConfiguration(const std::string &value);
+  void onOperatorsConfirmed(core::TimePoint requestedAt);
   void applyFleet(const std::vector<feed::KeyedRecord> &records,
                   core::Offset end, bool isSnapshot);
   /// \p end is the end of the log when the record was read.
@@ -124,6 +131,9 @@
                       std::optional<core::Duration> round);
   void countStoreCall(StoreCallCause cause);
   void reportStoreCalls(core::TimePoint now);
+  void appendRolloutDecision(const feed::KeyedRecord &record);
+  void sendToNode(std::string_view node, std::string_view bytes);
+  RolloutHooks rolloutHooks();
   void appendHoldingChange(const holdings::HoldingChange &change);
   void onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                         core::TimePoint sent,
@@ -158,6 +168,7 @@
   std::set<std::string, std::less<>> DataCentresOut;
   holdings::FleetLedger Ledger;
   holdings::HoldingAgent Agent;
+  std::optional<RolloutControl> Rollouts;
   bool IsFleetLoaded = false;
   bool IsAppending = false;
   /// The last renewal through a reader failed, so the next one is appended
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -26,6 +26,9 @@
 /// needs a signal.
 constexpr core::Duration SettingsInterval = std::chrono::seconds(1);
 
+/// Interval at which the control thread gets the counts of answers by version.
+constexpr core::Duration VersionCountInterval = milliseconds(250);
+
 net::ServerLimits limitsOf(const routing::ClientLimits &from) {
   return {from.HeaderBytes, from.BodyBytes, from.HeaderTimeout,
           from.IdleTimeout};
@@ -52,6 +55,13 @@
           limits.AccountWindow, limits.RetryRatio, limits.RetryAllowance};
 }
 
+std::optional<rollouts::Bounds>
+rolloutBoundsOf(const settings::RolloutSettings &from) {
+  if (from.Share <= 0)
+    return std::nullopt;
+  return rollouts::Bounds{from.Share, from.Slack, from.RollBack};
+}
+
 void writeLine(std::string_view line) {
   // Errors are ignored: a closed standard output must not end the process.
   static_cast<void>(::write(STDOUT_FILENO, line.data(), line.size()));
@@ -84,7 +94,8 @@
                  std::shared_ptr<logging::Logger> logger)
     : Settings(settings), Drain(drain), Dependencies(std::move(dependencies)),
       Log(std::move(logger)), Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP),
-      DrainTimer(TrafficLoop), SettingsTimer(ControlLoop) {}
+      DrainTimer(TrafficLoop), SettingsTimer(ControlLoop),
+      VersionTimer(TrafficLoop) {}
 
 Sidecar::~Sidecar() = default;
 
@@ -150,7 +161,8 @@
           // Keys are honoured only while the configuration is that recent.
           feed::RelayTiming::forBound(std::min(
               Settings.Limits.Configuration,
-              Settings.Limits.KeyFreshness.value_or(core::Duration::max())))},
+              Settings.Limits.KeyFreshness.value_or(core::Duration::max()))),
+          rolloutBoundsOf(Settings.Rollout)},
       Dependencies.Codec,
       Dependencies.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
@@ -209,7 +221,8 @@
   if (target == Settings.Health.MetricsPath) {
     net::HttpResponse out(net::http::status::ok, 11);
     out.set(net::http::field::content_type, "text/plain; version=0.0.4");
-    out.body() = proxy::render(Counters) + render(StoreCalls);
+    out.body() = proxy::render(Counters) + proxy::render(Entry->versions()) +
+                 render(StoreCalls);
     exchange->respond(std::move(out));
     return;
   }
@@ -360,6 +373,8 @@
               {"callers", core::toString(Settings.Callers.Listen)}});
   waitForSignals();
   pollSettings();
+  if (Settings.Rollout.Share > 0)
+    passVersionCounts();
   std::thread control([this] {
     net::runLoop(ControlLoop, [this](std::string_view what) {
       // Control state may be inconsistent. A new process rebuilds it.
@@ -376,6 +391,19 @@
   control.join();
 }
 
+void Sidecar::passVersionCounts() {
+  VersionTimer.expires_after(VersionCountInterval);
+  VersionTimer.async_wait([this](error_code ec) {
+    if (ec)
+      return;
+    passVersionCounts();
+    boost::asio::post(ControlLoop,
+                      [this, counts = Entry->versions().reports()]() mutable {
+                        ControlPlane->setVersionCounts(std::move(counts));
+                      });
+  });
+}
+
 void Sidecar::logHandlerFailure(std::string_view thread,
                                 std::string_view what) {
   Log->write(logging::Level::Error, "handler_failed",
--- a/Source/Sidecar/Sidecar.h
+++ b/Source/Sidecar/Sidecar.h
@@ -68,6 +68,8 @@
   void pollSettings();
   void beginDrain();
   void continueDrain(core::TimePoint started);
+  /// Passes the counts of answers by version to the control thread, regularly.
+  void passVersionCounts();
   void refuseNewRequests();
   void refuseConnections();
   DrainLoad drainLoad() const;
@@ -90,6 +92,7 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer DrainTimer;
   boost::asio::steady_timer SettingsTimer;
+  boost::asio::steady_timer VersionTimer;
   proxy::TrafficCounters Counters;
   /// As reported by the control thread.
   StoreCallCounts StoreCalls{};
--- a/Source/Sidecar/StoreCalls.cpp
+++ b/Source/Sidecar/StoreCalls.cpp
@@ -30,6 +30,8 @@
     return "change_accepted";
   case StoreCallCause::ChangeRefused:
     return "change_refused";
+  case StoreCallCause::RolloutStatus:
+    return "rollout_status";
   }
   return "unknown";
 }
--- a/Source/Sidecar/StoreCalls.h
+++ b/Source/Sidecar/StoreCalls.h
@@ -36,10 +36,12 @@
   ChangeAccepted,
   /// A change of holdings that was not appended, or may not have been.
   ChangeRefused,
+  /// Reads or writes the state of a roll-out for operators.
+  RolloutStatus,
 };
 
 inline constexpr std::size_t StoreCallCauseCount =
-    static_cast<std::size_t>(StoreCallCause::ChangeRefused) + 1;
+    static_cast<std::size_t>(StoreCallCause::RolloutStatus) + 1;
 
 /// Returns the name of \p cause for logs and metrics.
 std::string_view toString(StoreCallCause cause);
--- a/Tests/Processes/standin_platform.py
+++ b/Tests/Processes/standin_platform.py
@@ -162,6 +162,7 @@
     heartbeats and runs only requests for keys in them."""
 
     HEARTBEAT_S = 0.3
+    version = "v1"
     QUICK = "/quick"
 
     def __init__(self, name, service, address, control, observer=None):
@@ -239,7 +240,7 @@
             if sent >= self.expiry:
                 self.held = []
             body = {"address": "%s:%d" % self.address, "born": self.born,
-                    "info": {"service": self.service, "version": "v1",
+                    "info": {"service": self.service, "version": self.version,
                              "zone": "here", "slots": 8},
                     "status": {"state": "ready", "seq": self.heartbeat_count,
                                "coldRemaining": "0ms"},
