Roll-outs: a decision that the log loses is kept and appended again

A store that returns to an older copy would have set a roll-out back, and a version that was rolled back would have got requests again. The first node by rank appends the latest phase that it knows. rollouts_test 117 of 117.

--- a/Source/Rollouts/RolloutAgent.cpp
+++ b/Source/Rollouts/RolloutAgent.cpp
@@ -65,6 +65,8 @@
 bool RolloutAgent::isBusy() const {
   return std::any_of(Services.begin(), Services.end(), [](const auto &it) {
     const ServiceState &state = it.second;
+    if (state.IsLost)
+      return true;
     return isCurrent(state) ? !isFinal(state.Record->Current)
                             : state.Ordered && !state.Ordered->IsWithdrawn;
   });
@@ -75,6 +77,12 @@
   updateRankings();
   const bool isSameOrder =
       state.Record && state.Record->Request == record.Request;
+  if (isSameOrder && record.Current < state.Record->Current) {
+    state.IsLost = true;
+    state.Told.reset();
+    return;
+  }
+  state.IsLost = false;
   if (isSameOrder && state.Record->Current == record.Current)
     return;
   if (!isSameOrder)
@@ -88,6 +96,15 @@
         std::min(state.Ordered->Since, now - record.PhaseBegan);
 }
 
+void RolloutAgent::keepRecords(
+    const std::set<std::string, std::less<>> &services) {
+  for (auto &[service, state] : Services)
+    if (state.Record && !services.contains(service)) {
+      state.IsLost = true;
+      state.Told.reset();
+    }
+}
+
 void RolloutAgent::ordersConfirmed(core::TimePoint requested) {
   OrdersAt = std::max(OrdersAt, requested);
 }
@@ -268,6 +285,8 @@
 
 std::optional<Proposal> RolloutAgent::proposal(core::TimePoint now) const {
   for (const auto &[service, state] : Services) {
+    if (state.IsLost && rankOf(service) == Rank::First)
+      return Proposal{*state.Record, state.Record->Current};
     if (!state.Ordered || factsOf(service).IsKeyed ||
         (isCurrent(state) && isFinal(state.Record->Current)))
       continue;
--- a/Source/Rollouts/RolloutAgent.h
+++ b/Source/Rollouts/RolloutAgent.h
@@ -62,8 +62,11 @@
   /// Returns whether a roll-out has not ended.
   bool isBusy() const;
 
-  /// Takes a decision that was read from the fleet's log.
+  /// Takes a decision that was read from the fleet's log. An earlier phase of
+  /// the same order is not taken: the log has lost the later one.
   void recordRead(const Rollout &record, core::TimePoint now);
+  /// Takes decisions that a snapshot of the log has no records of for lost.
+  void keepRecords(const std::set<std::string, std::less<>> &services);
 
   /// The operators' log was read at its end at \p requested.
   void ordersConfirmed(core::TimePoint requested);
@@ -133,6 +136,8 @@
     std::optional<Rollout> Record;
     CountLedger Counts;
     std::optional<Finding> Worse;
+    /// The log doesn't hold the decision any more.
+    bool IsLost = false;
     /// The decision that operators were told last.
     std::optional<Rollout> Told;
   };
--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -286,8 +286,15 @@
     for (const std::string &it : gone)
       Ledger.removeNode(it);
   }
-  for (const feed::KeyedRecord &it : records)
+  std::set<std::string, std::less<>> decided;
+  for (const feed::KeyedRecord &it : records) {
     applyFleetRecord(it, end, now);
+    if (const auto key = codec::parseFleetKey(it.Key);
+        isSnapshot && key.What == codec::FleetKey::Kind::Rollout)
+      decided.insert(key.Name);
+  }
+  if (isSnapshot && Rollouts)
+    Rollouts->keepDecisions(decided);
   Ledger.setEnd(end);
   if (std::exchange(HasUnannouncedChange, false))
     sendHints(true);
--- a/Source/Sidecar/RolloutControl.h
+++ b/Source/Sidecar/RolloutControl.h
@@ -57,10 +57,13 @@
     Agent.ordersConfirmed(requested);
   }
 
-  /// Applies a record of the fleet's log.
+  /// Applies a record of the fleet's log, or all records of a snapshot.
   void applyDecision(const std::string &service,
                      const std::optional<std::string> &value,
                      core::TimePoint now);
+  void keepDecisions(const std::set<std::string, std::less<>> &services) {
+    Agent.keepRecords(services);
+  }
   void recordsConfirmed(core::TimePoint requested) {
     Agent.recordsConfirmed(requested);
   }
--- a/Tests/Rollouts/RolloutAgentTest.cpp
+++ b/Tests/Rollouts/RolloutAgentTest.cpp
@@ -102,8 +102,46 @@
     {"orders read since", seconds(1), true},
 };
 
+struct LossRow {
+  const char *Name;
+  Phase Known;
+  /// Phase that the log holds after it has returned to an older state.
+  std::optional<Phase> Read;
+  bool IsLost;
+};
+
+const LossRow LossRows[] = {
+    {"the same", Phase::RolledBack, Phase::RolledBack, false},
+    {"an earlier phase", Phase::RolledBack, Phase::Comparing, true},
+    {"none", Phase::RolledBack, std::nullopt, true},
+    {"none, complete", Phase::Complete, std::nullopt, true},
+    {"a later phase", Phase::Settling, Phase::Complete, false},
+};
+
 } // namespace
 
+// A verdict holds though the log has lost it, and is appended again.
+ACACIA_TABLE_TEST(RolloutAgent, KeepsDecisionsThatTheLogLoses, LossRows) {
+  RolloutAgent agent = makeAgent();
+  agent.setFleet({{"v1", "s", "v1", "v1", true}}, {"a"}, Start);
+  const Rollout known{First, row.Known, {"v1"}, {}, {}, ""};
+  agent.recordRead(known, Start);
+  agent.told(known);
+  if (row.Read)
+    agent.recordRead({First, *row.Read, {"v1"}, {}, {}, ""}, Start);
+  else
+    agent.keepRecords({});
+  const auto proposal = agent.proposal(Start);
+  cr_assert_eq(proposal.has_value(), row.IsLost, "%s", row.Name);
+  if (!row.IsLost)
+    return;
+  cr_assert(proposal->Record == known, "%s", row.Name);
+  cr_assert(agent.find("s")->Current == row.Known, "%s", row.Name);
+  cr_assert_eq(agent.untoldDecisions().size(), 1, "%s", row.Name);
+  agent.recordRead(known, Start);
+  cr_assert_not(agent.proposal(Start).has_value(), "%s", row.Name);
+}
+
 ACACIA_TABLE_TEST(RolloutAgent, TellsWhichVersionsGetRequests, VersionRows) {
   RolloutAgent agent = makeAgent();
   if (row.Current)
