--- a/Source/Codec/FleetRecords.h
+++ b/Source/Codec/FleetRecords.h
@@ -17,6 +17,7 @@
 #include "Holdings/HoldingTypes.h"
 #include "Holdings/LoadMove.h"
 #include "Holdings/ReleaseInbox.h"
+#include "Rollouts/RolloutTypes.h"
 
 namespace acaciaroad::codec {
 
@@ -26,7 +27,7 @@
 
 /// What a record of the fleet's log is about.
 struct FleetKey {
-  enum class Kind { Unknown, Node, Holdings, Claim };
+  enum class Kind { Unknown, Node, Holdings, Claim, Rollout };
   Kind What = Kind::Unknown;
   /// Name of the node or of the service.
   std::string Name;
@@ -41,6 +42,7 @@
 std::string holdingsKey(core::LogEra era, std::string_view service,
                         holdings::Key part);
 std::string claimKey(core::LogEra era, std::string_view node);
+std::string rolloutKey(std::string_view service);
 FleetKey parseFleetKey(std::string_view key);
 
 std::string encodeNode(const holdings::NodeRecord &record);
@@ -66,6 +68,11 @@
 decodeClaim(std::string_view value, std::string_view node,
             holdings::FencingToken nextToken);
 
+std::string encodeRollout(const rollouts::Rollout &record);
+/// Fails with CorruptMessage, also for the record of another service.
+core::Result<rollouts::Rollout> decodeRollout(std::string_view value,
+                                              std::string_view service);
+
 /// What nodes tell each other often; a lost one is replaced by the next.
 struct FleetHint {
   std::string Node;
@@ -76,7 +83,8 @@
 };
 
 /// What one datagram between nodes carries.
-using FleetDatagram = std::variant<FleetHint, holdings::ReleaseNotice>;
+using FleetDatagram =
+    std::variant<FleetHint, holdings::ReleaseNotice, rollouts::CountReport>;
 
 std::string encodeDatagram(const FleetDatagram &datagram);
 /// Fails with CorruptMessage.
--- a/Source/Holdings/HoldingAgent.cpp
+++ b/Source/Holdings/HoldingAgent.cpp
@@ -135,6 +135,7 @@
   LastHeartbeatAt = now;
   HeartbeatSequence = heartbeat.Sequence;
   Slots = heartbeat.Slots;
+  Version = heartbeat.Version;
   IsProcessLeaving =
       IsProcessLeaving || heartbeat.State == UpstreamState::Leaving;
   State = IsProcessLeaving ? UpstreamState::Leaving : heartbeat.State;
@@ -289,6 +290,7 @@
   out.State = State;
   out.Slots = Slots;
   out.IsStopping = Draining;
+  out.Version = Version;
   // The next incarnation has to read it again.
   if (!HasHeartbeat && Left.isKnown()) {
     out.Process = Left;
--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -19,9 +19,13 @@
 #include "platform/ConfigurationDecoder.h"
 #include "platform/HeaderCodec.h"
 #include "platform/HeartbeatCodec.h"
+#include "platform/RolloutCodec.h"
 #include "platform/StoreClient.h"
 
 DEFINE_string(settings, "", "Path of the TOML settings file.");
+DEFINE_string(set, "",
+              "Fields that go before those of the file: TABLE.FIELD=VALUE, "
+              "separated by commas; one without a value is ignored.");
 DEFINE_bool(check, false, "Check the settings and exit.");
 DEFINE_bool(print_settings_reference, false,
             "Print the reference of all settings and exit.");
@@ -55,16 +59,18 @@
 sidecar::SidecarDependencies makeParts() {
   sidecar::SidecarDependencies out;
   out.HeaderCodec = adapter::makeHeaderCodec();
-  out.Codec = {adapter::parseUpstreamCall, adapter::decodeHeartbeat,
-               adapter::encodeGrant, adapter::parseOperatorKey,
-               adapter::decodeConfiguration};
+  out.Codec = {adapter::parseUpstreamCall,   adapter::decodeHeartbeat,
+               adapter::encodeGrant,         adapter::parseOperatorKey,
+               adapter::decodeConfiguration, adapter::decodeRolloutOrder,
+               adapter::encodeRolloutStatus};
   out.MakeLogs = [](boost::asio::io_context &loop,
                     const core::Endpoint &address) {
     const auto store = adapter::StoreClient::create(loop, address);
-    return sidecar::ControlLogs{store->operatorLog(), store->fleetLog()};
+    return sidecar::ControlLogs{store->operatorLog(), store->fleetLog(),
+                                store->statusLog()};
   };
   out.ReadSettings = [] {
-    return settings::loadSidecarSettings(FLAGS_settings);
+    return settings::loadSidecarSettings(FLAGS_settings, FLAGS_set);
   };
   return out;
 }
@@ -80,7 +86,8 @@
   }
   std::set_terminate(onTerminate);
   codec::silenceLibrary();
-  const auto settings = settings::loadSidecarSettings(FLAGS_settings);
+  const auto settings =
+      settings::loadSidecarSettings(FLAGS_settings, FLAGS_set);
   if (!settings) {
     fmt::print(stderr, "{}\n", settings.error().Detail);
     return ExitSettings;
--- a/Source/Proxy/TrafficCounters.h
+++ b/Source/Proxy/TrafficCounters.h
@@ -12,6 +12,7 @@
 #include "Core/Clock.h"
 #include "Core/ErrorKind.h"
 #include "Net/HttpServer.h"
+#include "Rollouts/VersionTraffic.h"
 
 namespace acaciaroad::proxy {
 
@@ -44,6 +45,10 @@
 /// Returns the counters in the Prometheus text format.
 std::string render(const TrafficCounters &counters);
 
+/// Returns the shares and the answers of the versions of services with a
+/// roll-out in the Prometheus text format; empty without one.
+std::string render(const rollouts::VersionTraffic &versions);
+
 } // namespace acaciaroad::proxy
 
 #endif
--- a/Source/Settings/FieldReader.h
+++ b/Source/Settings/FieldReader.h
@@ -40,7 +40,8 @@
   if (node == nullptr && !field.Default)
     return failAt(place, fmt::format("{} is missing: {}", name,
                                      allowedRange(field.Kind)));
-  if (node == nullptr && field.Default->empty())
+  if (field.Default && field.Default->empty() &&
+      (node == nullptr || node->value_exact<std::string_view>() == ""))
     return {};
   const auto text =
       node == nullptr ? field.Default : node->value_exact<std::string_view>();
--- a/Source/Settings/SidecarSettings.h
+++ b/Source/Settings/SidecarSettings.h
@@ -62,6 +62,17 @@
   bool operator==(const SidecarLimits &) const = default;
 };
 
+/// Bounds of roll-outs by version.
+struct RolloutSettings {
+  /// Share of a service's requests for a version before it is taken. 0 where
+  /// roll-outs are not carried out.
+  double Share = 0;
+  /// Requests beyond the share.
+  double Slack = 0;
+  /// Time from bad answers to the last request to the version.
+  core::Duration RollBack{};
+};
+
 /// All settings of a sidecar, checked.
 struct SidecarSettings {
   SidecarIdentity Node;
@@ -75,6 +86,7 @@
   UpstreamSettings Upstream;
   StoreSettings Store;
   SidecarLimits Limits;
+  RolloutSettings Rollout;
   logging::Level LogLevel = logging::Level::Info;
 };
 
@@ -82,13 +94,17 @@
 /// one text each.
 std::vector<std::string> describeAbsentLimits(const SidecarLimits &limits);
 
-/// Reads the file at \p path. Fails with InvalidSettings; the detail names
-/// file, line, field and what is allowed.
-core::Result<SidecarSettings> loadSidecarSettings(std::string_view path);
+/// Reads the file at \p path. \p overrides are fields that go before those of
+/// the file: "TABLE.FIELD=VALUE", separated by commas; one without a value is
+/// ignored. Fails with InvalidSettings; the detail names file, line, field and
+/// what is allowed.
+core::Result<SidecarSettings>
+loadSidecarSettings(std::string_view path, std::string_view overrides = {});
 
 /// As loadSidecarSettings, for \p text; \p fileName only appears in errors.
-core::Result<SidecarSettings> parseSidecarSettings(std::string_view text,
-                                                   std::string_view fileName);
+core::Result<SidecarSettings>
+parseSidecarSettings(std::string_view text, std::string_view fileName,
+                     std::string_view overrides = {});
 
 } // namespace acaciaroad::settings
 
--- a/Source/Sidecar/Sidecar.cpp
+++ b/Source/Sidecar/Sidecar.cpp
@@ -34,6 +34,9 @@
 /// is for answers and the process itself.
 constexpr std::uint64_t BodyShare = 4;
 
+/// Interval at which the control thread gets the counts of answers by version.
+constexpr core::Duration VersionCountInterval = milliseconds(250);
+
 net::ServerLimits limitsOf(const routing::ClientLimits &from,
                            const settings::SidecarLimits &settings) {
   return {from.HeaderBytes, from.BodyBytes, from.HeaderTimeout,
@@ -62,6 +65,13 @@
           limits.AccountWindow, limits.RetryRatio, limits.RetryAllowance};
 }
 
+std::optional<rollouts::Bounds>
+rolloutBoundsOf(const settings::RolloutSettings &from) {
+  if (from.Share <= 0)
+    return std::nullopt;
+  return rollouts::Bounds{from.Share, from.Slack, from.RollBack};
+}
+
 /// Time for which log lines are collected. What a process that is killed wrote
 /// last within it is lost.
 constexpr milliseconds LogPause{200};
@@ -101,7 +111,7 @@
     : Settings(settings), Limits(settings.Limits), Drain(drain),
       Dependencies(std::move(dependencies)), Log(std::move(logger)),
       Signals(ControlLoop, SIGTERM, SIGINT, SIGHUP), DrainTimer(TrafficLoop),
-      SettingsTimer(ControlLoop) {}
+      SettingsTimer(ControlLoop), VersionTimer(TrafficLoop) {}
 
 Sidecar::~Sidecar() = default;
 
@@ -171,7 +181,8 @@
           // Keys are honoured only while the configuration is that recent.
           feed::RelayTiming::forBound(std::min(
               Settings.Limits.Configuration,
-              Settings.Limits.KeyFreshness.value_or(core::Duration::max())))},
+              Settings.Limits.KeyFreshness.value_or(core::Duration::max()))),
+          rolloutBoundsOf(Settings.Rollout)},
       Dependencies.Codec,
       Dependencies.MakeLogs(ControlLoop, Settings.Store.Address), Log,
       controlHooks());
@@ -230,7 +241,8 @@
   if (target == Settings.Health.MetricsPath) {
     net::HttpResponse out(net::http::status::ok, 11);
     out.set(net::http::field::content_type, "text/plain; version=0.0.4");
-    out.body() = proxy::render(Counters) + render(StoreCalls);
+    out.body() = proxy::render(Counters) + proxy::render(Entry->versions()) +
+                 render(StoreCalls);
     exchange->respond(std::move(out));
     return;
   }
@@ -381,6 +393,8 @@
               {"callers", core::toString(Settings.Callers.Listen)}});
   waitForSignals();
   pollSettings();
+  if (Settings.Rollout.Share > 0)
+    passVersionCounts();
   std::thread control([this] {
     net::runLoop(ControlLoop, [this](std::string_view what) {
       // Control state may be inconsistent. A new process rebuilds it.
@@ -397,6 +411,19 @@
   control.join();
 }
 
+void Sidecar::passVersionCounts() {
+  VersionTimer.expires_after(VersionCountInterval);
+  VersionTimer.async_wait([this](error_code ec) {
+    if (ec)
+      return;
+    passVersionCounts();
+    boost::asio::post(ControlLoop,
+                      [this, counts = Entry->versions().reports()]() mutable {
+                        ControlPlane->setVersionCounts(std::move(counts));
+                      });
+  });
+}
+
 void Sidecar::logHandlerFailure(std::string_view thread,
                                 std::string_view what) {
   Log->write(logging::Level::Error, "handler_failed",
--- a/Tests/Settings/SidecarSettingsTest.cpp
+++ b/Tests/Settings/SidecarSettingsTest.cpp
@@ -75,6 +75,25 @@
     {"no accounts", false, "", 2},
 };
 
+struct OverrideRow {
+  const char *Text;
+  bool IsValid;
+  double NetworkMegabits;
+  int HeartbeatMs;
+};
+
+const OverrideRow OverrideRows[] = {
+    {"", true, 0, 870},
+    {"node.network_mbit=10", true, 10, 870},
+    {"node.network_mbit=12.5,upstream.heartbeat=500ms", true, 12.5, 500},
+    {"node.network_mbit=,upstream.heartbeat=", true, 0, 870},
+    {"node.network_mbit=ten", false, 0, 0},
+    {"node.other=1", false, 0, 0},
+    {"other.network_mbit=1", false, 0, 0},
+    {"network_mbit=10", false, 0, 0},
+    {"node.network_mbit", false, 0, 0},
+};
+
 struct DurationRow {
   const char *Text;
   std::int64_t Nanoseconds;
@@ -119,6 +138,19 @@
                row.Name);
 }
 
+ACACIA_TABLE_TEST(SidecarSettings, TakesOverrides, OverrideRows) {
+  const auto settings = parseSidecarSettings(Whole, "sidecar.toml", row.Text);
+  cr_assert_eq(settings.has_value(), row.IsValid, "%s", row.Text);
+  if (!settings)
+    return;
+  cr_assert_float_eq(settings->Node.NetworkMegabits, row.NetworkMegabits, 1e-9,
+                     "%s", row.Text);
+  cr_assert_eq(
+      settings->Upstream.Heartbeat.count(),
+      core::Duration(std::chrono::milliseconds(row.HeartbeatMs)).count(), "%s",
+      row.Text);
+}
+
 ACACIA_TABLE_TEST(Duration, Parses, DurationRows) {
   const auto parsed = parseDuration(row.Text);
   cr_assert_eq(parsed ? parsed->count() : -1, row.Nanoseconds, "%s", row.Text);
