--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -23,7 +23,7 @@
 #include "platform/StoreClient.h"
 
 DEFINE_string(settings, "", "Path of the TOML settings file.");
-DEFINE_string(set, "",
+DEFINE_string(set, gflags::StringFromEnv("ACACIA_SET", ""),
               "Fields that go before those of the file: TABLE.FIELD=VALUE, "
               "separated by commas; one without a value is ignored.");
 DEFINE_bool(check, false, "Check the settings and exit.");
