--- a/Source/Settings/SidecarSettings.cpp
+++ b/Source/Settings/SidecarSettings.cpp
@@ -26,7 +26,8 @@
 }
 
 /// Applies the overrides of loadSidecarSettings to \p root.
-core::Result<void> override(toml::table &root, std::string_view overrides) {
+core::Result<void> applyOverrides(toml::table &root,
+                                  std::string_view overrides) {
   while (!overrides.empty()) {
     const auto comma = std::min(overrides.find(','), overrides.size());
     const std::string_view entry = overrides.substr(0, comma);
@@ -66,7 +67,7 @@
 /// Returns `readRoot` behind the application of \p overrides.
 auto overriding(std::string_view overrides) {
   return [overrides](std::string_view file, toml::table root) {
-    if (auto done = override(root, overrides); !done)
+    if (auto done = applyOverrides(root, overrides); !done)
       return core::Result<SidecarSettings>(tl::unexpected(done.error()));
     return readRoot(file, root);
   };
