--- a/Source/Requests/LoadBalancer.cpp
+++ b/Source/Requests/LoadBalancer.cpp
@@ -65,18 +65,21 @@
                      core::TimePoint now) {
   Peer *local = bestOfTwo(Local, tried, now);
   Peer *remote = bestOfTwo(Remote, tried, now);
-  Peer *chosen = local;
-  if (!local ||
-      (remote && local->Load.isSaturated(now) &&
-       remote->Load.cost(now) < local->Load.cost(now) * MaxRemoteCost))
-    chosen = remote;
-  else if (remote && isMuchSlower(*local, *remote))
-    chosen = remote;
+  Peer *chosen = local && !prefersRemote(*local, remote, now) ? local : remote;
   if (!chosen)
     return std::nullopt;
   return chosen->Id;
 }
 
+bool LoadBalancer::prefersRemote(const Peer &local, const Peer *remote,
+                                 core::TimePoint now) {
+  if (remote == nullptr)
+    return false;
+  if (local.Load.isSaturated(now))
+    return remote->Load.cost(now) < local.Load.cost(now) * MaxRemoteCost;
+  return isMuchSlower(local, *remote);
+}
+
 bool LoadBalancer::isMuchSlower(const Peer &local, const Peer &remote) {
   const double other = remote.Load.observedLatency();
   return other > 0 && local.Load.observedLatency() > other * MaxLocalSlowdown;
--- a/Source/Requests/LoadBalancer.h
+++ b/Source/Requests/LoadBalancer.h
@@ -86,6 +86,9 @@
   Peer *lowerCost(Peer *a, Peer *b, core::TimePoint now) const;
   Peer *bestOfTwo(const Group &group, std::span<const core::InstanceId> tried,
                   core::TimePoint now);
+  /// Whether the best remote instance goes before the best local one.
+  static bool prefersRemote(const Peer &local, const Peer *remote,
+                            core::TimePoint now);
   static bool isMuchSlower(const Peer &local, const Peer &remote);
   std::size_t maxEjected() const;
 
--- a/Tests/Requests/LoadBalancerTest.cpp
+++ b/Tests/Requests/LoadBalancerTest.cpp
@@ -174,3 +174,38 @@
   cr_assert(balancer.choose({}, Start) == id(2));
   cr_assert(balancer.choose({}, later) == id(1));
 }
+
+namespace {
+
+struct RemoteRow {
+  const char *Name;
+  /// Requests that run at the local and at the remote instance, of nine slots.
+  std::uint32_t Local;
+  std::uint32_t Remote;
+  bool IsRemote;
+};
+
+const RemoteRow RemoteRows[] = {
+    {"a free slot", 8, 0, false},
+    {"saturated beside an idle one", 9, 0, true},
+    {"saturated beside a less loaded one", 9, 6, true},
+    {"saturated beside one that is about as loaded", 9, 7, false},
+    {"both saturated", 9, 9, false},
+};
+
+} // namespace
+
+// All data centres are nearly full: requests stay in their own one unless
+// another is clearly less loaded.
+ACACIA_TABLE_TEST(LoadBalancer, LeavesItsDataCentreForAGain, RemoteRows) {
+  auto choice = *LoadBalancer::create("here", [] { return 0; });
+  const core::InstanceId local = id(1);
+  const core::InstanceId remote = id(2);
+  const Candidate candidates[] = {{local, "here"}, {remote, "there"}};
+  choice.setCandidates(candidates);
+  const core::TimePoint now{};
+  choice.reported(local, {row.Local, 0, 9}, now);
+  choice.reported(remote, {row.Remote, 0, 9}, now);
+  const auto chosen = choice.choose({}, now);
+  cr_assert(chosen == (row.IsRemote ? remote : local), "%s", row.Name);
+}
