--- a/Tests/Proxy/UpstreamServiceTest.cpp
+++ b/Tests/Proxy/UpstreamServiceTest.cpp
@@ -442,7 +442,7 @@
   order.ExpectedUpstream = tests::UpstreamId;
   order.Key = tests::RequestKey;
   const auto call = sender.send({"127.0.0.1", server->port()}, std::move(order),
-                                codec, [](OrderResult) {});
+                                codec, [](const OrderResult &) {});
   senderLoop.run_for(milliseconds(100));
   if (row.IsWithdrawn)
     call->cancel();
