Upstream: the network's rate decides on large answers alone

Cause: the check of the network compared the mean service time of all classes with the order's target for small answers too, so short calls were refused at upstreams with long work.

Fix: AnswerBandwidth::admits, which is always true for small answers. Its row "small, the mean of the upstream is long" is refused by the former rule.

--- a/Source/Proxy/UpstreamService.cpp
+++ b/Source/Proxy/UpstreamService.cpp
@@ -279,8 +279,8 @@
 bool UpstreamService::exceedsBandwidth(const Order &order,
                                        core::TimePoint now) const {
   return order.IsRemote &&
-         Bandwidth.expectedEnd(order.WorkClass, now + Queue.meanServiceTime(),
-                               now) > order.Target;
+         !Bandwidth.admits(order.WorkClass, now + Queue.meanServiceTime(),
+                           order.Target, now);
 }
 
 core::Duration UpstreamService::retryAfter(const Order &order,
--- a/Source/Upstream/AnswerBandwidth.cpp
+++ b/Source/Upstream/AnswerBandwidth.cpp
@@ -70,14 +70,14 @@
          timeFor(expectedBytes() + it->second.MeanBytes);
 }
 
-core::TimePoint AnswerBandwidth::expectedEnd(std::string_view workClass,
-                                             core::TimePoint answered,
-                                             core::TimePoint now) const {
+bool AnswerBandwidth::admits(std::string_view workClass,
+                             core::TimePoint answered, core::TimePoint target,
+                             core::TimePoint now) const {
   const auto it = Classes.find(workClass);
   if (it == Classes.end() || !isLarge(it->second))
-    return answered;
-  return std::max(answered + timeFor(it->second.MeanBytes),
-                  now + backlog(workClass, now));
+    return true;
+  return answered + timeFor(it->second.MeanBytes) <= target &&
+         now + backlog(workClass, now) <= target;
 }
 
 } // namespace acaciaroad::upstream
--- a/Source/Upstream/AnswerBandwidth.h
+++ b/Source/Upstream/AnswerBandwidth.h
@@ -32,12 +32,11 @@
   void ended(std::string_view workClass, std::uint64_t bytes,
              core::TimePoint now);
 
-  /// Returns when the answer to an order of \p workClass would have been sent,
-  /// if it came from the upstream at \p answered. Small answers count as sent
-  /// when they come.
-  core::TimePoint expectedEnd(std::string_view workClass,
-                              core::TimePoint answered,
-                              core::TimePoint now) const;
+  /// Returns whether the answer to an order of \p workClass, if it came from
+  /// the upstream at \p answered, would have been sent by \p target. Small
+  /// answers are always admitted, however late the upstream may be.
+  bool admits(std::string_view workClass, core::TimePoint answered,
+              core::TimePoint target, core::TimePoint now) const;
 
   /// Returns the time that the answers under way and a further one of
   /// \p workClass need; 0 for small answers.
--- a/Tests/Upstream/AnswerBandwidthTest.cpp
+++ b/Tests/Upstream/AnswerBandwidthTest.cpp
@@ -69,8 +69,8 @@
                     row.Name);
       it = running.erase(it);
     }
-    if (bandwidth.expectedEnd("export", now + work, now) >
-        now + milliseconds(row.Wanted))
+    if (!bandwidth.admits("export", now + work, now + milliseconds(row.Wanted),
+                          now))
       continue;
     ++accepted;
     bandwidth.started("export");
@@ -80,6 +80,39 @@
             "%s: %d accepted", row.Name, accepted);
 }
 
+namespace {
+
+struct SlowRow {
+  const char *Name;
+  std::uint64_t AnswerBytes;
+  /// Milliseconds until the upstream's answer and until it is wanted.
+  int Answered;
+  int Wanted;
+  bool IsAdmitted;
+};
+
+const SlowRow SlowRows[] = {
+    {"small, in time", 1500, 100, 200, true},
+    {"small, the mean of the upstream is long", 1500, 300, 200, true},
+    {"large, in time", 90'000, 100, 200, true},
+    {"large, the upstream is slow", 90'000, 300, 200, false},
+};
+
+} // namespace
+
+// Short calls share an upstream with long work, whose mean service time says
+// nothing about them.
+ACACIA_TABLE_TEST(AnswerBandwidth, LeavesSmallAnswersAlone, SlowRows) {
+  AnswerBandwidth bandwidth;
+  bandwidth.setRate(NarrowRate);
+  const TimePoint now{};
+  bandwidth.started("call");
+  bandwidth.ended("call", row.AnswerBytes, now - std::chrono::seconds(1));
+  cr_assert_eq(bandwidth.admits("call", now + milliseconds(row.Answered),
+                                now + milliseconds(row.Wanted), now),
+               row.IsAdmitted, "%s", row.Name);
+}
+
 Test(AnswerBandwidth, TellsWhenToReturn) {
   AnswerBandwidth bandwidth;
   bandwidth.setRate(NarrowRate);
