Control: one end for conditional appends, one way to send to a node

The append of a roll-out's decision repeated the end of onChangeAppended without its look at the log's era; both call finishChange. A later era is noticed at once there too; before, the next read did. Notices of released keys use sendToNode; their receiver is always a member, as it is taken from the ledger.

--- a/Source/Sidecar/Control.cpp
+++ b/Source/Sidecar/Control.cpp
@@ -717,14 +717,10 @@
   if (!isKeyed() || !IsFleetLoaded)
     return;
   while (const auto notice = Agent.nextNotice(Ledger, now)) {
-    const auto *to = Ledger.findMember(notice->To);
-    if (to == nullptr)
-      return;
     Log->write(
         logging::Level::Debug, "release_told",
         {{"coordinator", notice->To}, {"ranges", notice->Notice.Keys.size()}});
-    Gossip->send({to->Record.Peer.Host, Options.Gossip.Port},
-                 codec::encodeDatagram(notice->Notice));
+    sendToNode(notice->To, codec::encodeDatagram(notice->Notice));
   }
 }
 
@@ -907,15 +903,8 @@
   Logs.Fleet.Append(
       records, Ledger.end(),
       [this, records, sent](const core::Result<feed::Appended> &result) {
-        IsAppending = false;
-        countStoreCall(result ? StoreCallCause::ChangeAccepted
-                              : StoreCallCause::ChangeRefused);
         Rollouts->proposalEnded(result.has_value(), core::BootClock::now());
-        HasUnannouncedChange = HasUnannouncedChange || result.has_value();
-        if (result)
-          Fleet->appended(records, *result, sent);
-        else
-          Fleet->readNow();
+        finishChange(records, sent, result);
       });
 }
 
@@ -947,7 +936,6 @@
 void Control::onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                                core::TimePoint sent,
                                core::Result<feed::Appended> result) {
-  IsAppending = false;
   auto outcome = holdings::ChangeOutcome::Appended;
   if (!result)
     outcome = result.error().Kind == core::ErrorKind::LogOutcomeUnknown
@@ -956,9 +944,16 @@
   Log->write(logging::Level::Info, "holdings_proposal_ended",
              {{"accepted", result.has_value()},
               {"detail", result ? "" : result.error().Detail}});
+  Agent.changeCompleted(outcome, core::BootClock::now());
+  finishChange(records, sent, result);
+}
+
+void Control::finishChange(const std::vector<feed::KeyedRecord> &records,
+                           core::TimePoint sent,
+                           const core::Result<feed::Appended> &result) {
+  IsAppending = false;
   countStoreCall(result ? StoreCallCause::ChangeAccepted
                         : StoreCallCause::ChangeRefused);
-  Agent.changeCompleted(outcome, core::BootClock::now());
   HasUnannouncedChange = HasUnannouncedChange || result.has_value();
   if (!result) {
     Fleet->readNow();
--- a/Source/Sidecar/Control.h
+++ b/Source/Sidecar/Control.h
@@ -161,6 +161,11 @@
   void onChangeAppended(const std::vector<feed::KeyedRecord> &records,
                         core::TimePoint sent,
                         core::Result<feed::Appended> result);
+  /// Continues after a conditional append of \p records to the fleet's log,
+  /// which was sent at \p sent.
+  void finishChange(const std::vector<feed::KeyedRecord> &records,
+                    core::TimePoint sent,
+                    const core::Result<feed::Appended> &result);
   void publish(core::TimePoint now);
   proxy::OwnUpstream describeOwnUpstream(core::TimePoint now) const;
   bool isKeyed() const;
