Net: bodies in chunks are read in the pieces of other messages

readChunks left out reserveForRead, so that each read took 512 bytes. What one read adds stays within the room that reserveChunk has reserved.

--- a/Source/Net/ServerSession.cpp
+++ b/Source/Net/ServerSession.cpp
@@ -272,6 +272,7 @@
     answerAndClose(http::status::service_unavailable);
     return;
   }
+  reserveForRead(Buffer, *Parser);
   http::async_read_some(
       Socket, Buffer, *Parser,
       [self = shared_from_this()](error_code ec, std::size_t) {
